--- /dev/null
+++ b/cmd/dapplestage/main.go
@@ -0,0 +1,150 @@
+// Command dapplestage is one controller of the cluster scheduler.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dapplestage.example/dapplestage/internal/coordination"
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+	"dapplestage.example/dapplestage/internal/transport"
+)
+
+// version is the release this tree leads to.
+const version = "0.1.0"
+
+// errUsage marks mistakes on the command line.
+var errUsage = errors.New("usage")
+
+func main() {
+	err := command().Execute()
+	switch {
+	case err == nil:
+	case errors.Is(err, errUsage):
+		os.Exit(2)
+	default:
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var config string
+	root := &cobra.Command{
+		Use:           "dapplestage --config FILE",
+		Short:         "A controller of the dapplestage cluster scheduler",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if config == "" {
+				return report(fmt.Errorf("%w: --config FILE is needed", errUsage))
+			}
+			cfg, err := protocol.ReadSettings(config)
+			if err != nil {
+				return report(err)
+			}
+			return report(serve(cfg))
+		},
+	}
+	root.Flags().StringVar(&config, "config", "", "the settings file that the platform hands over")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return report(fmt.Errorf("%w: %v", errUsage, err))
+	})
+	root.AddCommand(&cobra.Command{
+		Use: "check FILE", Short: "Check a settings file", Args: usage(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := protocol.ReadSettings(args[0]); err != nil {
+				return report(err)
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "settings are fine")
+			return nil
+		},
+	}, &cobra.Command{
+		Use: "version", Short: "Print the version", Args: usage(cobra.NoArgs),
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dapplestage", version) },
+	})
+	return root
+}
+
+// usage turns a complaint about arguments into one clear line.
+func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := check(cmd, args); err != nil {
+			return report(fmt.Errorf("%w: %v", errUsage, err))
+		}
+		return nil
+	}
+}
+
+func report(err error) error {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	return err
+}
+
+func logLevel() slog.Level {
+	switch os.Getenv("LOG_LEVEL") {
+	case "error":
+		return slog.LevelError
+	case "debug":
+		return slog.LevelDebug
+	}
+	return slog.LevelInfo
+}
+
+// serve runs the node until it is told to stop.
+func serve(cfg *protocol.Settings) error {
+	planMachine(cfg.Params.Quota)
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})).With("node", cfg.Node)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+
+	store := storage.NewStore(cfg.External.State, cfg.Params.State, cfg.Params.Nodes)
+	cloud := storage.NewCloud(cfg.External.Cloud, cfg.Params.Cloud, cfg.Params.Nodes)
+	h := fnv.New64a()
+	h.Write([]byte(cfg.Node))
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	node := coordination.New(ctx, cfg, log, store, cloud, storage.NewWorkers(), h.Sum64()^uint64(time.Now().UnixNano()))
+	store.OnContact = node.Contact
+
+	ln, err := net.Listen("tcp4", cfg.APIAddr)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := transport.Serve(ctx, ln, node.API()); err != nil {
+			cancel(err)
+		}
+	}()
+	log.Info("serving", "api", cfg.APIAddr, "version", version)
+	node.Run()
+	if err := context.Cause(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// planMachine fits the runtime to the machine: one thread at a time, and memory
+// returned well before the limit at which the process would be killed.
+func planMachine(q protocol.MachineQuota) {
+	if q.Cores < 2 {
+		runtime.GOMAXPROCS(1)
+	}
+	debug.SetMemoryLimit(int64(q.MemoryMB * 0.6 * (1 << 20)))
+	debug.SetGCPercent(400)
+}
--- /dev/null
+++ b/internal/coordination/api.go
@@ -0,0 +1,127 @@
+package coordination
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// API is the HTTP interface for users, workers and health checks.
+func (n *Node) API() http.Handler {
+	r := httprouter.New()
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	r.POST("/api/jobs", n.postJob)
+	r.GET("/api/jobs/:id", n.getJob)
+	r.POST("/api/jobs/:id/cancel", n.postCancel)
+	r.POST("/v1/report", n.postReport)
+	r.GET("/ready", n.getReady)
+	return r
+}
+
+// serve lets the actor answer a request.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, f func(reply chan<- answer)) {
+	reply := make(chan answer, 1)
+	n.post(func() { f(reply) })
+	select {
+	case a := <-reply:
+		write(w, a)
+	case <-r.Context().Done():
+	case <-n.ctx.Done():
+		write(w, busy)
+	}
+}
+
+func write(w http.ResponseWriter, a answer) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if a.retryS > 0 {
+		h.Set("Retry-After", strconv.Itoa(a.retryS))
+	}
+	if a.body == nil {
+		a.body = struct{}{}
+	}
+	data, err := json.Marshal(a.body)
+	if err != nil {
+		a.status, data = 500, []byte("{}")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(a.status)
+	w.Write(data)
+}
+
+var errTooLong = errors.New("body over 64 KiB")
+
+func body(r *http.Request) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody+1))
+	if err == nil && len(data) > protocol.MaxBody {
+		err = errTooLong
+	}
+	return data, err
+}
+
+func (n *Node) postJob(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := body(r)
+	if err != nil {
+		write(w, answer{status: 400, body: errorBody{err.Error()}})
+		return
+	}
+	s, err := protocol.ParseJob(data)
+	if err != nil {
+		write(w, answer{status: 400, body: errorBody{err.Error()}})
+		return
+	}
+	n.serve(w, r, func(reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
+}
+
+func (n *Node) getJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	id := p.ByName("id")
+	if !protocol.ValidJobID(id) {
+		write(w, answer{status: 404, body: errorBody{"no such job"}})
+		return
+	}
+	n.serve(w, r, func(reply chan<- answer) { n.onPoll(id, reply) })
+}
+
+func (n *Node) postCancel(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	id := p.ByName("id")
+	if !protocol.ValidJobID(id) {
+		write(w, answer{status: 404, body: errorBody{"no such job"}})
+		return
+	}
+	io.Copy(io.Discard, io.LimitReader(r.Body, protocol.MaxBody))
+	n.serve(w, r, func(reply chan<- answer) { n.onCancel(id, 5, reply) })
+}
+
+// maxReport bounds a worker's report; it is no user's body.
+const maxReport = 8 << 20
+
+func (n *Node) postReport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxReport))
+	var rep *protocol.Report
+	if err == nil {
+		rep, err = protocol.ParseReport(data)
+	}
+	if err != nil {
+		n.post(func() { n.count.malformed++ })
+		write(w, answer{status: 400, body: errorBody{err.Error()}})
+		return
+	}
+	n.serve(w, r, func(reply chan<- answer) { n.onReport(rep, time.Now(), reply) })
+}
+
+func (n *Node) getReady(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	n.serve(w, r, func(reply chan<- answer) {
+		if !n.loaded || n.sinceContact(time.Now()) > 3*time.Second {
+			reply <- answer{status: 503}
+			return
+		}
+		reply <- answer{status: 200}
+	})
+}
--- /dev/null
+++ b/internal/coordination/jobs.go
@@ -0,0 +1,522 @@
+package coordination
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// phase is where a task stands in the stored record, or is about to.
+type phase uint8
+
+const (
+	waiting  phase = iota // no machine recorded
+	proposed              // a placement is being stored
+	placed                // a machine is recorded: the task may be there
+	done                  // completed and stored
+)
+
+// fact is what is known of a placed task beyond the record and not stored yet.
+type fact uint8
+
+const (
+	noFact   fact = iota
+	finished      // the worker reported it done
+	gone          // it is proven not to be on its machine, and never will be
+)
+
+type task struct {
+	phase   phase
+	fact    fact
+	storing bool // the fact is part of a change being stored
+	stop    bool // wanted off its machine
+	seen    seenState
+	attempt uint64
+	machine *machine
+	since   time.Time // when it began to wait, or was recorded
+	sent    time.Time // when a start was last commanded by this node
+	graceS  float64   // grace of the stop
+}
+
+// seenState is a task's state as last reported, as a dense number.
+type seenState uint8
+
+const (
+	unseen seenState = iota
+	seenFetching
+	seenWaiting
+	seenRunning
+	seenSaving
+	seenExited
+)
+
+var seenStates = map[string]seenState{
+	protocol.TaskFetching: seenFetching, protocol.TaskWaiting: seenWaiting,
+	protocol.TaskRunning: seenRunning, protocol.TaskSaving: seenSaving, protocol.TaskExited: seenExited,
+}
+
+// job is an accepted job that is not final yet.
+type job struct {
+	id        string
+	spec      *protocol.JobSpec
+	team      int
+	share     int
+	rank      int
+	need      Amounts
+	submitted time.Time
+	cancelled bool
+	next      uint64
+	tasks     []task
+	chunks    map[int]bool // stored chunks beyond the head
+	nDone     int
+	nPlaced   int  // placed or proposed
+	busy      bool // a change is being stored
+	counted   bool // the share's window has counted its arrival
+	heavy     bool
+	abandon   bool         // gang: this attempt is to end
+	fails     int          // tasks that ended with an error
+	notBefore time.Time    // start nothing before, after errors
+	why       string       // why its tasks wait
+	taskChunk map[int]bool // chunks to be written by the next change
+}
+
+func (j *job) nWaiting() int { return len(j.tasks) - j.nDone - j.nPlaced }
+
+func (j *job) chunkRange(k int) (lo, hi int) {
+	return k * protocol.ChunkTasks, min(len(j.tasks), (k+1)*protocol.ChunkTasks)
+}
+
+func (n *Node) stamp(key string) uint64 {
+	if !n.exists(key) {
+		return 0
+	}
+	return n.ver[key]
+}
+
+func (n *Node) cond(key string) storage.Cond { return storage.Cond{Key: key, Stamp: n.stamp(key)} }
+
+// setJob takes in a job's head.
+func (n *Node) setJob(id string, r *protocol.JobRecord) {
+	j := n.jobs[id]
+	if j == nil {
+		team, ok := n.teamOf[r.Spec.Team]
+		if !ok {
+			n.log.Error("job of an unknown team", "job", id, "team", r.Spec.Team)
+			return
+		}
+		j = &job{id: id, spec: r.Spec, team: team, share: n.teams[team].share, rank: r.Spec.Rank(),
+			need:      Amounts{r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB},
+			submitted: time.UnixMilli(r.SubmittedMS), tasks: make([]task, r.Spec.Tasks),
+			chunks: map[int]bool{}, taskChunk: map[int]bool{}}
+		now := time.Now()
+		for i := range j.tasks {
+			j.tasks[i].since = now
+		}
+		n.jobs[id] = j
+		for key, c := range n.orphans {
+			if oid, k := splitJobKey(key); oid == id {
+				delete(n.orphans, key)
+				j.chunks[k] = true
+				n.setTasks(j, k, &c)
+			}
+		}
+	}
+	if r.Cancelled && !j.cancelled {
+		j.cancelled = true
+		n.log.Info("job is cancelled", "job", id, "placed", j.nPlaced)
+		n.wakeMachines(j)
+		n.dirty[j] = true
+	}
+	j.next = max(j.next, r.Next)
+	n.setTasks(j, 0, &r.Chunk)
+}
+
+// setChunk takes in a chunk of tasks beyond the head.
+func (n *Node) setChunk(id string, k int, key string, c protocol.Chunk, ok bool) {
+	j := n.jobs[id]
+	switch {
+	case !ok:
+		delete(n.orphans, key)
+		if j != nil {
+			delete(j.chunks, k)
+		}
+	case j == nil:
+		n.orphans[key] = c
+	default:
+		j.chunks[k] = true
+		n.setTasks(j, k, &c)
+	}
+}
+
+// setTasks makes a chunk's tasks what the record says, and keeps what was
+// observed of placements that stay.
+func (n *Node) setTasks(j *job, k int, c *protocol.Chunk) {
+	lo, hi := j.chunkRange(k)
+	if lo >= hi {
+		return
+	}
+	now := time.Now()
+	want := make([]protocol.Placement, hi-lo)
+	isDone := make([]bool, hi-lo)
+	for _, d := range c.Done {
+		for i := max(lo, d[0]); i <= min(hi-1, d[1]); i++ {
+			isDone[i-lo] = true
+		}
+	}
+	for _, p := range c.Placed {
+		if p.Task >= lo && p.Task < hi {
+			want[p.Task-lo] = p
+			j.next = max(j.next, p.Attempt+1)
+		}
+	}
+	for i := lo; i < hi; i++ {
+		t := &j.tasks[i]
+		p := want[i-lo]
+		switch {
+		case isDone[i-lo]:
+			n.setPhase(j, i, done, nil, 0, now)
+		case p.Machine != "":
+			m := n.machine(p.Machine)
+			if t.phase == placed && t.machine == m && t.attempt == p.Attempt {
+				t.storing = false
+				continue
+			}
+			fresh := t.phase == proposed && t.machine == m && t.attempt == p.Attempt
+			n.setPhase(j, i, placed, m, p.Attempt, now)
+			if fresh {
+				m.wake = true
+			}
+		case t.phase != waiting:
+			n.setPhase(j, i, waiting, nil, 0, now)
+		}
+	}
+	if j.abandon && j.nPlaced == 0 {
+		j.abandon = false
+	}
+	if j.cancelled || j.nDone == len(j.tasks) {
+		n.dirty[j] = true
+	}
+}
+
+// setPhase is the one place where a task changes its phase, and with it what
+// its team and its machine are counted to use: from before a placement is
+// stored until the task is known to be gone.
+func (n *Node) setPhase(j *job, i int, p phase, m *machine, attempt uint64, now time.Time) {
+	t := &j.tasks[i]
+	holds := func(p phase) bool { return p == proposed || p == placed }
+	if holds(t.phase) && t.machine != m {
+		n.release(j, i)
+	}
+	if holds(p) && (t.machine != m || !holds(t.phase)) {
+		n.reserve(j, i, m)
+	}
+	if t.phase != done && p == done {
+		j.nDone++
+	}
+	if t.phase == done && p != done {
+		j.nDone--
+	}
+	if t.phase != p || t.attempt != attempt {
+		*t = task{phase: p, attempt: attempt, machine: m, since: now}
+	}
+	t.machine = m
+}
+
+func (n *Node) reserve(j *job, i int, m *machine) {
+	j.nPlaced++
+	tm := n.teams[j.team]
+	tm.used = tm.used.Add(j.need, 1)
+	m.used = m.used.Add(j.need, 1)
+	m.on[taskKey{j, i}] = struct{}{}
+	m.idleSince = time.Time{}
+}
+
+func (n *Node) release(j *job, i int) {
+	j.nPlaced--
+	tm := n.teams[j.team]
+	tm.used = tm.used.Add(j.need, -1)
+	m := j.tasks[i].machine
+	m.used = m.used.Add(j.need, -1)
+	delete(m.on, taskKey{j, i})
+	if len(m.on) == 0 {
+		m.used = Amounts{}
+		m.idleSince = time.Now()
+		if !m.known {
+			delete(n.machines, m.name)
+		}
+	}
+	n.replan = true
+}
+
+// dropJob forgets a job whose head is gone: it is final.
+func (n *Node) dropJob(id string) {
+	j := n.jobs[id]
+	if j == nil {
+		return
+	}
+	for i := range j.tasks {
+		n.setPhase(j, i, waiting, nil, 0, time.Time{})
+	}
+	for k := range j.chunks {
+		n.orphans[protocol.ChunkKey(id, k)] = protocol.Chunk{}
+	}
+	delete(n.jobs, id)
+	delete(n.dirty, j)
+}
+
+// note records a fact about a placed task, to be stored with the next flush.
+func (n *Node) note(j *job, i int, f fact) {
+	t := &j.tasks[i]
+	if t.phase != placed || t.fact != noFact {
+		return
+	}
+	t.fact = f
+	n.dirty[j] = true
+	if j.spec.Shape != protocol.Gang {
+		return
+	}
+	if f == finished {
+		// If one task of a gang is done, all of them are.
+		for k := range j.tasks {
+			if j.tasks[k].phase == placed {
+				j.tasks[k].fact = finished
+			}
+		}
+	} else if !j.abandon {
+		// A gang that lost a task ends its attempt: the rest are stopped, and the
+		// next attempt starts only when all of them are known to be gone.
+		j.abandon = true
+		n.wakeMachines(j)
+	}
+}
+
+// propose reserves places for tasks; flush stores them.
+func (n *Node) propose(j *job, tasks []int, to []*machine, now time.Time) {
+	for k, i := range tasks {
+		n.setPhase(j, i, proposed, to[k], j.next, now)
+		j.taskChunk[i/protocol.ChunkTasks] = true
+	}
+	j.next++
+	n.dirty[j] = true
+}
+
+// flush stores what is new of the jobs that no other change is being stored of.
+func (n *Node) flush() {
+	for j := range n.dirty {
+		if j.busy {
+			continue
+		}
+		if s := n.shares[j.share]; !n.mine(s) {
+			n.revert(j)
+			delete(n.dirty, j)
+			continue
+		}
+		delete(n.dirty, j)
+		n.save(j)
+	}
+}
+
+// record builds chunk k as it is to be stored.
+func (j *job) record(k int) protocol.Chunk {
+	var c protocol.Chunk
+	lo, hi := j.chunkRange(k)
+	for i := lo; i < hi; i++ {
+		t := &j.tasks[i]
+		switch {
+		case t.phase == done || t.fact == finished:
+			if l := len(c.Done); l > 0 && c.Done[l-1][1] == i-1 {
+				c.Done[l-1][1] = i
+			} else {
+				c.Done = append(c.Done, [2]int{i, i})
+			}
+		case t.fact == gone || t.phase == waiting:
+		default:
+			c.Placed = append(c.Placed, protocol.Placement{Task: i, Attempt: t.attempt, Machine: t.machine.name})
+		}
+	}
+	return c
+}
+
+// head builds a job's head as it is to be stored.
+func (j *job) head() protocol.JobRecord {
+	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Chunk: j.record(0)}
+}
+
+func mustJSON(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // only our own records come here
+	}
+	return b
+}
+
+// save stores all that is new of a job in one conditional change.
+func (n *Node) save(j *job) {
+	if j.cancelled {
+		n.revert(j) // nothing of it may start any more
+	}
+	touched := j.taskChunk
+	j.taskChunk = map[int]bool{}
+	left := 0
+	anyDone := false
+	machines := map[string]bool{}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.fact != noFact {
+			t.storing = true
+			touched[i/protocol.ChunkTasks] = true
+		}
+		if t.phase == proposed {
+			machines[t.machine.name] = true
+		}
+		anyDone = anyDone || t.phase == done || t.fact == finished
+		if !(t.phase == done || t.fact == finished) && !(j.cancelled && (t.phase == waiting || t.phase == proposed || t.fact == gone)) {
+			left++
+		}
+	}
+	op := &storage.Op{Conds: []storage.Cond{n.cond(protocol.HolderKey(j.share)), n.cond(protocol.JobKey(j.id))}}
+	for name := range machines {
+		op.Conds = append(op.Conds, n.cond(protocol.MachineKey(name)))
+	}
+	if j.spec.Shape == protocol.Gang && anyDone {
+		left = 0 // they complete together
+	}
+	if left == 0 {
+		status := protocol.JobDone
+		if j.cancelled {
+			status = protocol.JobCancelled
+		}
+		op.Writes = finalWrites(j.id, status, len(j.tasks))
+	} else {
+		if len(touched) == 0 {
+			return
+		}
+		delete(touched, 0)
+		op.Writes = append(op.Writes, storage.Write{Put: protocol.JobKey(j.id), Value: mustJSON(j.head())})
+		for k := range touched {
+			key := protocol.ChunkKey(j.id, k)
+			op.Conds = append(op.Conds, n.cond(key))
+			op.Writes = append(op.Writes, storage.Write{Put: key, Value: mustJSON(j.record(k))})
+			if len(op.Writes) >= min(8, n.cfg.Params.State.TxnOps-1) {
+				break
+			}
+		}
+		n.splitRest(j, touched, op)
+	}
+	j.busy = true
+	op.Done = func(r storage.Result) {
+		n.post(func() { n.stored(j, op, r) })
+	}
+	if !n.books.Submit(op) {
+		j.busy = false
+		n.revert(j)
+	}
+}
+
+// splitRest leaves the chunks that did not fit into op for the next change:
+// their proposals and facts are not part of this one.
+func (n *Node) splitRest(j *job, touched map[int]bool, op *storage.Op) {
+	in := map[string]bool{}
+	for _, w := range op.Writes {
+		in[w.Put] = true
+	}
+	for k := range touched {
+		if in[protocol.ChunkKey(j.id, k)] {
+			continue
+		}
+		lo, hi := j.chunkRange(k)
+		for i := lo; i < hi; i++ {
+			j.tasks[i].storing = false
+		}
+		j.taskChunk[k] = true
+		n.dirty[j] = true
+	}
+}
+
+func finalWrites(id, status string, tasks int) []storage.Write {
+	return []storage.Write{
+		{Put: protocol.FinalKey(id), Value: mustJSON(protocol.FinalRecord{Status: status, Tasks: tasks})},
+		{Delete: protocol.JobKey(id)},
+	}
+}
+
+// stored learns how a change of a job ended.
+func (n *Node) stored(j *job, op *storage.Op, r storage.Result) {
+	if r.OK {
+		for _, w := range op.Writes {
+			n.learn(w, r.Epoch)
+		}
+		j.busy = false
+		n.wakeMachines(j)
+		return
+	}
+	n.count.refused++
+	n.log.Info("change of a job refused", "job", j.id, "failed", strings.Join(r.Failed, " "), "why", r.Err)
+	n.resync(r.Failed, func(err error) {
+		j.busy = false
+		n.revert(j)
+		if n.jobs[j.id] == j {
+			n.dirty[j] = true
+		}
+	})
+}
+
+// learn takes an own committed write into the replica.
+func (n *Node) learn(w storage.Write, epoch uint64) {
+	it := storage.Item{Key: w.Key(), Value: w.Value, Stamp: epoch}
+	if strings.HasPrefix(it.Key, protocol.Root) {
+		n.apply(it)
+	} else {
+		n.applyFinal(it)
+	}
+}
+
+// revert takes proposals back that were not stored. Facts stay: they are true
+// whatever became of the change.
+func (n *Node) revert(j *job) {
+	now := time.Now()
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		t.storing = false
+		if t.phase == proposed {
+			n.setPhase(j, i, waiting, nil, 0, now)
+		}
+		if t.fact != noFact {
+			j.taskChunk[i/protocol.ChunkTasks] = true
+		}
+	}
+	n.replan = true
+}
+
+// wakeMachines makes machines with tasks of a job be answered soon.
+func (n *Node) wakeMachines(j *job) {
+	for i := range j.tasks {
+		if m := j.tasks[i].machine; m != nil {
+			m.wake = true
+		}
+	}
+}
+
+// sortedJobs are the unfinished jobs of a share, by priority and arrival.
+func (n *Node) sortedJobs(share int) []*job {
+	var out []*job
+	for _, j := range n.jobs {
+		if j.share == share {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int {
+		if a.rank != b.rank {
+			return a.rank - b.rank
+		}
+		if c := a.submitted.Compare(b.submitted); c != 0 {
+			return c
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	return out
+}
--- /dev/null
+++ b/internal/coordination/machines.go
@@ -0,0 +1,513 @@
+package coordination
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// offer is a kind of machine that can be rented.
+type offer struct {
+	typ, zone string
+	spot      bool
+}
+
+// rental is an offer asked for on behalf of a share.
+type rental struct {
+	share int
+	offer
+}
+
+// bin is a machine that waiting tasks are imagined on, to see what to rent.
+type bin struct {
+	offer
+	free Amounts
+}
+
+// rent asks for the machines that the waiting jobs lack beyond those on the way.
+func (n *Node) rent(s *share, waits []*job, now time.Time) {
+	if len(waits) == 0 || n.policy.NoRents || len(n.types) == 0 {
+		return
+	}
+	var bins []*bin
+	inZone := map[string]int{}
+	for _, m := range n.machines {
+		if !m.known || m.rec.Share != s.index || m.gone || m.returning || m.heldBack {
+			continue
+		}
+		inZone[m.rec.Zone]++
+		if m.heard.IsZero() && !m.notice {
+			bins = append(bins, &bin{offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, n.free(m)})
+		}
+	}
+	for r, k := range n.renting {
+		if t := n.types[r.typ]; t != nil && r.share == s.index {
+			for range k {
+				inZone[r.zone]++
+				bins = append(bins, &bin{r.offer, size(t)})
+			}
+		}
+	}
+	want := map[offer]int{}
+	used := map[int]Amounts{}
+	for _, j := range waits {
+		j.why = "no capacity"
+		n.imagine(j, &bins, used, want, inZone, now)
+	}
+	for o, k := range want {
+		r := rental{s.index, o}
+		if n.renting[r] == 0 {
+			n.ask(s, r, min(k, 50))
+		}
+	}
+}
+
+// imagine puts a job's waiting tasks on bins, opening new ones where allowed.
+func (n *Node) imagine(j *job, bins *[]*bin, used map[int]Amounts, want map[offer]int, inZone map[string]int, now time.Time) {
+	tm := *n.teams[j.team]
+	tm.used = tm.used.Add(used[j.team], 1)
+	r := min(j.nWaiting(), tm.room(j.need))
+	if r <= 0 || (j.spec.Shape == protocol.Gang && r < len(j.tasks)) {
+		j.why = "team limit"
+		return
+	}
+	const horizon = 2000 // tasks looked at: renting is limited to 50 a request anyway
+	r = min(r, horizon)
+	used[j.team] = used[j.team].Add(j.need, float64(r))
+	byZone := map[string]int{}
+	only := "" // zone that the job is bound to
+	for i := range j.tasks {
+		if m := j.tasks[i].machine; m != nil {
+			byZone[m.rec.Zone]++
+			if j.spec.OneZone {
+				only = m.rec.Zone
+			}
+		}
+	}
+	half := (len(j.tasks) + 1) / 2
+	fits := func(o offer) bool {
+		return allowed(j.spec, o.typ, o.zone, o.spot) && (only == "" || only == o.zone) &&
+			(!j.spec.Spread || byZone[o.zone] < half)
+	}
+	start := 0
+	for range r {
+		var b *bin
+		for i := start; i < len(*bins); i++ {
+			if c := (*bins)[i]; c.free.Times(j.need) > 0 && fits(c.offer) {
+				b = c
+				break
+			}
+		}
+		if b == nil {
+			o, ok := n.bestOffer(j, fits, inZone, now)
+			if !ok {
+				return
+			}
+			inZone[o.zone]++
+			want[o]++
+			b = &bin{o, size(n.types[o.typ])}
+			*bins = append(*bins, b)
+		}
+		b.free = b.free.Add(j.need, -1)
+		byZone[b.zone]++
+		if j.spec.OneZone {
+			only = b.zone
+		}
+	}
+}
+
+// bestOffer is the cheapest kind that a job may use and that the cloud has not
+// just refused; among zones the one with the fewest machines of the share.
+func (n *Node) bestOffer(j *job, fits func(offer) bool, inZone map[string]int, now time.Time) (best offer, ok bool) {
+	var price float64
+	better := func(o offer, p float64) bool {
+		return !ok || cmp.Or(cmp.Compare(p, price), cmp.Compare(inZone[o.zone], inZone[best.zone]),
+			compareNames(o.zone, best.zone)) < 0
+	}
+	for _, t := range n.types {
+		if size(t).Times(j.need) == 0 {
+			continue
+		}
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				p := t.Price
+				if spot {
+					p = t.SpotPrice
+				}
+				o := offer{t.Name, z, spot}
+				if fits(o) && !now.Before(n.refusedTill[o]) && better(o, p) {
+					best, price, ok = o, p, true
+				}
+			}
+		}
+	}
+	return best, ok
+}
+
+// ask rents machines and records them for the share. The request's name holds
+// the token, which no other node and no other life ever has.
+func (n *Node) ask(s *share, r rental, count int) {
+	n.rentSeq++
+	req := protocol.RentRequest{Request: fmt.Sprintf("r-%d-%d-%d", s.index, s.holder.Token, n.rentSeq),
+		Type: r.typ, Zone: r.zone, Spot: r.spot, Count: count}
+	n.renting[r] = count
+	n.spawn(func(ctx context.Context) {
+		names, err := n.cloud.Rent(ctx, req)
+		n.post(func() {
+			now := time.Now()
+			delete(n.renting, r)
+			n.replan = true
+			n.log.Info("rental", "request", req.Request, "zone", r.zone, "spot", r.spot, "asked", count, "got", len(names), "why", err)
+			if err != nil || len(names) < count {
+				wait := 3 * time.Second
+				if errors.Is(err, ErrNoCapacity) || err == nil {
+					wait = 8 * time.Second
+				}
+				n.refusedTill[r.offer] = now.Add(wait)
+			}
+			for _, name := range names {
+				n.adopt(s, name, protocol.MachineRecord{Share: s.index, Type: r.typ, Zone: r.zone, Spot: r.spot})
+			}
+		})
+	})
+}
+
+// ErrNoCapacity is the cloud's refusal for want of machines.
+var ErrNoCapacity = storage.ErrNoCapacity
+
+// adopt records a machine that has no record.
+func (n *Node) adopt(s *share, name string, rec protocol.MachineRecord) {
+	key := protocol.MachineKey(name)
+	if n.stamp(key) != 0 {
+		return
+	}
+	n.submit(&storage.Op{
+		Conds:  []storage.Cond{{Key: key}, n.cond(protocol.HolderKey(s.index))},
+		Writes: []storage.Write{{Put: key, Value: mustJSON(rec)}},
+	}, func(storage.Result) {})
+}
+
+// onStray answers a machine without a record: a rental whose answer was lost,
+// or one executed late. The leader adopts it.
+func (n *Node) onStray(r *protocol.Report, reply chan<- answer) {
+	lead := n.shares[0].holder
+	switch {
+	case n.leads():
+		if _, ok := n.returned[r.Machine]; !ok && n.types[r.Type] != nil {
+			to := 0
+			for i := range n.shares {
+				if n.shareWaits(i) && !n.shareWaits(to) {
+					to = i
+				}
+			}
+			n.log.Info("stray machine adopted", "machine", r.Machine, "share", to)
+			n.adopt(n.shares[0], r.Machine, protocol.MachineRecord{Share: to, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Addr: r.Addr})
+		}
+		reply <- answer{status: 503}
+	case lead.Token != 0 && lead.Node != n.cfg.Node:
+		reply <- answer{status: 421, body: protocol.Redirect{ReportTo: lead.Node}}
+	default:
+		reply <- answer{status: 503}
+	}
+}
+
+// silentLimit is how long a machine may be silent before it is given back.
+func (n *Node) silentLimit() time.Duration {
+	return time.Duration((3*n.cfg.Params.Workers.ReportS + 4) * float64(time.Second))
+}
+
+// tickMachines looks after the machines of the shares held.
+func (n *Node) tickMachines(now time.Time) {
+	if now.Sub(n.lastTend) < 500*time.Millisecond {
+		return
+	}
+	n.lastTend = now
+	n.checkSight(now)
+	var back []*machine
+	idle := map[int]bool{}
+	for i, s := range n.shares {
+		idle[i] = n.mine(s) && !n.shareWaits(i)
+	}
+	names := make([]*machine, 0, len(n.machines))
+	for _, m := range n.machines {
+		names = append(names, m)
+	}
+	slices.SortFunc(names, func(a, b *machine) int { return compareNames(a.name, b.name) })
+	for _, m := range names {
+		s := n.shares[m.rec.Share]
+		if !m.known {
+			n.tendUnrecorded(m, now, &back)
+			continue
+		}
+		if !n.mine(s) {
+			continue
+		}
+		switch {
+		case m.gone:
+			n.settleGone(m)
+		case m.returning:
+			if !now.Before(m.returnTry) {
+				back = append(back, m)
+			}
+		case n.dead(m, now):
+			n.log.Info("machine given up", "machine", m.name, "heard", !m.heard.IsZero(), "tasks", len(m.on))
+			back = append(back, m)
+		case len(m.on) == 0 && m.fenced && !m.moving && (m.notice || m.distrust >= 3 ||
+			idle[m.rec.Share] && !m.idleSince.IsZero() && now.Sub(m.idleSince).Seconds() > n.policy.IdleS):
+			n.log.Info("machine returned", "machine", m.name, "notice", m.notice, "distrust", m.distrust)
+			back = append(back, m)
+		default:
+			if !m.fenced {
+				n.fence(m, now)
+			} else if m.rec.Addr == "" && !m.recorded && m.addr != "" && !m.moving {
+				n.recordAddr(m)
+			}
+		}
+	}
+	n.giveBack(back, now)
+	n.list(now)
+}
+
+// recordAddr stores where a worker is, so that a later holder can call it.
+func (n *Node) recordAddr(m *machine) {
+	m.recorded = true
+	rec := m.rec
+	rec.Addr = m.addr
+	key := protocol.MachineKey(m.name)
+	n.submit(&storage.Op{Conds: []storage.Cond{n.cond(key), n.cond(protocol.HolderKey(rec.Share))},
+		Writes: []storage.Write{{Put: key, Value: mustJSON(rec)}}}, func(r storage.Result) { m.recorded = r.OK })
+}
+
+// dead says whether a machine is to be given up: it does not boot, or it is
+// silent while others are heard.
+func (n *Node) dead(m *machine, now time.Time) bool {
+	if n.sinceContact(now) > 2*time.Second {
+		return false
+	}
+	if m.heard.IsZero() {
+		boot := 60 * time.Second
+		if t := n.types[m.rec.Type]; t != nil {
+			boot = max(boot, time.Duration(4*t.BootS*float64(time.Second)))
+		}
+		if len(m.on) > 0 || m.rec.Addr != "" {
+			boot = n.silentLimit() + 3*time.Second // it was up under an earlier holder
+		}
+		return now.Sub(m.added) > boot
+	}
+	limit := n.silentLimit()
+	if n.zoneSilent(m.rec.Zone, now) {
+		limit = max(limit, 75*time.Second)
+	}
+	return now.Sub(m.heard) > limit
+}
+
+// silent says whether a machine that was heard is not heard now.
+func (n *Node) silent(m *machine, now time.Time) bool {
+	return now.Sub(m.heard).Seconds() > 2.2*n.cfg.Params.Workers.ReportS+1
+}
+
+// zoneSilent says whether most of a zone cannot be heard: then it is the
+// network, and the machines keep working.
+func (n *Node) zoneSilent(zone string, now time.Time) bool {
+	all, quiet := 0, 0
+	for _, m := range n.machines {
+		if m.known && m.rec.Zone == zone && !m.heard.IsZero() && n.mine(n.shares[m.rec.Share]) {
+			all++
+			if n.silent(m, now) {
+				quiet++
+			}
+		}
+	}
+	return all >= 3 && quiet*10 >= all*7
+}
+
+// checkSight gives the shares up if hardly any machine is heard: this node is
+// cut off from the workers, and others may not be.
+func (n *Node) checkSight(now time.Time) {
+	all, quiet := 0, 0
+	for _, m := range n.machines {
+		if m.known && !m.heard.IsZero() && n.mine(n.shares[m.rec.Share]) {
+			all++
+			if n.silent(m, now) {
+				quiet++
+			}
+		}
+	}
+	if all < 3 || quiet*10 < all*8 || now.Sub(n.lastRelease) < 10*time.Second || n.sinceContact(now) > 2*time.Second || len(n.nodes) < 2 {
+		return
+	}
+	n.blindTill = now.Add(15 * time.Second)
+	for _, s := range n.shares {
+		if n.mine(s) && !s.pending {
+			n.giveUp(s, "workers are not heard", now)
+		}
+	}
+}
+
+// tendUnrecorded sees to machines that tasks are recorded on but that have no
+// record: they are returned, which proves the tasks gone.
+func (n *Node) tendUnrecorded(m *machine, now time.Time, back *[]*machine) {
+	if len(m.on) == 0 {
+		if !m.returning {
+			delete(n.machines, m.name)
+		}
+		return
+	}
+	for k := range m.on {
+		if !n.mine(n.shares[k.job.share]) {
+			return
+		}
+	}
+	switch {
+	case m.gone:
+		n.settleGone(m)
+	case now.Sub(m.added) > 5*time.Second && !now.Before(m.returnTry):
+		*back = append(*back, m)
+	}
+}
+
+// settleGone notes the tasks of a machine that is gone and then drops its record.
+func (n *Node) settleGone(m *machine) {
+	for k := range m.on {
+		n.note(k.job, k.task, gone)
+	}
+	if len(m.on) == 0 && m.known && !m.moving {
+		m.moving = true
+		key := protocol.MachineKey(m.name)
+		n.submit(&storage.Op{Conds: []storage.Cond{n.cond(key), n.cond(protocol.HolderKey(m.rec.Share))},
+			Writes: []storage.Write{{Delete: key}}}, func(storage.Result) { m.moving = false })
+	}
+}
+
+// giveBack returns machines to the cloud. Its answer proves them gone.
+func (n *Node) giveBack(ms []*machine, now time.Time) {
+	if len(ms) == 0 {
+		return
+	}
+	ms = ms[:min(len(ms), 100)]
+	var names []string
+	for _, m := range ms {
+		m.returning = true
+		m.returnTry = now.Add(8 * time.Second)
+		names = append(names, m.name)
+	}
+	n.spawn(func(ctx context.Context) {
+		err := n.cloud.Return(ctx, names)
+		n.post(func() {
+			now := time.Now()
+			if err != nil {
+				n.log.Info("return not confirmed", "machines", len(names), "why", err)
+				for _, m := range ms {
+					m.returnTry = now.Add(2 * time.Second)
+				}
+				return
+			}
+			for _, m := range ms {
+				m.gone = true
+				n.returned[m.name] = now
+				if m.known && n.mine(n.shares[m.rec.Share]) || !m.known {
+					n.settleGone(m)
+				}
+			}
+		})
+	})
+}
+
+// list lets the leader look for machines that nobody has recorded.
+func (n *Node) list(now time.Time) {
+	if !n.leads() || n.listing || now.Sub(n.lastList) < 15*time.Second {
+		return
+	}
+	n.lastList = now
+	n.listing = true
+	n.spawn(func(ctx context.Context) {
+		ms, err := n.cloud.List(ctx)
+		n.post(func() {
+			n.listing = false
+			if err == nil && n.leads() {
+				n.onList(ms, time.Now())
+			}
+		})
+	})
+}
+
+func (n *Node) onList(ms []protocol.ListedMachine, now time.Time) {
+	for name, t := range n.returned {
+		if now.Sub(t) > 5*time.Minute {
+			delete(n.returned, name)
+		}
+	}
+	seen := map[string]bool{}
+	var back []*machine
+	for _, l := range ms {
+		seen[l.ID] = true
+		m := n.machines[l.ID]
+		if m != nil && m.known {
+			if m.addr == "" {
+				m.addr = l.Addr
+			}
+			delete(n.strays, l.ID)
+			if l.State == "failed" && !m.gone && !m.returning && n.mine(n.shares[m.rec.Share]) {
+				n.log.Info("machine failed", "machine", l.ID)
+				back = append(back, m)
+			}
+			continue
+		}
+		if _, ok := n.returned[l.ID]; ok {
+			continue
+		}
+		first, ok := n.strays[l.ID]
+		if !ok {
+			n.strays[l.ID] = now
+		} else if wait := 40 * time.Second; now.Sub(first) > wait {
+			n.log.Info("stray machine returned", "machine", l.ID, "state", l.State)
+			back = append(back, &machine{name: l.ID, on: map[taskKey]struct{}{}})
+			delete(n.strays, l.ID)
+		}
+	}
+	for name := range n.strays {
+		if !seen[name] {
+			delete(n.strays, name)
+		}
+	}
+	n.giveBack(back, now)
+}
+
+// drain empties a machine that the cloud takes back in so many seconds.
+func (n *Node) drain(m *machine, seconds float64) {
+	for k := range m.on {
+		j := k.job
+		t := &j.tasks[k.task]
+		if t.phase != placed {
+			continue
+		}
+		left := j.spec.EstimateS - time.Since(t.since).Seconds()
+		if j.spec.Shape == protocol.Array && left < seconds-1 {
+			continue // it should be done before
+		}
+		n.stopTask(j, k.task)
+	}
+}
+
+// stopTask makes a task leave its machine, saving if it can. A gang goes whole.
+func (n *Node) stopTask(j *job, i int) {
+	grace := 0.0
+	if j.spec.CheckpointS > 0 {
+		grace = j.spec.SaveS + n.cfg.Params.Workers.GangPeerS
+	}
+	if j.spec.Shape == protocol.Gang {
+		j.abandon = true
+		for k := range j.tasks {
+			j.tasks[k].graceS = grace
+		}
+	}
+	t := &j.tasks[i]
+	t.stop, t.graceS = true, grace
+	n.wakeMachines(j)
+}
--- /dev/null
+++ b/internal/coordination/node.go
@@ -0,0 +1,260 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// CloudService is the cloud as the node sees it.
+type CloudService interface {
+	Catalog(ctx context.Context) ([]protocol.MachineType, error)
+	Rent(ctx context.Context, r protocol.RentRequest) ([]string, error)
+	Return(ctx context.Context, names []string) error
+	List(ctx context.Context) ([]protocol.ListedMachine, error)
+}
+
+// Workers calls a worker directly.
+type Workers interface {
+	// Command sends orders and returns the worker's report; executed is false
+	// if the worker refused them for their token or session.
+	Command(ctx context.Context, addr string, o protocol.Orders) (r *protocol.Report, executed bool, err error)
+}
+
+// Node is one controller. All fields below inbox belong to the actor routine.
+type Node struct {
+	cfg     *protocol.Settings
+	log     *slog.Logger
+	store   storage.Service
+	cloud   CloudService
+	workers Workers
+	users   *storage.Committer // changes that a user waits for
+	books   *storage.Committer // everything else
+	rng     *rand.Rand
+
+	started time.Time
+	contact atomic.Int64 // when the last answered store call was sent, since started
+	inbox   chan func()
+	wg      sync.WaitGroup
+	ctx     context.Context
+
+	loaded   bool // the replica has been read once
+	ver      map[string]uint64
+	orphans  map[string]protocol.Chunk // chunks whose head is not there (yet)
+	jobs     map[string]*job
+	finals   *finalCache
+	machines map[string]*machine
+	shares   []*share
+	teams    []*team
+	teamOf   map[string]int
+	counter  uint64
+	nodes    map[string]time.Time // live nodes and since when
+	lease    uint64
+	types    map[string]*protocol.MachineType
+
+	dirty       map[*job]bool // jobs with facts or placements to store
+	replan      bool
+	lastPlan    time.Time
+	reads       []*read
+	reading     bool
+	lastRead    time.Time
+	strays      map[string]time.Time // unrecorded machines in the cloud's list, first seen
+	returned    map[string]time.Time // machines that are gone for good
+	listing     bool
+	lastList    time.Time
+	lastMove    time.Time
+	lastTend    time.Time
+	lastRelease time.Time
+	rentSeq     uint64
+	refusedTill map[offer]time.Time
+	renting     map[rental]int // machines asked for
+	blindTill   time.Time
+	policy      policySettings
+	count       counters
+}
+
+// policySettings are the values that operators may change.
+type policySettings struct {
+	Window  int
+	MoveS   float64
+	IdleS   float64
+	Greedy  bool
+	NoRents bool
+}
+
+func defaultPolicy() policySettings {
+	return policySettings{Window: DefaultWindow, MoveS: 30, IdleS: 45}
+}
+
+// counters tell what happened since the start.
+type counters struct {
+	placed, done, lost, refused, malformed int
+}
+
+type team struct {
+	name      string
+	share     int
+	guarantee Amounts
+	limit     Amounts // 0: no limit... see free
+	used      Amounts
+}
+
+type share struct {
+	index   int
+	holder  protocol.HolderRecord // Token 0: nobody
+	vacant  time.Time
+	taken   time.Time // when this node took it
+	pending bool      // a change of the holder is being stored
+	window  *Window
+}
+
+// New makes a node that lives until ctx ends. The caller runs it with Run.
+func New(ctx context.Context, cfg *protocol.Settings, log *slog.Logger, store storage.Service, cloud CloudService, workers Workers, seed uint64) *Node {
+	n := &Node{
+		ctx: ctx, cfg: cfg, log: log, store: store, cloud: cloud, workers: workers,
+		users:   storage.NewCommitter(store, cfg.Params.State.TxnOps),
+		books:   storage.NewCommitter(store, cfg.Params.State.TxnOps),
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		started: time.Now(), inbox: make(chan func(), 1024),
+		ver: map[string]uint64{}, orphans: map[string]protocol.Chunk{}, jobs: map[string]*job{}, finals: newFinalCache(50000),
+		machines: map[string]*machine{}, teamOf: map[string]int{}, nodes: map[string]time.Time{},
+		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, strays: map[string]time.Time{}, returned: map[string]time.Time{},
+		refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, policy: defaultPolicy(),
+	}
+	n.contact.Store(-int64(time.Hour))
+	var guarantees []float64
+	for _, t := range cfg.Params.Teams {
+		guarantees = append(guarantees, max(t.GPUs, t.CPUs/8))
+	}
+	count := max(1, min(cfg.Params.Nodes, len(guarantees)))
+	for i, s := range AssignShares(guarantees, count) {
+		t := cfg.Params.Teams[i]
+		n.teamOf[t.Name] = i
+		n.teams = append(n.teams, &team{name: t.Name, share: s,
+			guarantee: Amounts{CPUs: t.CPUs, GPUs: t.GPUs}, limit: Amounts{CPUs: t.CPUsMax, GPUs: t.GPUsMax}})
+	}
+	for i := range count {
+		n.shares = append(n.shares, &share{index: i, window: NewWindow(n.policy.Window)})
+	}
+	return n
+}
+
+// Contact notes that the state service answered a call sent at t.
+func (n *Node) Contact(t time.Time) {
+	at := int64(t.Sub(n.started))
+	for {
+		old := n.contact.Load()
+		if at <= old || n.contact.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
+// sinceContact is how long ago the last answered call was sent.
+func (n *Node) sinceContact(now time.Time) time.Duration {
+	return now.Sub(n.started) - time.Duration(n.contact.Load())
+}
+
+// post hands f to the actor.
+func (n *Node) post(f func()) {
+	select {
+	case n.inbox <- f:
+	case <-n.ctx.Done():
+	}
+}
+
+// spawn runs a duty until the node ends.
+func (n *Node) spawn(f func(ctx context.Context)) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f(n.ctx)
+	}()
+}
+
+// Run serves until the node's context ends.
+func (n *Node) Run() {
+	ctx := n.ctx
+	n.spawn(n.users.Run)
+	n.spawn(n.books.Run)
+	n.spawn(n.keepLease)
+	n.spawn(n.keepReplica)
+	n.spawn(n.keepCatalog)
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case f := <-n.inbox:
+			f()
+			// Drain what has queued up before deciding anything.
+			for more := true; more; {
+				select {
+				case f := <-n.inbox:
+					f()
+				default:
+					more = false
+				}
+			}
+			n.settle(time.Now())
+		case now := <-tick.C:
+			n.tick(now)
+			n.settle(now)
+		}
+	}
+	n.wg.Wait()
+}
+
+// settle turns new facts into placements and stored changes.
+func (n *Node) settle(now time.Time) {
+	if !n.loaded {
+		return
+	}
+	if n.replan && now.Sub(n.lastPlan) >= 40*time.Millisecond {
+		n.replan = false
+		n.lastPlan = now
+		n.plan(now)
+	}
+	n.flush()
+	n.releaseParked(now)
+	n.startRead(now)
+}
+
+// tick does what is due by time alone.
+func (n *Node) tick(now time.Time) {
+	if !n.loaded {
+		return
+	}
+	n.tickShares(now)
+	n.tickMachines(now)
+}
+
+func (n *Node) keepCatalog(ctx context.Context) {
+	for ctx.Err() == nil {
+		types, err := n.cloud.Catalog(ctx)
+		wait := time.Minute
+		if err != nil {
+			n.log.Info("catalogue not read", "why", err)
+			wait = 2 * time.Second
+		} else {
+			n.post(func() { n.setTypes(types) })
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (n *Node) setTypes(types []protocol.MachineType) {
+	for i := range types {
+		n.types[types[i].Name] = &types[i]
+	}
+	n.replan = true
+}
--- /dev/null
+++ b/internal/coordination/policy_test.go
@@ -0,0 +1,136 @@
+package coordination
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The window follows Theorem 4: x >= N/(2N+1) * mean(x), the arrival counted.
+func TestWindowThreshold(t *testing.T) {
+	w := NewWindow(3)
+	if !w.Arrive(1, 5) {
+		t.Fatal("the first job sets the mean and is heavy")
+	}
+	// N = 1.5, p = 0.375, mean = 3: 1 < 1.125.
+	if w.Arrive(2, 1) {
+		t.Fatal("1 GB against a mean of 3 should be light")
+	}
+	if !w.Arrive(3, 3) {
+		t.Fatal("the mean itself should be heavy")
+	}
+	w.Arrive(3, 3)
+	if len(w.images) != 3 {
+		t.Fatalf("window holds %d, want 3", len(w.images))
+	}
+}
+
+// A weak spot that the design names: many tiny images drag the mean down
+// until every job counts as heavy. This test shows it, and that the window
+// forgets it.
+func TestTinyImageSwarmMakesAllHeavy(t *testing.T) {
+	w := NewWindow(DefaultWindow)
+	for range DefaultWindow {
+		w.Arrive(10, 8)
+	}
+	if w.Arrive(10, 2) {
+		t.Fatal("2 GB among 8 GB images should be light")
+	}
+	for range DefaultWindow {
+		w.Arrive(10, 0.01)
+	}
+	if !w.Arrive(10, 0.5) {
+		t.Fatal("after the swarm even 0.5 GB should count as heavy")
+	}
+	for range DefaultWindow {
+		w.Arrive(10, 8)
+	}
+	if w.Arrive(10, 2) {
+		t.Fatal("a window later the swarm should be forgotten")
+	}
+}
+
+func TestPickRanks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		costs := rapid.SliceOfN(rapid.Float64Range(0, 10), 0, 30).Draw(t, "costs")
+		r := rapid.IntRange(1, 12).Draw(t, "r")
+		heavy := rapid.Bool().Draw(t, "heavy")
+		var slots []Slot
+		for i, c := range costs {
+			slots = append(slots, Slot{Machine: i, Cost: c})
+		}
+		SortSlots(slots)
+		got := Pick(slots, r, heavy, nil)
+		if len(got) != min(r, len(slots)) {
+			t.Fatalf("picked %d of %d for %d", len(got), len(slots), r)
+		}
+		first := 0
+		if !heavy && len(slots) >= 2*r {
+			first = r
+		} else if !heavy && len(slots) > r {
+			first = len(slots) - r
+		}
+		for i, s := range got {
+			if s != slots[first+i] {
+				t.Fatalf("rank %d is %v, want %v", i, s, slots[first+i])
+			}
+		}
+	})
+}
+
+// With room per zone no zone takes more than it may, and no slot is wasted.
+func TestPickKeepsZoneRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.SliceOfN(rapid.IntRange(0, 2), 0, 30).Draw(t, "zones")
+		r := rapid.IntRange(1, 12).Draw(t, "r")
+		room := map[int]int{}
+		possible := 0
+		for z := range 3 {
+			room[z] = rapid.IntRange(-1, 6).Draw(t, "room")
+			n := 0
+			for _, y := range zones {
+				if y == z {
+					n++
+				}
+			}
+			possible += min(n, max(0, room[z]))
+		}
+		var slots []Slot
+		for i, z := range zones {
+			slots = append(slots, Slot{Machine: i, Zone: z, Cost: float64(i)})
+		}
+		got := Pick(slots, r, rapid.Bool().Draw(t, "heavy"), room)
+		used := map[int]int{}
+		for _, s := range got {
+			used[s.Zone]++
+		}
+		for z, k := range used {
+			if k > room[z] {
+				t.Fatalf("zone %d has %d, room for %d", z, k, room[z])
+			}
+		}
+		if len(got) > r || len(got) < min(r, possible) && len(got) < r {
+			t.Fatalf("picked %d, want %d", len(got), min(r, possible))
+		}
+	})
+}
+
+func TestAssignSharesBalances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 40).Draw(t, "guarantees")
+		k := rapid.IntRange(1, 5).Draw(t, "shares")
+		load := make([]float64, k)
+		most := 0.0
+		for i, s := range AssignShares(g, k) {
+			load[s] += g[i]
+			most = max(most, g[i])
+		}
+		for _, a := range load {
+			for _, b := range load {
+				if a-b > most+1e-9 {
+					t.Fatalf("loads %v differ by more than one team", load)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/replica.go
@@ -0,0 +1,226 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// watchPause bundles changes, so that a busy store costs few watch requests.
+const watchPause = 120 * time.Millisecond
+
+// keepReplica reads everything once and then follows the watch.
+func (n *Node) keepReplica(ctx context.Context) {
+	var since uint64
+	fresh := true
+	for ctx.Err() == nil {
+		var err error
+		if fresh {
+			var items []storage.Item
+			if items, since, err = n.store.List(ctx, protocol.Root); err == nil {
+				fresh = false
+				first := since
+				n.post(func() { n.reload(items, first) })
+			}
+		} else {
+			var items []storage.Item
+			var epoch uint64
+			items, epoch, err = n.store.Watch(ctx, protocol.Root, since, 10*time.Second)
+			switch {
+			case errors.Is(err, storage.ErrCompacted):
+				fresh, err = true, nil
+			case err == nil:
+				since = epoch
+				n.post(func() { n.follow(items, epoch) })
+			}
+		}
+		wait := watchPause
+		if err != nil {
+			wait = 300 * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// reload takes in a full listing whose first page is of revision first.
+func (n *Node) reload(items []storage.Item, first uint64) {
+	present := make(map[string]bool, len(items))
+	for _, it := range items {
+		present[it.Key] = true
+		n.apply(it)
+	}
+	for key, st := range n.ver {
+		if !present[key] && st <= first {
+			n.apply(storage.Item{Key: key, Stamp: first})
+		}
+	}
+	if !n.loaded {
+		n.loaded = true
+		now := time.Now()
+		for _, s := range n.shares {
+			s.vacant = now
+		}
+		n.log.Info("replica loaded", "jobs", len(n.jobs), "machines", len(n.machines), "revision", first)
+	}
+	n.replan = true
+}
+
+// follow takes in changes up to a revision.
+func (n *Node) follow(items []storage.Item, epoch uint64) {
+	for _, it := range items {
+		n.apply(it)
+	}
+	// Deletions older than what the watch has delivered cannot be contradicted
+	// by a late event any more.
+	for key, st := range n.ver {
+		if st <= epoch && !n.exists(key) {
+			delete(n.ver, key)
+		}
+	}
+}
+
+func (n *Node) exists(key string) bool {
+	switch {
+	case strings.HasPrefix(key, protocol.JobPrefix):
+		id, chunk := splitJobKey(key)
+		j := n.jobs[id]
+		if chunk == 0 {
+			return j != nil
+		}
+		if j != nil {
+			return j.chunks[chunk]
+		}
+		_, ok := n.orphans[key]
+		return ok
+	case strings.HasPrefix(key, protocol.MachineRoot):
+		m := n.machines[strings.TrimPrefix(key, protocol.MachineRoot)]
+		return m != nil && m.known
+	case strings.HasPrefix(key, protocol.NodeRoot):
+		_, ok := n.nodes[strings.TrimPrefix(key, protocol.NodeRoot)]
+		return ok
+	case strings.HasPrefix(key, protocol.HolderRoot):
+		s := n.shareOfKey(key)
+		return s != nil && s.holder.Token != 0
+	}
+	return true
+}
+
+func splitJobKey(key string) (id string, chunk int) {
+	id, num, found := strings.Cut(strings.TrimPrefix(key, protocol.JobPrefix), "/")
+	if found {
+		chunk, _ = strconv.Atoi(num)
+	}
+	return id, chunk
+}
+
+func (n *Node) shareOfKey(key string) *share {
+	num, _, _ := strings.Cut(strings.TrimPrefix(key, protocol.HolderRoot), "/")
+	i, err := strconv.Atoi(num)
+	if err != nil || i < 0 || i >= len(n.shares) {
+		return nil
+	}
+	return n.shares[i]
+}
+
+// apply takes one stored value, or its absence, into the replica. An older
+// version than the one known is ignored, whatever way it came.
+func (n *Node) apply(it storage.Item) {
+	if it.Stamp <= n.ver[it.Key] {
+		return
+	}
+	n.ver[it.Key] = it.Stamp
+	n.replan = true
+	read := func(v any) bool {
+		if it.Value == nil {
+			return false
+		}
+		if err := json.Unmarshal(it.Value, v); err != nil {
+			n.log.Error("stored value not understood", "key", it.Key, "why", err)
+			return false
+		}
+		return true
+	}
+	switch {
+	case it.Key == protocol.CounterKey:
+		var c protocol.CounterRecord
+		if read(&c) {
+			n.counter = c.Token
+		}
+	case it.Key == protocol.MovesKey:
+		var mv protocol.Moves
+		if read(&mv) {
+			n.onMoves(mv)
+		}
+	case strings.HasPrefix(it.Key, protocol.JobPrefix):
+		id, chunk := splitJobKey(it.Key)
+		if chunk == 0 {
+			var r protocol.JobRecord
+			if read(&r) && r.Spec != nil {
+				n.setJob(id, &r)
+			} else {
+				n.dropJob(id)
+			}
+			return
+		}
+		var c protocol.Chunk
+		ok := read(&c)
+		n.setChunk(id, chunk, it.Key, c, ok)
+	case strings.HasPrefix(it.Key, protocol.MachineRoot):
+		name := strings.TrimPrefix(it.Key, protocol.MachineRoot)
+		var r protocol.MachineRecord
+		if read(&r) {
+			n.setMachine(name, r)
+		} else {
+			n.dropMachine(name)
+		}
+	case strings.HasPrefix(it.Key, protocol.NodeRoot):
+		name := strings.TrimPrefix(it.Key, protocol.NodeRoot)
+		if it.Value == nil {
+			delete(n.nodes, name)
+		} else if _, ok := n.nodes[name]; !ok {
+			n.nodes[name] = time.Now()
+		}
+	case strings.HasPrefix(it.Key, protocol.HolderRoot):
+		if s := n.shareOfKey(it.Key); s != nil {
+			var h protocol.HolderRecord
+			read(&h)
+			n.setHolder(s, h)
+		}
+	}
+}
+
+// resync reads keys whose conditions failed, so that the next try is decided
+// on what is stored, and then calls done on the actor.
+func (n *Node) resync(keys []string, done func(error)) {
+	n.spawn(func(ctx context.Context) {
+		var items []storage.Item
+		var failed error
+		for _, k := range keys {
+			it, err := n.store.Get(ctx, k)
+			if err != nil {
+				failed = err
+				break
+			}
+			items = append(items, it)
+		}
+		n.post(func() {
+			for _, it := range items {
+				if strings.HasPrefix(it.Key, protocol.Root) {
+					n.apply(it)
+				} else {
+					n.applyFinal(it)
+				}
+			}
+			done(failed)
+		})
+	})
+}
--- /dev/null
+++ b/internal/coordination/schedule.go
@@ -0,0 +1,224 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// usable says whether new tasks may be placed on a machine.
+func (n *Node) usable(m *machine, now time.Time) bool {
+	return m.known && m.fenced && !m.notice && !m.returning && !m.gone && !m.moving && !m.heldBack &&
+		m.distrust < 3 && !now.Before(m.avoidTill) &&
+		now.Sub(m.heard).Seconds() < 2.5*n.cfg.Params.Workers.ReportS+1
+}
+
+// size is what a machine of a type has.
+func size(t *protocol.MachineType) Amounts { return Amounts{t.CPUs, t.GPUs, t.MemoryGB} }
+
+func (n *Node) free(m *machine) Amounts {
+	t := n.types[m.rec.Type]
+	if t == nil {
+		return Amounts{}
+	}
+	return size(t).Add(m.used, -1)
+}
+
+// allowed says whether a job's tasks may be on machines of this kind at all.
+func allowed(s *protocol.JobSpec, typ, zone string, spot bool) bool {
+	return (len(s.Types) == 0 || slices.Contains(s.Types, typ)) && (s.Zone == "" || s.Zone == zone) && (!spot || s.Spot)
+}
+
+// plan places what waits on the machines of each share held, and rents for
+// the rest.
+func (n *Node) plan(now time.Time) {
+	if n.sinceContact(now) > 2*time.Second {
+		return // nothing could be stored
+	}
+	for _, s := range n.shares {
+		if !n.mine(s) {
+			continue
+		}
+		jobs := n.sortedJobs(s.index)
+		n.countArrivals(s, jobs)
+		var waits []*job
+		for _, j := range jobs {
+			if j.nWaiting() == 0 || j.cancelled || j.abandon {
+				continue
+			}
+			if now.Before(j.notBefore) {
+				j.why = "its tasks fail"
+				n.replan = true
+				continue
+			}
+			if !j.busy {
+				n.place(s, j, now)
+			}
+			if j.nWaiting() > 0 {
+				waits = append(waits, j)
+			}
+		}
+		n.rent(s, waits, now)
+	}
+}
+
+// countArrivals lets the share's window see new jobs in the order they came.
+// After a take-over these are the jobs present, so the means have a start.
+func (n *Node) countArrivals(s *share, jobs []*job) {
+	var fresh []*job
+	for _, j := range jobs {
+		if !j.counted {
+			fresh = append(fresh, j)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *job) int {
+		return cmp.Or(a.submitted.Compare(b.submitted), cmp.Compare(a.id, b.id))
+	})
+	present := len(jobs) - len(fresh)
+	for _, j := range fresh {
+		present++
+		j.counted = true
+		j.heavy = s.window.Arrive(present, j.spec.ImageGB) || n.policy.Greedy
+	}
+}
+
+// place gives a job's waiting tasks machines of the share, by the threshold rule.
+func (n *Node) place(s *share, j *job, now time.Time) {
+	const most = 512 // tasks in one change
+	r := min(n.startable(j), most)
+	if r == 0 {
+		j.why = "team limit"
+		return
+	}
+	gang := j.spec.Shape == protocol.Gang
+	byZone := map[string]int{}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.machine != nil {
+			byZone[t.machine.rec.Zone]++
+		}
+	}
+	zones := map[string]int{}
+	zoneOf := func(z string) int {
+		if _, ok := zones[z]; !ok {
+			zones[z] = len(zones)
+		}
+		return zones[z]
+	}
+	var slots []Slot
+	var on []*machine
+	for _, m := range n.machines {
+		if !m.known || m.rec.Share != s.index || !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !n.usable(m, now) {
+			continue
+		}
+		if j.spec.OneZone && len(byZone) > 0 && byZone[m.rec.Zone] == 0 {
+			continue
+		}
+		k := min(n.free(m).Times(j.need), 2*r)
+		if k == 0 {
+			continue
+		}
+		on = append(on, m)
+		sl := Slot{Machine: len(on) - 1, Zone: zoneOf(m.rec.Zone), Cost: n.cost(m, j.spec), Order: n.order(m, j)}
+		for range k {
+			slots = append(slots, sl)
+		}
+	}
+	slices.SortFunc(slots, func(a, b Slot) int { return compareNames(on[a.Machine].name, on[b.Machine].name) })
+	SortSlots(slots)
+	if j.spec.OneZone && len(byZone) == 0 {
+		slots = bestZone(slots, r)
+	}
+	var room map[int]int
+	if j.spec.Spread {
+		room = map[int]int{}
+		half := (len(j.tasks) + 1) / 2
+		for z, i := range zones {
+			room[i] = half - byZone[z]
+		}
+	}
+	picked := Pick(slots, r, j.heavy, room)
+	if gang && len(picked) < len(j.tasks) {
+		j.why = "gang incomplete"
+		return
+	}
+	if len(picked) == 0 {
+		j.why = "no free machine"
+		return
+	}
+	var tasks []int
+	var to []*machine
+	for i := range j.tasks {
+		if len(tasks) == len(picked) {
+			break
+		}
+		if j.tasks[i].phase == waiting {
+			to = append(to, on[picked[len(tasks)].Machine])
+			tasks = append(tasks, i)
+		}
+	}
+	n.propose(j, tasks, to, now)
+	n.count.placed += len(tasks)
+	n.log.Debug("placing", "job", j.id, "tasks", len(tasks), "heavy", j.heavy, "waiting", j.nWaiting())
+}
+
+// bestZone keeps the zone with room for r tasks and the least cost of the
+// first r, or else the one with the most room.
+func bestZone(slots []Slot, r int) []Slot {
+	byZone := map[int][]Slot{}
+	for _, s := range slots {
+		byZone[s.Zone] = append(byZone[s.Zone], s)
+	}
+	var best []Slot
+	score := func(v []Slot) float64 {
+		c := 0.0
+		for _, s := range v[:min(r, len(v))] {
+			c += s.Cost
+		}
+		return c - 1e6*float64(min(r, len(v)))
+	}
+	for z := range len(byZone) {
+		if v := byZone[z]; best == nil || score(v) < score(best) {
+			best = v
+		}
+	}
+	return best
+}
+
+// cost is the time to get a job's image onto a machine: nothing if cached.
+func (n *Node) cost(m *machine, s *protocol.JobSpec) float64 {
+	if m.has(s.Image) {
+		return 0
+	}
+	return n.secondsPerGB(m) * s.ImageGB
+}
+
+func (n *Node) secondsPerGB(m *machine) float64 {
+	if m.secPerGB > 0 {
+		return m.secPerGB
+	}
+	if t := n.types[m.rec.Type]; t != nil && t.FetchGBPerS > 0 {
+		return 1 / t.FetchGBPerS
+	}
+	return 1
+}
+
+// order breaks ties of cost: spot machines for jobs that may use them, then
+// the fullest, so that machines become empty and can go.
+func (n *Node) order(m *machine, j *job) float64 {
+	o := 0.0
+	if j.spec.Spot && !m.rec.Spot {
+		o += 10
+	}
+	if t := n.types[m.rec.Type]; t != nil {
+		if t.GPUs > 0 {
+			o -= m.used.GPUs / t.GPUs
+		} else if t.CPUs > 0 {
+			o -= m.used.CPUs / t.CPUs
+		}
+	}
+	return o
+}
+
+func compareNames(a, b string) int { return cmp.Compare(a, b) }
--- /dev/null
+++ b/internal/coordination/shares.go
@@ -0,0 +1,380 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// leaseLife is how long a node's shares outlive its last renewal.
+const leaseLife = 4 * time.Second
+
+// keepLease holds a lease and renews it; every key that says what this node
+// holds hangs on it.
+func (n *Node) keepLease(ctx context.Context) {
+	var lease uint64
+	for ctx.Err() == nil {
+		wait := leaseLife / 4
+		if lease == 0 {
+			id, err := n.store.Grant(ctx, leaseLife)
+			if err == nil {
+				lease = id
+				n.post(func() { n.setLease(id) })
+			} else {
+				wait = 400 * time.Millisecond
+			}
+		} else if err := n.store.Renew(ctx, lease); errors.Is(err, storage.ErrNoLease) {
+			n.log.Info("lease lost", "lease", lease)
+			lease = 0
+			n.post(func() { n.setLease(0) })
+			wait = 0
+		} else if err != nil {
+			wait = 300 * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (n *Node) setLease(id uint64) {
+	n.lease = id
+	if id == 0 {
+		for _, s := range n.shares {
+			n.lost(s)
+		}
+		return
+	}
+	key := protocol.NodeKey(n.cfg.Node)
+	n.books.Submit(&storage.Op{Writes: []storage.Write{{Put: key, Value: mustJSON(protocol.NodeRecord{Lease: id}), Lease: id}},
+		Done: func(storage.Result) {}})
+}
+
+// mine says whether this node, in this life, holds a share.
+func (n *Node) mine(s *share) bool {
+	return n.lease != 0 && s.holder.Token != 0 && s.holder.Node == n.cfg.Node && s.holder.Lease == n.lease
+}
+
+func (n *Node) heldShares() int {
+	c := 0
+	for _, s := range n.shares {
+		if n.mine(s) {
+			c++
+		}
+	}
+	return c
+}
+
+// leads says whether this node makes the moves and adopts strays: the holder
+// of the first share does.
+func (n *Node) leads() bool { return n.mine(n.shares[0]) }
+
+// setHolder takes in who holds a share. The replica is in revision order, so
+// when the own name appears, everything earlier holders stored is known, and
+// nothing they try later can be stored.
+func (n *Node) setHolder(s *share, h protocol.HolderRecord) {
+	if h == s.holder {
+		return
+	}
+	was := n.mine(s)
+	s.holder = h
+	now := time.Now()
+	if h.Token == 0 {
+		s.vacant = now
+	}
+	for _, m := range n.machines {
+		if m.known && m.rec.Share == s.index {
+			m.unfence()
+		}
+	}
+	if was {
+		n.lost(s)
+	}
+	if n.mine(s) {
+		s.taken = now
+		n.log.Info("share taken", "share", s.index, "token", h.Token)
+		s.window = NewWindow(n.policy.Window)
+		for _, j := range n.jobs {
+			if j.share == s.index {
+				j.counted = false
+				n.dirty[j] = true
+				for i := range j.tasks {
+					j.tasks[i].seen, j.tasks[i].sent = unseen, time.Time{}
+				}
+			}
+		}
+		for _, m := range n.machines {
+			if m.known && m.rec.Share == s.index {
+				m.added, m.heard = now, time.Time{}
+				m.moving, m.returning, m.notice = false, false, false
+				if len(m.on) == 0 {
+					m.idleSince = now
+				}
+				n.fence(m, now)
+			}
+		}
+	}
+}
+
+// lost drops what only a share's holder may have in hand.
+func (n *Node) lost(s *share) {
+	n.log.Info("share lost", "share", s.index)
+	for _, m := range n.machines {
+		if m.known && m.rec.Share == s.index {
+			n.unpark(m)
+		}
+	}
+	for _, j := range n.jobs {
+		if j.share == s.index && !j.busy {
+			n.revert(j)
+		}
+	}
+}
+
+// tickShares takes vacant shares, hands some to idle nodes, and plans moves.
+func (n *Node) tickShares(now time.Time) {
+	if n.lease == 0 || n.sinceContact(now) > 2*time.Second {
+		return
+	}
+	held := n.heldShares()
+	for _, s := range n.shares {
+		if s.holder.Token != 0 || s.pending || now.Before(n.blindTill) {
+			continue
+		}
+		if now.Sub(s.vacant) >= n.takeDelay(s, held, now) {
+			n.take(s)
+			held++
+		}
+	}
+	n.balance(now)
+	if n.leads() && now.Sub(n.lastMove).Seconds() >= n.policy.MoveS {
+		n.lastMove = now
+		n.planMoves()
+	}
+}
+
+// takeDelay staggers the nodes, so that a vacant share goes to the one with
+// the fewest and every share has a first candidate.
+func (n *Node) takeDelay(s *share, held int, now time.Time) time.Duration {
+	names := []string{n.cfg.Node}
+	for _, sib := range n.cfg.Siblings {
+		names = append(names, sib.Node)
+	}
+	slices.Sort(names)
+	turn := (slices.Index(names, n.cfg.Node) + len(names) - s.index%len(names)) % len(names)
+	d := time.Duration(held)*500*time.Millisecond + time.Duration(turn)*150*time.Millisecond
+	if now.Sub(n.started) < 6*time.Second && turn > 0 {
+		d += 1500 * time.Millisecond
+	}
+	return d
+}
+
+// take stores this node as the holder, with a token above all earlier ones.
+func (n *Node) take(s *share) {
+	s.pending = true
+	token := n.counter + 1
+	key := protocol.HolderKey(s.index)
+	op := &storage.Op{
+		Conds: []storage.Cond{n.cond(key), n.cond(protocol.CounterKey)},
+		Writes: []storage.Write{
+			{Put: key, Value: mustJSON(protocol.HolderRecord{Node: n.cfg.Node, Token: token, Lease: n.lease}), Lease: n.lease},
+			{Put: protocol.CounterKey, Value: mustJSON(protocol.CounterRecord{Token: token})},
+		},
+	}
+	n.submit(op, func(storage.Result) { s.pending = false })
+}
+
+// submit queues a change of the books. Its outcome is in the replica when
+// then is called on the actor.
+func (n *Node) submit(op *storage.Op, then func(storage.Result)) {
+	op.Done = func(r storage.Result) {
+		n.post(func() {
+			if r.OK {
+				for _, w := range op.Writes {
+					n.learn(w, r.Epoch)
+				}
+				then(r)
+				return
+			}
+			n.resync(r.Failed, func(error) { then(r) })
+		})
+	}
+	if !n.books.Submit(op) {
+		then(storage.Result{Err: storage.ErrRefused})
+	}
+}
+
+// balance gives a share up if another live node holds none: the small
+// controllers have little processor time each.
+func (n *Node) balance(now time.Time) {
+	if now.Sub(n.lastRelease) < 5*time.Second {
+		return
+	}
+	var last *share
+	holds := map[string]int{}
+	for _, s := range n.shares {
+		if s.pending || s.holder.Token == 0 {
+			return
+		}
+		holds[s.holder.Node]++
+		if n.mine(s) {
+			if now.Sub(s.taken) < 5*time.Second {
+				return
+			}
+			last = s
+		}
+	}
+	if holds[n.cfg.Node] < 2 {
+		return
+	}
+	for node, since := range n.nodes {
+		if node != n.cfg.Node && holds[node] == 0 && now.Sub(since) > 4*time.Second {
+			n.giveUp(last, "another node holds none", now)
+			return
+		}
+	}
+}
+
+// giveUp lets others take a share.
+func (n *Node) giveUp(s *share, why string, now time.Time) {
+	n.log.Info("share given up", "share", s.index, "why", why)
+	n.lastRelease = now
+	s.pending = true
+	key := protocol.HolderKey(s.index)
+	n.submit(&storage.Op{Conds: []storage.Cond{n.cond(key)}, Writes: []storage.Write{{Delete: key}}},
+		func(storage.Result) {
+			s.pending = false
+			s.vacant = time.Now().Add(time.Second) // others first
+		})
+}
+
+// planMoves tells holders of shares without waiting tasks to hand free
+// machines to shares with them.
+func (n *Node) planMoves() {
+	lack := make([]int, len(n.shares)) // machines wanted
+	wants := make([]Amounts, len(n.shares))
+	for _, j := range n.jobs {
+		if w := n.startable(j); w > 0 {
+			wants[j.share] = wants[j.share].Add(j.need, float64(w))
+		}
+	}
+	var free []*machine
+	for _, m := range n.machines {
+		if m.known && len(m.on) == 0 && !m.gone {
+			free = append(free, m)
+		}
+	}
+	slices.SortFunc(free, func(a, b *machine) int { return compareNames(a.name, b.name) })
+	var largest Amounts
+	for _, t := range n.types {
+		if s := size(t); s.Times(largest) > 0 {
+			largest = s
+		}
+	}
+	for i, w := range wants {
+		for w != (Amounts{}) && lack[i] < 50 && largest.scale(float64(lack[i])).Times(w) == 0 {
+			lack[i]++
+		}
+	}
+	for _, m := range free {
+		if lack[m.rec.Share] > 0 {
+			lack[m.rec.Share]--
+		}
+	}
+	var mv protocol.Moves
+	for _, m := range free {
+		if wants[m.rec.Share] != (Amounts{}) {
+			continue
+		}
+		to := -1
+		for i, l := range lack {
+			if l > 0 && (to < 0 || l > lack[to]) {
+				to = i
+			}
+		}
+		if to < 0 {
+			break
+		}
+		lack[to]--
+		mv.Moves = append(mv.Moves, protocol.Move{Machine: m.name, Share: to})
+		if len(mv.Moves) >= 20 {
+			break
+		}
+	}
+	if len(mv.Moves) == 0 {
+		return
+	}
+	n.log.Info("moves planned", "machines", len(mv.Moves))
+	n.submit(&storage.Op{Conds: []storage.Cond{n.cond(protocol.HolderKey(0))},
+		Writes: []storage.Write{{Put: protocol.MovesKey, Value: mustJSON(mv)}}}, func(storage.Result) {})
+}
+
+func (a Amounts) scale(k float64) Amounts { return Amounts{}.Add(a, k) }
+
+// startable is how many of a job's tasks wait and are within its team's limit.
+func (n *Node) startable(j *job) int {
+	if j.cancelled || j.abandon {
+		return 0
+	}
+	w := min(j.nWaiting(), n.teams[j.team].room(j.need))
+	if j.spec.Shape == protocol.Gang && w < len(j.tasks) {
+		return 0
+	}
+	return w
+}
+
+// room is how many more tasks of a size the team's limit allows.
+func (t *team) room(need Amounts) int {
+	free := t.limit.Add(t.used, -1)
+	if t.limit.CPUs == 0 {
+		need.CPUs = 0
+	}
+	if t.limit.GPUs == 0 {
+		need.GPUs = 0
+	}
+	need.MemoryGB = 0
+	return free.Times(need)
+}
+
+// onMoves hands over the machines of ours that are still free: placing there
+// stops first, then one conditional write moves them under a new token.
+func (n *Node) onMoves(mv protocol.Moves) {
+	byShare := map[int][]*machine{}
+	for _, x := range mv.Moves {
+		m := n.machines[x.Machine]
+		if m == nil || !m.known || len(m.on) > 0 || m.moving || m.returning || m.gone ||
+			x.Share < 0 || x.Share >= len(n.shares) || x.Share == m.rec.Share || !n.mine(n.shares[m.rec.Share]) || n.shareWaits(m.rec.Share) {
+			continue
+		}
+		byShare[m.rec.Share] = append(byShare[m.rec.Share], m)
+		m.moving = true
+		rec := m.rec
+		rec.Share = x.Share
+		rec.Token = n.counter + 1
+		n.submit(&storage.Op{
+			Conds: []storage.Cond{n.cond(protocol.HolderKey(m.rec.Share)), n.cond(protocol.MachineKey(m.name)), n.cond(protocol.CounterKey)},
+			Writes: []storage.Write{
+				{Put: protocol.MachineKey(m.name), Value: mustJSON(rec)},
+				{Put: protocol.CounterKey, Value: mustJSON(protocol.CounterRecord{Token: rec.Token})},
+			},
+		}, func(r storage.Result) {
+			m.moving = false
+			n.log.Info("machine moved", "machine", m.name, "to", x.Share, "ok", r.OK)
+		})
+	}
+}
+
+// shareWaits says whether a share has tasks that wait for a machine.
+func (n *Node) shareWaits(share int) bool {
+	for _, j := range n.jobs {
+		if j.share == share && n.startable(j) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,351 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// finalCache remembers final jobs: what is final never changes. The oldest are
+// forgotten first, and are read from the store when asked for again.
+type finalCache struct {
+	most  int
+	byID  map[string]protocol.FinalRecord
+	order []string
+}
+
+func newFinalCache(most int) *finalCache {
+	return &finalCache{most: most, byID: map[string]protocol.FinalRecord{}}
+}
+
+func (c *finalCache) add(id string, r protocol.FinalRecord) {
+	if _, ok := c.byID[id]; !ok {
+		c.order = append(c.order, id)
+	}
+	c.byID[id] = r
+	for len(c.order) > c.most {
+		delete(c.byID, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+func (n *Node) applyFinal(it storage.Item) {
+	id, ok := strings.CutPrefix(it.Key, protocol.FinalRoot)
+	if !ok || it.Value == nil {
+		return
+	}
+	var r protocol.FinalRecord
+	if err := json.Unmarshal(it.Value, &r); err != nil {
+		n.log.Error("final record not understood", "job", id, "why", err)
+		return
+	}
+	n.finals.add(id, r)
+}
+
+func finalStatus(id string, r protocol.FinalRecord) protocol.JobStatus {
+	s := protocol.JobStatus{ID: id, Status: r.Status}
+	if r.Status == protocol.JobDone {
+		s.Done = r.Tasks
+	}
+	return s
+}
+
+// status is what users see of a job that is not final.
+func (j *job) status() protocol.JobStatus {
+	s := protocol.JobStatus{ID: j.id, Status: protocol.JobQueued, Done: j.nDone, Running: j.nPlaced}
+	if j.nPlaced > 0 {
+		s.Status = protocol.JobRunning
+	}
+	if j.cancelled {
+		s.Status = protocol.JobCancelled
+	}
+	return s
+}
+
+var busy = answer{status: 503, retryS: 1}
+
+// read is a request that needs to know what is stored of a job.
+type read struct {
+	id   string
+	then func(known bool, s protocol.JobStatus, err error)
+}
+
+// readJob tells a job's state as of now or later. What is final may come from
+// memory; anything else is compared with the store first, together with all
+// other reads that wait.
+func (n *Node) readJob(id string, then func(known bool, s protocol.JobStatus, err error)) {
+	if r, ok := n.finals.byID[id]; ok {
+		then(true, finalStatus(id, r), nil)
+		return
+	}
+	if len(n.reads) > 2000 {
+		then(false, protocol.JobStatus{}, storage.ErrRefused)
+		return
+	}
+	n.reads = append(n.reads, &read{id, then})
+}
+
+// readPause bundles reads, so that many polls cost one request.
+const readPause = 120 * time.Millisecond
+
+// startRead compares what the replica says of all jobs asked for with the
+// store, in one request: a compare-only transaction on their stamps.
+func (n *Node) startRead(now time.Time) {
+	if n.reading || len(n.reads) == 0 || now.Sub(n.lastRead) < readPause {
+		return
+	}
+	n.reading = true
+	n.lastRead = now
+	var batch []*read
+	var conds []storage.Cond
+	keys := map[string]bool{}
+	for len(n.reads) > 0 && len(conds)+2 <= 4*n.cfg.Params.State.TxnOps {
+		r := n.reads[0]
+		n.reads = n.reads[1:]
+		batch = append(batch, r)
+		if keys[r.id] {
+			continue
+		}
+		keys[r.id] = true
+		c := n.cond(protocol.JobKey(r.id))
+		conds = append(conds, c)
+		if c.Stamp == 0 {
+			conds = append(conds, storage.Cond{Key: protocol.FinalKey(r.id)})
+		}
+	}
+	n.spawn(func(ctx context.Context) {
+		ok, _, failed, err := n.store.Txn(ctx, conds, nil)
+		n.post(func() {
+			n.reading = false
+			n.finishRead(batch, ok, failed, err)
+		})
+	})
+}
+
+func (n *Node) finishRead(batch []*read, ok bool, failed []string, err error) {
+	stale := map[string]bool{}
+	for _, k := range failed {
+		id, final := strings.CutPrefix(k, protocol.FinalRoot)
+		if !final {
+			id, _ = splitJobKey(k)
+		}
+		stale[id] = true
+	}
+	for _, r := range batch {
+		switch {
+		case err != nil:
+			r.then(false, protocol.JobStatus{}, err)
+		case ok || (len(failed) > 0 && !stale[r.id]):
+			n.tell(r)
+		default:
+			// First the job, then what it became: it only moves in that direction.
+			n.resync([]string{protocol.JobKey(r.id), protocol.FinalKey(r.id)}, func(err error) {
+				if err != nil {
+					r.then(false, protocol.JobStatus{}, err)
+					return
+				}
+				n.tell(r)
+			})
+		}
+	}
+}
+
+// tell answers a read from the replica, which is known to be no older than it.
+func (n *Node) tell(r *read) {
+	if f, ok := n.finals.byID[r.id]; ok {
+		r.then(true, finalStatus(r.id, f), nil)
+	} else if j := n.jobs[r.id]; j != nil {
+		r.then(true, j.status(), nil)
+	} else {
+		r.then(false, protocol.JobStatus{}, nil)
+	}
+}
+
+// onPoll answers a poll.
+func (n *Node) onPoll(id string, reply chan<- answer) {
+	if !n.loaded {
+		reply <- busy
+		return
+	}
+	n.readJob(id, func(known bool, s protocol.JobStatus, err error) {
+		switch {
+		case err != nil:
+			reply <- busy
+		case !known:
+			reply <- answer{status: 404, body: errorBody{"no such job"}}
+		default:
+			reply <- answer{status: 200, body: s}
+		}
+	})
+}
+
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// runnable says why a job can never run; decided is false while the machine
+// types are not known.
+func (n *Node) runnable(s *protocol.JobSpec) (why string, decided bool) {
+	ti, ok := n.teamOf[s.Team]
+	if !ok {
+		return "unknown team", true
+	}
+	need := Amounts{s.CPUs, s.GPUs, s.MemoryGB}
+	tm := team{limit: n.teams[ti].limit}
+	atOnce := s.Tasks
+	if s.Shape == protocol.Array {
+		atOnce = 1
+	}
+	if tm.room(need) < atOnce {
+		return "more than the team's limit", true
+	}
+	if len(n.types) == 0 {
+		return "", false
+	}
+	for _, t := range n.types {
+		for _, z := range t.Zones {
+			if allowed(s, t.Name, z, false) && size(t).Times(need) > 0 {
+				return "", true
+			}
+		}
+	}
+	return "a task fits no allowed machine type", true
+}
+
+// onSubmit accepts a job: it is stored before anybody is told.
+func (n *Node) onSubmit(s *protocol.JobSpec, now time.Time, reply chan<- answer) {
+	if !n.loaded {
+		reply <- busy
+		return
+	}
+	repeat := func(ifNew func()) {
+		n.readJob(s.ID, func(known bool, st protocol.JobStatus, err error) {
+			switch {
+			case err != nil:
+				reply <- busy
+			case known:
+				reply <- answer{status: 200, body: st}
+			default:
+				ifNew()
+			}
+		})
+	}
+	_, final := n.finals.byID[s.ID]
+	if final || n.jobs[s.ID] != nil {
+		repeat(func() { reply <- busy })
+		return
+	}
+	why, decided := n.runnable(s)
+	switch {
+	case !decided:
+		repeat(func() { reply <- busy })
+		return
+	case why != "":
+		// A repeat is judged by the stored job, so look first.
+		repeat(func() { reply <- answer{status: 422, body: errorBody{why}} })
+		return
+	}
+	rec := protocol.JobRecord{Spec: s, SubmittedMS: now.UnixMilli(), Next: 1}
+	op := &storage.Op{Once: true,
+		Conds:  []storage.Cond{{Key: protocol.JobKey(s.ID)}, {Key: protocol.FinalKey(s.ID)}},
+		Writes: []storage.Write{{Put: protocol.JobKey(s.ID), Value: mustJSON(rec)}}}
+	op.Done = func(r storage.Result) {
+		n.post(func() {
+			switch {
+			case r.OK:
+				n.learn(op.Writes[0], r.Epoch)
+				n.log.Debug("job accepted", "job", s.ID, "class", s.Class, "tasks", s.Tasks)
+				reply <- answer{status: 201, body: protocol.JobStatus{ID: s.ID, Status: protocol.JobQueued}}
+			case r.Err != nil:
+				reply <- busy
+			default:
+				repeat(func() { reply <- busy })
+			}
+		})
+	}
+	if !n.users.Submit(op) {
+		reply <- busy
+	}
+}
+
+// onCancel cancels a job: from the moment it is stored no start of it can be.
+func (n *Node) onCancel(id string, tries int, reply chan<- answer) {
+	if !n.loaded {
+		reply <- busy
+		return
+	}
+	n.readJob(id, func(known bool, s protocol.JobStatus, err error) {
+		j := n.jobs[id]
+		switch {
+		case err != nil:
+			reply <- busy
+		case !known:
+			reply <- answer{status: 404, body: errorBody{"no such job"}}
+		case s.Status == protocol.JobDone || s.Status == protocol.JobCancelled:
+			reply <- answer{status: 200, body: protocol.JobStatus{ID: id, Status: s.Status}}
+		case j == nil:
+			reply <- busy
+		default:
+			n.cancel(j, tries, reply)
+		}
+	})
+}
+
+func (n *Node) cancel(j *job, tries int, reply chan<- answer) {
+	rec := j.stored()
+	rec.Cancelled = true
+	op := &storage.Op{Once: true, Conds: []storage.Cond{n.cond(protocol.JobKey(j.id))},
+		Writes: []storage.Write{{Put: protocol.JobKey(j.id), Value: mustJSON(rec)}}}
+	if len(rec.Placed) == 0 && len(j.chunks) == 0 {
+		op.Conds = append(op.Conds, storage.Cond{Key: protocol.FinalKey(j.id)})
+		op.Writes = finalWrites(j.id, protocol.JobCancelled, len(j.tasks))
+	}
+	op.Done = func(r storage.Result) {
+		n.post(func() {
+			switch {
+			case r.OK:
+				for _, w := range op.Writes {
+					n.learn(w, r.Epoch)
+				}
+				reply <- answer{status: 200, body: protocol.JobStatus{ID: j.id, Status: protocol.JobCancelled}}
+			case r.Err == nil && tries > 0:
+				n.resync([]string{protocol.JobKey(j.id), protocol.FinalKey(j.id)}, func(err error) {
+					if err != nil {
+						reply <- busy
+						return
+					}
+					n.onCancel(j.id, tries-1, reply)
+				})
+			default:
+				reply <- busy
+			}
+		})
+	}
+	if !n.users.Submit(op) {
+		reply <- busy
+	}
+}
+
+// stored is a job's head as it is stored now, without what is only proposed
+// or noted: whoever changes it must not store another's pending decisions.
+func (j *job) stored() protocol.JobRecord {
+	r := protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next}
+	lo, hi := j.chunkRange(0)
+	for i := lo; i < hi; i++ {
+		switch t := &j.tasks[i]; t.phase {
+		case done:
+			if l := len(r.Done); l > 0 && r.Done[l-1][1] == i-1 {
+				r.Done[l-1][1] = i
+			} else {
+				r.Done = append(r.Done, [2]int{i, i})
+			}
+		case placed:
+			r.Placed = append(r.Placed, protocol.Placement{Task: i, Attempt: t.attempt, Machine: t.machine.name})
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/coordination/workers.go
@@ -0,0 +1,456 @@
+package coordination
+
+import (
+	"context"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+type taskKey struct {
+	job  *job
+	task int
+}
+
+// machine is a rented machine: its record, what its team of tasks takes, and
+// what its worker last said.
+type machine struct {
+	name  string
+	known bool // it has a record
+	rec   protocol.MachineRecord
+	on    map[taskKey]struct{}
+	used  Amounts
+
+	addr       string
+	added      time.Time // when this node first saw the record, or took the share over
+	heard      time.Time // last fenced report
+	session    uint64
+	seq        uint64
+	fenced     bool // a report of the present token has come
+	fencing    bool // a direct call for one is under way
+	fenceTry   time.Time
+	notice     bool // to be taken by the cloud
+	returning  bool
+	returnTry  time.Time
+	idleSince  time.Time
+	moving     bool
+	distrust   int       // errors of different jobs in a row
+	lastError  string    // the job of the last one
+	gone       bool      // returned: the cloud said so
+	recorded   bool      // its address is stored, or being stored
+	avoidTill  time.Time // place nothing new before
+	wake       bool      // answer a parked report soon
+	parked     *parked
+	images     []cachedImage // most recently used last
+	secPerGB   float64       // learned seconds per GB fetched; 0: unknown
+	fetchSince map[string]time.Time
+	heldBack   bool
+}
+
+type cachedImage struct {
+	name string
+	gb   float64
+}
+
+// parked is a report whose answer waits a moment, so that a start can go out
+// as soon as it is stored.
+type parked struct {
+	report *protocol.Report
+	until  time.Time
+	reply  chan<- answer
+}
+
+// answer is what a request gets.
+type answer struct {
+	status int
+	body   any
+	retryS int
+}
+
+// machine finds a machine by name, or makes a place for one whose record has
+// not come (yet).
+func (n *Node) machine(name string) *machine {
+	m := n.machines[name]
+	if m == nil {
+		now := time.Now()
+		m = &machine{name: name, on: map[taskKey]struct{}{}, added: now, idleSince: now, fetchSince: map[string]time.Time{}}
+		n.machines[name] = m
+	}
+	return m
+}
+
+func (n *Node) setMachine(name string, r protocol.MachineRecord) {
+	m := n.machine(name)
+	if m.known && (m.rec.Share != r.Share || m.rec.Token != r.Token) {
+		m.unfence()
+		m.moving = false
+		n.unpark(m)
+	}
+	if !m.known {
+		m.added = time.Now()
+	}
+	m.known = true
+	m.rec = r
+	if r.Addr != "" {
+		m.addr = r.Addr
+	}
+}
+
+func (n *Node) dropMachine(name string) {
+	m := n.machines[name]
+	if m == nil {
+		return
+	}
+	m.known = false
+	n.unpark(m)
+	if len(m.on) == 0 {
+		delete(n.machines, name)
+	}
+}
+
+// unfence forgets what the worker said under an earlier token.
+func (m *machine) unfence() {
+	m.fenced = false
+	m.fenceTry = time.Time{}
+}
+
+// token is what entitles this node to command a machine.
+func (n *Node) token(m *machine) uint64 {
+	return max(n.shares[m.rec.Share].holder.Token, m.rec.Token)
+}
+
+// mayAnswer says whether leases may still be extended. Without the store a
+// cancellation could be missed; the last answer must be early enough for the
+// lease to end within cancel_s of it.
+func (n *Node) mayAnswer(now time.Time) bool {
+	w := n.cfg.Params.Workers
+	limit := (w.CancelS-w.LeaseS)*0.99 - 2
+	return n.sinceContact(now).Seconds() < limit
+}
+
+// onReport answers a worker's report. It calls reply exactly once, perhaps later.
+func (n *Node) onReport(r *protocol.Report, now time.Time, reply chan<- answer) {
+	if !n.loaded {
+		reply <- answer{status: 503}
+		return
+	}
+	m := n.machines[r.Machine]
+	if m == nil || !m.known {
+		n.onStray(r, reply)
+		return
+	}
+	s := n.shares[m.rec.Share]
+	if !n.mine(s) {
+		n.redirect(r, s, m, now, reply)
+		return
+	}
+	if !n.mayAnswer(now) {
+		reply <- answer{status: 503}
+		return
+	}
+	token := n.token(m)
+	if r.Token > token {
+		// Somebody is entitled after us, and our replica does not show it yet.
+		reply <- answer{status: 503}
+		return
+	}
+	if !n.hear(m, r, token, now) {
+		// An old report, held on its way: what it lists may be long gone.
+		reply <- answer{status: 503}
+		return
+	}
+	if !m.fenced {
+		reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: []protocol.Command{}}}
+		return
+	}
+	cmds := n.orders(m, r, now)
+	if len(cmds) == 0 && n.park(m, r, now, reply) {
+		return
+	}
+	reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: cmds}}
+}
+
+// hear takes in a report's frame; false if a newer one was heard already.
+func (n *Node) hear(m *machine, r *protocol.Report, token uint64, now time.Time) bool {
+	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
+		return false
+	}
+	n.answerParked(m, now) // an earlier report's answer is not waited for any more
+	m.session, m.seq = r.Session, r.Seq
+	if r.Addr != "" {
+		m.addr = r.Addr
+	}
+	if r.Token == token {
+		if !m.fenced {
+			n.log.Debug("machine is fenced", "machine", m.name, "token", token)
+			n.replan = true
+		}
+		m.fenced = true
+		m.heard = now
+	}
+	notice := r.NoticeS != nil
+	if notice && !m.notice {
+		n.log.Info("spot notice", "machine", m.name, "seconds", *r.NoticeS)
+		n.drain(m, *r.NoticeS)
+	}
+	m.notice = notice
+	return true
+}
+
+// orders takes a fenced report's task list as the truth about the machine,
+// notes what it proves, and says what the worker is to do.
+func (n *Node) orders(m *machine, r *protocol.Report, now time.Time) []protocol.Command {
+	cmds := []protocol.Command{}
+	listed := make(map[taskKey]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		tr := &r.Tasks[i]
+		id, num, _ := protocol.ParseTaskID(tr.Task)
+		j := n.jobs[id]
+		var t *task
+		if j != nil && num < len(j.tasks) {
+			t = &j.tasks[num]
+		}
+		if t == nil || t.phase != placed || t.machine != m || t.attempt != tr.Attempt {
+			// Not recorded here: over, or left behind by an earlier holder.
+			if tr.State == protocol.TaskExited {
+				cmds = append(cmds, protocol.Command{Op: protocol.OpForget, Task: tr.Task, Attempt: tr.Attempt})
+			} else {
+				cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt})
+			}
+			continue
+		}
+		listed[taskKey{j, num}] = true
+		n.observe(m, j, num, tr, now)
+		if tr.State != protocol.TaskExited && n.unwanted(j, t) && (tr.State != protocol.TaskSaving || j.cancelled) {
+			grace := t.graceS
+			if j.cancelled {
+				grace = 0
+			}
+			cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt, GraceS: grace})
+		}
+	}
+	for k := range m.on {
+		j, t := k.job, &k.job.tasks[k.task]
+		if t.phase != placed || listed[k] || t.fact != noFact {
+			continue
+		}
+		switch {
+		case n.unwanted(j, t) || m.returning:
+			// Any start of ours went out in an answer to an earlier report, and
+			// earlier holders' starts are fenced off: it is not there and never will be.
+			n.note(j, k.task, gone)
+		case j.spec.Shape == protocol.Gang && j.nPlacedStored() < len(j.tasks):
+			// A gang starts only once all of it is stored.
+		case j.spec.Shape == protocol.Gang && t.seen >= seenRunning:
+			// It ran and was lost with its lease: the gang must start anew.
+			n.note(j, k.task, gone)
+		default:
+			t.sent = now
+			t.seen = unseen
+			cmds = append(cmds, protocol.Command{Op: protocol.OpStart, Task: protocol.TaskID(j.id, k.task), Attempt: t.attempt})
+		}
+	}
+	return cmds
+}
+
+// nPlacedStored counts the tasks with a stored machine.
+func (j *job) nPlacedStored() int {
+	c := 0
+	for i := range j.tasks {
+		if j.tasks[i].phase == placed {
+			c++
+		}
+	}
+	return c
+}
+
+// unwanted says whether a placed task is to leave its machine.
+func (n *Node) unwanted(j *job, t *task) bool { return j.cancelled || j.abandon || t.stop }
+
+// observe learns from one listed task of ours.
+func (n *Node) observe(m *machine, j *job, i int, tr *protocol.TaskReport, now time.Time) {
+	t := &j.tasks[i]
+	was := t.seen
+	t.seen = seenStates[tr.State]
+	switch tr.State {
+	case protocol.TaskFetching:
+		if _, ok := m.fetchSince[j.spec.Image]; !ok {
+			m.fetchSince[j.spec.Image] = now
+		}
+	case protocol.TaskWaiting, protocol.TaskRunning:
+		if was != t.seen {
+			m.fetched(j.spec.Image, j.spec.ImageGB, n.types[m.rec.Type], now)
+		}
+		m.distrust = 0
+	case protocol.TaskExited:
+		if tr.Cause == protocol.CauseDone {
+			n.note(j, i, finished)
+			m.fetched(j.spec.Image, j.spec.ImageGB, n.types[m.rec.Type], now)
+			m.distrust = 0
+			return
+		}
+		if t.fact == noFact {
+			n.log.Info("task exited", "task", tr.Task, "machine", m.name, "cause", tr.Cause, "saved", tr.Saved)
+			switch tr.Cause {
+			case protocol.CauseError:
+				// A job submitted with a mistake fails everywhere: it says little about
+				// the machine and must not be started over and over.
+				j.fails++
+				j.notBefore = now.Add(time.Duration(min(60, 1<<min(j.fails, 6))) * time.Second)
+				if m.lastError != j.id {
+					m.lastError = j.id
+					m.distrust++
+				}
+				m.avoidTill = now.Add(time.Duration(m.distrust) * 5 * time.Second)
+			case protocol.CauseNoRoom, protocol.CauseBusy, protocol.CauseUnknown:
+				m.avoidTill = now.Add(3 * time.Second)
+			}
+		}
+		n.note(j, i, gone)
+	}
+}
+
+// fetched learns that a machine has an image: what fetching it cost, and that
+// it is cached now.
+func (m *machine) fetched(image string, gb float64, t *protocol.MachineType, now time.Time) {
+	if since, ok := m.fetchSince[image]; ok {
+		delete(m.fetchSince, image)
+		if gb > 0 {
+			if took := now.Sub(since).Seconds() / gb; m.secPerGB == 0 {
+				m.secPerGB = took
+			} else {
+				m.secPerGB += 0.3 * (took - m.secPerGB)
+			}
+		}
+	}
+	total := gb
+	kept := m.images[:0]
+	for _, im := range m.images {
+		if im.name != image {
+			kept = append(kept, im)
+			total += im.gb
+		}
+	}
+	m.images = append(kept, cachedImage{image, gb})
+	for t != nil && total > t.CacheGB && len(m.images) > 1 {
+		total -= m.images[0].gb
+		m.images = m.images[1:]
+	}
+}
+
+// has says whether a machine holds an image or is fetching it.
+func (m *machine) has(image string) bool {
+	if _, ok := m.fetchSince[image]; ok {
+		return true
+	}
+	for _, im := range m.images {
+		if im.name == image {
+			return true
+		}
+	}
+	return false
+}
+
+// parkTime is how long the answer to a report may wait for a start.
+func (n *Node) parkTime(m *machine) time.Duration {
+	w := time.Duration(n.cfg.Params.Workers.ReportS * float64(time.Second))
+	if len(m.on) > 0 {
+		return min(w/4, 700*time.Millisecond)
+	}
+	return min(w, 2500*time.Millisecond)
+}
+
+// park lets an answer wait. A worker drops answers after 4 s, so it never waits
+// longer than 2.5.
+func (n *Node) park(m *machine, r *protocol.Report, now time.Time, reply chan<- answer) bool {
+	if m.notice || m.returning {
+		return false
+	}
+	m.wake = false
+	m.parked = &parked{report: r, until: now.Add(n.parkTime(m)), reply: reply}
+	return true
+}
+
+// answerParked answers a waiting report with what is to be done by now.
+func (n *Node) answerParked(m *machine, now time.Time) {
+	p := m.parked
+	if p == nil {
+		return
+	}
+	m.parked, m.wake = nil, false
+	if !n.mayAnswer(now) {
+		p.reply <- answer{status: 503}
+		return
+	}
+	p.reply <- answer{status: 200, body: protocol.Orders{Token: n.token(m), Commands: n.orders(m, p.report, now)}}
+}
+
+// unpark turns a waiting report away: this node may not act for it any more.
+func (n *Node) unpark(m *machine) {
+	if p := m.parked; p != nil {
+		m.parked = nil
+		p.reply <- answer{status: 503}
+	}
+}
+
+func (n *Node) releaseParked(now time.Time) {
+	for _, m := range n.machines {
+		if m.parked != nil && (m.wake || !now.Before(m.parked.until)) {
+			n.answerParked(m, now)
+		}
+	}
+}
+
+// redirect answers for a machine of a share that another node holds.
+func (n *Node) redirect(r *protocol.Report, s *share, m *machine, now time.Time, reply chan<- answer) {
+	h := s.holder.Node
+	if s.holder.Token == 0 || h == n.cfg.Node || n.sinceContact(now) > leaseLife {
+		reply <- answer{status: 503}
+		return
+	}
+	reply <- answer{status: 421, body: protocol.Redirect{ReportTo: h}}
+}
+
+// fence shows a machine this node's token directly, without orders, so that an
+// earlier holder who still answers it is cut off, and takes its report.
+func (n *Node) fence(m *machine, now time.Time) {
+	if m.fencing || m.addr == "" || now.Before(m.fenceTry) {
+		return
+	}
+	m.fencing = true
+	m.fenceTry = now.Add(2 * time.Second)
+	token := n.token(m)
+	o := protocol.Orders{Token: token, Session: max(1, m.session), Commands: []protocol.Command{}}
+	addr := m.addr
+	n.spawn(func(ctx context.Context) {
+		r, ok, err := n.workers.Command(ctx, addr, o)
+		if err == nil && !ok && r != nil && r.Session != o.Session {
+			o.Session = r.Session
+			r, ok, err = n.workers.Command(ctx, addr, o)
+		}
+		n.post(func() {
+			m.fencing = false
+			now := time.Now()
+			if err != nil || !ok || r == nil || n.machines[m.name] != m || !n.mine(n.shares[m.rec.Share]) || n.token(m) != token {
+				return
+			}
+			if r.Token == token && n.hear(m, r, token, now) {
+				// Commands only go in answers; here it is the facts that count.
+				n.observeAll(m, r, now)
+			}
+		})
+	})
+}
+
+// observeAll takes a directly asked report's facts and gives no orders.
+func (n *Node) observeAll(m *machine, r *protocol.Report, now time.Time) {
+	for i := range r.Tasks {
+		tr := &r.Tasks[i]
+		id, num, _ := protocol.ParseTaskID(tr.Task)
+		if j := n.jobs[id]; j != nil && num < len(j.tasks) {
+			if t := &j.tasks[num]; t.phase == placed && t.machine == m && t.attempt == tr.Attempt {
+				n.observe(m, j, num, tr, now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/record.go
@@ -0,0 +1,113 @@
+package protocol
+
+import "strconv"
+
+// Keys in the state service. Everything under Root is watched by every node;
+// what is final moves to FinalKey, so that the watched part stays small.
+const (
+	Root        = "d/"
+	CounterKey  = Root + "counter"
+	JobPrefix   = Root + "jobs/"
+	HolderRoot  = Root + "shares/"
+	MachineRoot = Root + "machines/"
+	NodeRoot    = Root + "nodes/"
+	MovesKey    = Root + "moves"
+	FinalRoot   = "f/"
+)
+
+// ChunkTasks is how many tasks share one stored value: 128 placements with
+// long machine names stay well below the smallest value limit.
+const ChunkTasks = 128
+
+// JobKey is the key of a job's head, which holds chunk 0.
+func JobKey(id string) string { return JobPrefix + id }
+
+// ChunkKey is the key of a job's chunk k of tasks.
+func ChunkKey(id string, k int) string {
+	if k == 0 {
+		return JobKey(id)
+	}
+	return JobPrefix + id + "/" + strconv.Itoa(k)
+}
+
+// FinalKey is the key of what a job became in the end.
+func FinalKey(id string) string { return FinalRoot + id }
+
+// HolderKey is the key that names the holder of a share.
+func HolderKey(share int) string { return HolderRoot + strconv.Itoa(share) + "/holder" }
+
+// MachineKey is the key of a machine's record.
+func MachineKey(name string) string { return MachineRoot + name }
+
+// NodeKey is the key that says a node lives.
+func NodeKey(name string) string { return NodeRoot + name }
+
+// Placement records that a task may be on a machine. It is stored before the
+// start is commanded and removed only once the task is known to be gone.
+type Placement struct {
+	Task    int    `json:"i"`
+	Attempt uint64 `json:"a"`
+	Machine string `json:"m"`
+}
+
+// Chunk is the state of up to ChunkTasks tasks: placements, and done ranges
+// (first and last task).
+type Chunk struct {
+	Placed []Placement `json:"p,omitempty"`
+	Done   [][2]int    `json:"d,omitempty"`
+}
+
+// JobRecord is a job's head.
+type JobRecord struct {
+	Spec        *JobSpec `json:"s"`
+	SubmittedMS int64    `json:"t"`
+	Cancelled   bool     `json:"x,omitempty"`
+	Next        uint64   `json:"n"`
+	Chunk
+}
+
+// FinalRecord is what remains of a job.
+type FinalRecord struct {
+	Status string `json:"s"`
+	Tasks  int    `json:"n"`
+}
+
+// HolderRecord names the holder of a share. It is attached to the node's
+// lease; Lease tells a restarted node from its former self.
+type HolderRecord struct {
+	Node  string `json:"node"`
+	Token uint64 `json:"token"`
+	Lease uint64 `json:"lease"`
+}
+
+// MachineRecord assigns a machine to a share, fenced by Token if it was moved.
+type MachineRecord struct {
+	Share int    `json:"share"`
+	Token uint64 `json:"token"`
+	Type  string `json:"type"`
+	Zone  string `json:"zone"`
+	Spot  bool   `json:"spot,omitempty"`
+	Addr  string `json:"addr,omitempty"`
+}
+
+// CounterRecord is the never-deleted counter of tokens.
+type CounterRecord struct {
+	Token uint64 `json:"token"`
+}
+
+// NodeRecord says that a node lives, on its lease.
+type NodeRecord struct {
+	Lease uint64 `json:"lease"`
+}
+
+// Moves is the leader's last plan: machines that their holders are to hand to
+// another share if they are still free.
+type Moves struct {
+	Moves []Move `json:"moves"`
+}
+
+// Move hands a machine to a share.
+type Move struct {
+	Machine string `json:"m"`
+	Share   int    `json:"to"`
+}
--- /dev/null
+++ b/internal/storage/commit.go
@@ -0,0 +1,200 @@
+package storage
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Op is a change that must happen whole or not at all. Done is called once,
+// on the committer's routine.
+type Op struct {
+	Conds  []Cond
+	Writes []Write
+	// Once says that an unanswered attempt ends the op, since somebody waits.
+	Once bool
+	Done func(Result)
+}
+
+// Result says how an op ended. With neither OK nor Err its condition on
+// one of Failed did not hold.
+type Result struct {
+	OK     bool
+	Epoch  uint64
+	Failed []string
+	Err    error
+}
+
+func (o *Op) size() int {
+	n := 64 * len(o.Conds)
+	for _, w := range o.Writes {
+		n += len(w.Value) + len(w.Key()) + 48
+	}
+	return n
+}
+
+// maxTxnBytes keeps a transaction below the service's 64 KiB.
+const maxTxnBytes = 56 << 10
+
+// Committer packs waiting ops into transactions, one in flight at a time
+// (group commit), so that the write rate goes far.
+type Committer struct {
+	store  Service
+	txnOps int
+	in     chan *Op
+}
+
+// NewCommitter makes a committer; Run serves it.
+func NewCommitter(s Service, txnOps int) *Committer {
+	return &Committer{store: s, txnOps: txnOps, in: make(chan *Op, 4096)}
+}
+
+// Submit queues an op. It returns false, and drops the op, if too many wait.
+func (c *Committer) Submit(o *Op) bool {
+	select {
+	case c.in <- o:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run commits ops in order until ctx ends.
+func (c *Committer) Run(ctx context.Context) {
+	var queue []*Op
+	for {
+		if len(queue) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case o := <-c.in:
+				queue = append(queue, o)
+			}
+		}
+		for more := true; more; {
+			select {
+			case o := <-c.in:
+				queue = append(queue, o)
+			default:
+				more = false
+			}
+		}
+		batch, rest := pack(queue, c.txnOps)
+		again := c.commit(ctx, batch)
+		queue = append(again, rest...)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// pack takes ops from the front of the queue as long as one transaction holds
+// them. Two ops on the same key never share a transaction: the second one's
+// condition is about the first one's outcome.
+func pack(queue []*Op, txnOps int) (batch, rest []*Op) {
+	writes, bytes := 0, 0
+	conds := map[string]uint64{}
+	written := map[string]bool{}
+	for i, o := range queue {
+		fits := writes+len(o.Writes) <= txnOps && bytes+o.size() <= maxTxnBytes
+		extra := 0
+		for _, cd := range o.Conds {
+			st, ok := conds[cd.Key]
+			if !ok {
+				extra++
+			} else if st != cd.Stamp {
+				fits = false
+			}
+			if written[cd.Key] {
+				fits = false
+			}
+		}
+		for _, w := range o.Writes {
+			if _, ok := conds[w.Key()]; written[w.Key()] || (ok && i > 0 && !hasCond(o, w.Key())) {
+				fits = false
+			}
+		}
+		if len(conds)+extra > 4*txnOps {
+			fits = false
+		}
+		if !fits && i > 0 {
+			return queue[:i:i], queue[i:]
+		}
+		writes += len(o.Writes)
+		bytes += o.size()
+		for _, cd := range o.Conds {
+			conds[cd.Key] = cd.Stamp
+		}
+		for _, w := range o.Writes {
+			written[w.Key()] = true
+		}
+	}
+	return queue, nil
+}
+
+func hasCond(o *Op, key string) bool {
+	for _, c := range o.Conds {
+		if c.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// commit runs one transaction and returns the ops to try again.
+func (c *Committer) commit(ctx context.Context, batch []*Op) (again []*Op) {
+	seen := map[string]bool{}
+	var conds []Cond
+	var writes []Write
+	for _, o := range batch {
+		for _, cd := range o.Conds {
+			if !seen[cd.Key] {
+				seen[cd.Key] = true
+				conds = append(conds, cd)
+			}
+		}
+		writes = append(writes, o.Writes...)
+	}
+	ok, epoch, failed, err := c.store.Txn(ctx, conds, writes)
+	switch {
+	case err != nil:
+		for _, o := range batch {
+			// An unanswered transaction may still be applied; trying the same
+			// conditions again is safe, since only one of the two can hold.
+			if o.Once || errors.Is(err, ErrNoLease) || errors.Is(err, ErrMalformed) || ctx.Err() != nil {
+				o.Done(Result{Err: err})
+			} else {
+				again = append(again, o)
+			}
+		}
+		if len(again) > 0 {
+			select {
+			case <-time.After(250 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		}
+	case ok:
+		for _, o := range batch {
+			o.Done(Result{OK: true, Epoch: epoch})
+		}
+	default:
+		bad := map[string]bool{}
+		for _, k := range failed {
+			bad[k] = true
+		}
+		for _, o := range batch {
+			var mine []string
+			for _, cd := range o.Conds {
+				if bad[cd.Key] {
+					mine = append(mine, cd.Key)
+				}
+			}
+			if len(mine) > 0 || len(failed) == 0 {
+				o.Done(Result{Epoch: epoch, Failed: mine})
+			} else {
+				again = append(again, o)
+			}
+		}
+	}
+	return again
+}
--- /dev/null
+++ b/internal/storage/workers.go
@@ -0,0 +1,34 @@
+package storage
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/transport"
+)
+
+// Workers calls workers directly.
+type Workers struct{ calls *transport.Client }
+
+// NewWorkers makes the client.
+func NewWorkers() *Workers { return &Workers{transport.NewClient("", 0)} }
+
+// Command sends orders; executed is false if the worker refused them.
+func (w *Workers) Command(ctx context.Context, addr string, o protocol.Orders) (r *protocol.Report, executed bool, err error) {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return nil, false, err
+	}
+	a, err := w.calls.Call(ctx, 2*time.Second, "POST", "http://"+addr+"/commands", data)
+	if err != nil {
+		return nil, false, err
+	}
+	if a.Status != 200 && a.Status != 409 {
+		return nil, false, fmt.Errorf("worker: status %d", a.Status)
+	}
+	r, err = protocol.ParseReport(a.Body)
+	return r, a.Status == 200, err
+}
