--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -78,6 +78,8 @@
 	counted   bool // the share's window has counted its arrival
 	heavy     bool
 	abandon   bool         // gang: this attempt is to end
+	seen      time.Time    // when this node learned of it
+	preempted time.Time    // when others may be stopped for it again
 	fails     int          // tasks that ended with an error
 	notBefore time.Time    // start nothing before, after errors
 	why       string       // why its tasks wait
@@ -113,6 +115,7 @@
 			submitted: time.UnixMilli(r.SubmittedMS), tasks: make([]task, r.Spec.Tasks),
 			chunks: map[int]bool{}, taskChunk: map[int]bool{}}
 		now := time.Now()
+		j.seen = now
 		for i := range j.tasks {
 			j.tasks[i].since = now
 		}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -27,40 +27,55 @@
 // bin is a machine that waiting tasks are imagined on, to see what to rent.
 type bin struct {
 	offer
-	free Amounts
+	free    Amounts
+	machine *machine // nil: asked for, or only imagined
 }
 
-// rent asks for the machines that the waiting jobs lack beyond those on the way.
+// rent asks for the machines that the waiting jobs lack beyond those on the
+// way, and for those that jobs like the recent ones will need before a machine
+// rented later could serve them.
 func (n *Node) rent(s *share, waits []*job, now time.Time) {
-	if len(waits) == 0 || n.policy.NoRents || len(n.types) == 0 {
+	if len(n.types) == 0 {
 		return
 	}
-	var bins []*bin
-	inZone := map[string]int{}
-	for _, m := range n.machines {
-		if !m.known || m.rec.Share != s.index || m.gone || m.returning || m.heldBack {
+	f := &forecast{n: n, now: now, used: map[int]Amounts{}, want: map[offer]int{}, inZone: map[string]int{}}
+	var running []*bin
+	for _, m := range n.shareMachines(s.index) {
+		if m.gone || m.returning || m.heldBack || m.moving {
 			continue
 		}
-		inZone[m.rec.Zone]++
+		f.inZone[m.rec.Zone]++
+		m.needed = false
+		b := &bin{offer: offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, free: n.free(m), machine: m}
 		if m.heard.IsZero() && !m.notice {
-			bins = append(bins, &bin{offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, n.free(m)})
+			f.bins = append(f.bins, b)
+		} else if n.usable(m, now) {
+			running = append(running, b)
 		}
 	}
 	for r, k := range n.renting {
 		if t := n.types[r.typ]; t != nil && r.share == s.index {
 			for range k {
-				inZone[r.zone]++
-				bins = append(bins, &bin{r.offer, size(t)})
+				f.inZone[r.zone]++
+				f.bins = append(f.bins, &bin{offer: r.offer, free: size(t)})
 			}
 		}
 	}
-	want := map[offer]int{}
-	used := map[int]Amounts{}
 	for _, j := range waits {
 		j.why = "no capacity"
-		n.imagine(j, &bins, used, want, inZone, now)
+		f.imagine(j, j.nWaiting())
+	}
+	// Running machines come first for what is only expected: the fullest ones,
+	// so that the emptiest can go.
+	slices.SortStableFunc(running, func(a, b *bin) int { return len(b.machine.on) - len(a.machine.on) })
+	f.bins = append(running, f.bins...)
+	for _, j := range n.expected(s, now) {
+		f.imagine(j, len(j.tasks))
 	}
-	for o, k := range want {
+	if n.policy.NoRents {
+		return
+	}
+	for o, k := range f.want {
 		r := rental{s.index, o}
 		if n.renting[r] == 0 {
 			n.ask(s, r, min(k, 50))
@@ -68,18 +83,76 @@
 	}
 }
 
-// imagine puts a job's waiting tasks on bins, opening new ones where allowed.
-func (n *Node) imagine(j *job, bins *[]*bin, used map[int]Amounts, want map[offer]int, inZone map[string]int, now time.Time) {
+// shareMachines are the recorded machines of a share by name.
+func (n *Node) shareMachines(share int) []*machine {
+	var out []*machine
+	for _, m := range n.machines {
+		if m.known && m.rec.Share == share {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *machine) int { return compareNames(a.name, b.name) })
+	return out
+}
+
+// arrival is a recent job, from which the near future is expected.
+type arrival struct {
+	at   time.Time
+	spec *protocol.JobSpec
+}
+
+// expected are stand-ins for the jobs that will come while a machine boots:
+// every so manieth of the recent ones.
+func (n *Node) expected(s *share, now time.Time) []*job {
+	const memory = 120 * time.Second
+	for len(s.recent) > 0 && now.Sub(s.recent[0].at) > memory {
+		s.recent = s.recent[1:]
+	}
+	boot := 0.0
+	for _, t := range n.types {
+		boot = max(boot, t.BootS)
+	}
+	span := min(memory.Seconds(), now.Sub(s.taken).Seconds())
+	if span < 20 {
+		return nil
+	}
+	part := min(1, n.policy.Headroom*boot/span)
+	var out []*job
+	sum := 0.5
+	for _, a := range s.recent {
+		if sum += part; sum >= 1 {
+			sum--
+			team := n.teamOf[a.spec.Team]
+			out = append(out, &job{id: a.spec.ID, spec: a.spec, team: team, share: s.index,
+				need: Amounts{a.spec.CPUs, a.spec.GPUs, a.spec.MemoryGB}, tasks: make([]task, min(a.spec.Tasks, 200))})
+		}
+	}
+	return out
+}
+
+// forecast is one look at what machines the near future needs.
+type forecast struct {
+	n      *Node
+	now    time.Time
+	bins   []*bin
+	used   map[int]Amounts // by team, of what was imagined
+	want   map[offer]int
+	inZone map[string]int
+}
+
+// imagine puts r tasks of a job on bins, opening new ones where allowed.
+func (f *forecast) imagine(j *job, r int) {
+	n := f.n
 	tm := *n.teams[j.team]
-	tm.used = tm.used.Add(used[j.team], 1)
-	r := min(j.nWaiting(), tm.room(j.need))
+	tm.used = tm.used.Add(f.used[j.team], 1)
+	r = min(r, tm.room(j.need))
 	if r <= 0 || (j.spec.Shape == protocol.Gang && r < len(j.tasks)) {
 		j.why = "team limit"
 		return
 	}
 	const horizon = 2000 // tasks looked at: renting is limited to 50 a request anyway
 	r = min(r, horizon)
-	used[j.team] = used[j.team].Add(j.need, float64(r))
+	f.used[j.team] = f.used[j.team].Add(j.need, float64(r))
 	byZone := map[string]int{}
 	only := "" // zone that the job is bound to
 	for i := range j.tasks {
@@ -95,26 +168,28 @@
 		return allowed(j.spec, o.typ, o.zone, o.spot) && (only == "" || only == o.zone) &&
 			(!j.spec.Spread || byZone[o.zone] < half)
 	}
-	start := 0
 	for range r {
 		var b *bin
-		for i := start; i < len(*bins); i++ {
-			if c := (*bins)[i]; c.free.Times(j.need) > 0 && fits(c.offer) {
+		for _, c := range f.bins {
+			if c.free.Times(j.need) > 0 && fits(c.offer) {
 				b = c
 				break
 			}
 		}
 		if b == nil {
-			o, ok := n.bestOffer(j, fits, inZone, now)
+			o, ok := n.bestOffer(j, fits, f.inZone, f.now)
 			if !ok {
 				return
 			}
-			inZone[o.zone]++
-			want[o]++
-			b = &bin{o, size(n.types[o.typ])}
-			*bins = append(*bins, b)
+			f.inZone[o.zone]++
+			f.want[o]++
+			b = &bin{offer: o, free: size(n.types[o.typ])}
+			f.bins = append(f.bins, b)
 		}
 		b.free = b.free.Add(j.need, -1)
+		if b.machine != nil {
+			b.machine.needed = true
+		}
 		byZone[b.zone]++
 		if j.spec.OneZone {
 			only = b.zone
@@ -228,6 +303,7 @@
 		return
 	}
 	n.lastTend = now
+	n.replan = true // what is expected changes with time
 	n.checkSight(now)
 	var back []*machine
 	idle := map[int]bool{}
@@ -259,7 +335,7 @@
 			n.log.Info("machine given up", "machine", m.name, "heard", !m.heard.IsZero(), "tasks", len(m.on))
 			back = append(back, m)
 		case len(m.on) == 0 && m.fenced && !m.moving && (m.notice || m.distrust >= 3 ||
-			idle[m.rec.Share] && !m.idleSince.IsZero() && now.Sub(m.idleSince).Seconds() > n.policy.IdleS):
+			idle[m.rec.Share] && !m.needed && !m.idleSince.IsZero() && now.Sub(m.idleSince).Seconds() > n.policy.IdleS):
 			n.log.Info("machine returned", "machine", m.name, "notice", m.notice, "distrust", m.distrust)
 			back = append(back, m)
 		default:
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -81,15 +81,16 @@
 
 // policySettings are the values that operators may change.
 type policySettings struct {
-	Window  int
-	MoveS   float64
-	IdleS   float64
-	Greedy  bool
-	NoRents bool
+	Window   int     // arrivals remembered for the threshold
+	MoveS    float64 // period of the leader's moves
+	IdleS    float64 // how long a machine that nothing needs is kept
+	Headroom float64 // boot times of expected arrivals to keep room for
+	Greedy   bool    // every job counts as heavy
+	NoRents  bool
 }
 
 func defaultPolicy() policySettings {
-	return policySettings{Window: DefaultWindow, MoveS: 30, IdleS: 45}
+	return policySettings{Window: DefaultWindow, MoveS: 30, IdleS: 45, Headroom: 1}
 }
 
 // counters tell what happened since the start.
@@ -112,6 +113,7 @@
 	taken   time.Time // when this node took it
 	pending bool      // a change of the holder is being stored
 	window  *Window
+	recent  []arrival
 }
 
 // New makes a node that lives until ctx ends. The caller runs it with Run.
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		jobs := n.sortedJobs(s.index)
-		n.countArrivals(s, jobs)
+		n.countArrivals(s, jobs, now)
 		var waits []*job
 		for _, j := range jobs {
 			if j.nWaiting() == 0 || j.cancelled || j.abandon {
@@ -60,13 +60,14 @@
 				waits = append(waits, j)
 			}
 		}
+		n.preempt(s, waits, now)
 		n.rent(s, waits, now)
 	}
 }
 
 // countArrivals lets the share's window see new jobs in the order they came.
 // After a take-over these are the jobs present, so the means have a start.
-func (n *Node) countArrivals(s *share, jobs []*job) {
+func (n *Node) countArrivals(s *share, jobs []*job, now time.Time) {
 	var fresh []*job
 	for _, j := range jobs {
 		if !j.counted {
@@ -80,6 +81,9 @@
 	for _, j := range fresh {
 		present++
 		j.counted = true
+		if j.seen.After(s.taken) && now.Sub(s.taken) > 5*time.Second {
+			s.recent = append(s.recent, arrival{now, j.spec})
+		}
 		j.heavy = s.window.Arrive(present, j.spec.ImageGB) || n.policy.Greedy
 	}
 }
@@ -221,4 +225,128 @@
 	return o
 }
 
+// victim is a task that may be stopped for another.
+type victim struct {
+	job  *job
+	task int
+}
+
+// preempt makes room for jobs that found none: by stopping work of lower
+// priority, or work that another team runs beyond its guarantee if the job is
+// within its own team's.
+func (n *Node) preempt(s *share, waits []*job, now time.Time) {
+	borrowed := map[int]Amounts{} // by team: what is beyond its guarantee
+	for i, t := range n.teams {
+		borrowed[i] = t.used.Add(t.guarantee, -1)
+	}
+	var ms []*machine
+	for _, j := range waits {
+		r := n.startable(j)
+		if j.busy || r == 0 || now.Before(j.preempted) || j.rank == protocol.Low {
+			continue
+		}
+		if ms == nil {
+			ms = n.shareMachines(s.index)
+		}
+		tm := n.teams[j.team]
+		within := tm.used.Add(j.need, float64(r)).within(tm.guarantee)
+		var choices []*sacrifice
+		for _, m := range ms {
+			if !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !n.usable(m, now) || n.stopping(m) {
+				continue
+			}
+			if c := n.sacrifice(m, j, r, within, borrowed, now); c != nil {
+				choices = append(choices, c)
+			}
+		}
+		slices.SortStableFunc(choices, func(a, b *sacrifice) int { return cmp.Compare(a.loss/float64(a.gain), b.loss/float64(b.gain)) })
+		gang := j.spec.Shape == protocol.Gang
+		if gang {
+			got := 0
+			for _, c := range choices {
+				got += c.gain
+			}
+			if got < r || len(j.tasks) > 1 && j.spec.OneZone && len(n.cfg.Params.Zones) > 1 {
+				continue // stopping some would not start it
+			}
+		}
+		for _, c := range choices {
+			if r <= 0 {
+				break
+			}
+			r -= c.gain
+			j.preempted = now.Add(8 * time.Second)
+			for _, v := range c.victims {
+				n.log.Info("task stopped for another job", "task", protocol.TaskID(v.job.id, v.task), "for", j.id, "machine", c.m.name)
+				borrowed[v.job.team] = borrowed[v.job.team].Add(v.job.need, -1)
+				n.stopTask(v.job, v.task)
+			}
+		}
+	}
+}
+
+// within says whether a fits into a guarantee (0: none of that kind given).
+func (a Amounts) within(g Amounts) bool {
+	return (g.GPUs > 0 || g.CPUs > 0) && (g.GPUs == 0 || a.GPUs <= g.GPUs+slack) && (g.CPUs == 0 || a.CPUs <= g.CPUs+slack)
+}
+
+func (n *Node) stopping(m *machine) bool {
+	for k := range m.on {
+		if n.unwanted(k.job, &k.job.tasks[k.task]) {
+			return true
+		}
+	}
+	return false
+}
+
+// sacrifice is what stopping some tasks of a machine would bring.
+type sacrifice struct {
+	m       *machine
+	victims []victim
+	gain    int     // tasks of the job that would fit
+	loss    float64 // seconds of work lost, and of fetching the image
+}
+
+// sacrifice finds the cheapest tasks of m to stop so that up to r tasks of j fit.
+func (n *Node) sacrifice(m *machine, j *job, r int, within bool, borrowed map[int]Amounts, now time.Time) *sacrifice {
+	type cand struct {
+		victim
+		loss float64
+	}
+	var cands []cand
+	for k := range m.on {
+		v, t := k.job, &k.job.tasks[k.task]
+		if t.phase != placed || t.fact != noFact || v.spec.Shape == protocol.Gang && len(v.tasks) > 1 {
+			continue
+		}
+		lends := within && v.team != j.team && v.rank >= protocol.High && borrowed[v.team].GPUs >= v.need.GPUs-slack && v.need.GPUs > 0
+		if v.rank <= j.rank && !lends {
+			continue
+		}
+		loss := now.Sub(t.since).Seconds()
+		if v.spec.CheckpointS > 0 {
+			loss = min(loss, v.spec.SaveS+2)
+		}
+		cands = append(cands, cand{victim{v, k.task}, loss})
+	}
+	slices.SortFunc(cands, func(a, b cand) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.task, b.task))
+	})
+	c := &sacrifice{m: m, loss: n.cost(m, j.spec)}
+	free := n.free(m)
+	for _, x := range cands {
+		if free.Times(j.need) >= r {
+			break
+		}
+		free = free.Add(x.job.need, 1)
+		c.victims = append(c.victims, x.victim)
+		c.loss += x.loss
+	}
+	c.gain = min(r, free.Times(j.need))
+	if c.gain == 0 || len(c.victims) == 0 {
+		return nil
+	}
+	return c
+}
+
 func compareNames(a, b string) int { return cmp.Compare(a, b) }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -45,6 +45,7 @@
 	secPerGB   float64       // learned seconds per GB fetched; 0: unknown
 	fetchSince map[string]time.Time
 	heldBack   bool
+	needed     bool // by what waits or is expected
 }
 
 type cachedImage struct {
