--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -79,6 +79,8 @@
 	heavy     bool
 	abandon   bool         // gang: this attempt is to end
 	seen      time.Time    // when this node learned of it
+	allPlaced time.Time    // when the last waiting task was first recorded
+	started   time.Time    // when a task was first seen running
 	preempted time.Time    // when others may be stopped for it again
 	fails     int          // tasks that ended with an error
 	notBefore time.Time    // start nothing before, after errors
@@ -454,6 +456,12 @@
 			n.learn(w, r.Epoch)
 		}
 		j.busy = false
+		if j.nWaiting() == 0 && j.allPlaced.IsZero() {
+			j.allPlaced = time.Now()
+		}
+		if n.jobs[j.id] != j {
+			n.ended(j)
+		}
 		n.wakeMachines(j)
 		return
 	}
@@ -468,6 +476,18 @@
 	})
 }
 
+// ended tells what became of a job, and where its time went.
+func (n *Node) ended(j *job) {
+	since := func(t time.Time) float64 {
+		if t.IsZero() {
+			return -1
+		}
+		return t.Sub(j.submitted).Seconds()
+	}
+	n.log.Info("job ended", "job", j.id, "class", j.spec.Class, "team", j.spec.Team, "tasks", j.spec.Tasks, "cancelled", j.cancelled,
+		"placed_s", since(j.allPlaced), "started_s", since(j.started), "ended_s", time.Since(j.submitted).Seconds())
+}
+
 // learn takes an own committed write into the replica.
 func (n *Node) learn(w storage.Write, epoch uint64) {
 	it := storage.Item{Key: w.Key(), Value: w.Value, Stamp: epoch}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -75,12 +75,36 @@
 	if n.policy.NoRents {
 		return
 	}
-	for o, k := range f.want {
+	n.askLargest(s, f.want, now)
+}
+
+// askLargest sends the request for the most machines if the cloud's rate allows
+// one now. Asking later, not queueing, lets a request cover all that is wanted
+// when it goes out.
+func (n *Node) askLargest(s *share, want map[offer]int, now time.Time) {
+	if now.Before(n.nextRent) {
+		return
+	}
+	var best rental
+	most := 0
+	for o, k := range want {
 		r := rental{s.index, o}
-		if n.renting[r] == 0 {
-			n.ask(s, r, min(k, 50))
+		if n.renting[r] == 0 && (k > most || k == most && compareNames(o.zone, best.zone) < 0) {
+			best, most = r, k
 		}
 	}
+	if most == 0 {
+		return
+	}
+	if n.wanted.IsZero() {
+		n.wanted = now // jobs come in bursts: look again in a moment
+	}
+	if now.Sub(n.wanted) < 300*time.Millisecond {
+		return
+	}
+	n.wanted = time.Time{}
+	n.nextRent = now.Add(time.Duration(float64(n.cfg.Params.Nodes) / n.cfg.Params.Cloud.RPS * float64(time.Second)))
+	n.ask(s, best, min(most, 50))
 }
 
 // shareMachines are the recorded machines of a share by name.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -72,6 +72,8 @@
 	lastTend    time.Time
 	lastRelease time.Time
 	rentSeq     uint64
+	nextRent    time.Time // when the cloud's rate allows another request
+	wanted      time.Time // since when machines are wanted that were not asked for
 	refusedTill map[offer]time.Time
 	renting     map[rental]int // machines asked for
 	blindTill   time.Time
@@ -90,7 +92,7 @@
 }
 
 func defaultPolicy() policySettings {
-	return policySettings{Window: DefaultWindow, MoveS: 30, IdleS: 45, Headroom: 1}
+	return policySettings{Window: DefaultWindow, MoveS: 3, IdleS: 45, Headroom: 1}
 }
 
 // counters tell what happened since the start.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -279,6 +279,10 @@
 			m.fetchSince[j.spec.Image] = now
 		}
 	case protocol.TaskWaiting, protocol.TaskRunning:
+		if j.started.IsZero() && tr.State == protocol.TaskRunning {
+			j.started = now
+			n.log.Info("job started", "job", j.id, "class", j.spec.Class, "wait_s", now.Sub(j.submitted).Seconds(), "image_gb", j.spec.ImageGB)
+		}
 		if was != t.seen {
 			m.fetched(j.spec.Image, j.spec.ImageGB, n.types[m.rec.Type], now)
 		}
