--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -79,6 +79,7 @@
 	heavy     bool
 	abandon   bool         // gang: this attempt is to end
 	seen      time.Time    // when this node learned of it
+	roomTill  time.Time    // how long to wait for room made where its image is
 	allPlaced time.Time    // when the last waiting task was first recorded
 	started   time.Time    // when a task was first seen running
 	preempted time.Time    // when others may be stopped for it again
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -142,10 +142,20 @@
 	}
 	part := min(1, n.policy.Headroom*boot/span)
 	var out []*job
-	sum := 0.5
+	sums := map[string]float64{}
 	for _, a := range s.recent {
-		if sum += part; sum >= 1 {
-			sum--
+		sum, ok := sums[a.spec.Class]
+		if !ok && a.spec.Rank() == protocol.Production {
+			sum = 1 - part // one of a class that must not wait is always expected
+		} else if !ok {
+			sum = 0.5
+		}
+		if sum += part; sum < 1 {
+			sums[a.spec.Class] = sum
+			continue
+		}
+		sums[a.spec.Class] = sum - 1
+		{
 			team := n.teamOf[a.spec.Team]
 			out = append(out, &job{id: a.spec.ID, spec: a.spec, team: team, share: s.index,
 				need: Amounts{a.spec.CPUs, a.spec.GPUs, a.spec.MemoryGB}, tasks: make([]task, min(a.spec.Tasks, 200))})
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -151,6 +152,15 @@
 		j.why = "no free machine"
 		return
 	}
+	if picked[len(picked)-1].Cost > n.patience(j.spec) && !now.Before(j.preempted) {
+		// The aim would be missed for the fetch alone. Room that was made without
+		// regard to the image is taken, or another job would take it.
+		if now.Before(j.roomTill) || j.roomTill.IsZero() && n.makeRoom(s, j, r, true, now) {
+			j.why = "room is being made where its image is"
+			n.replan = true
+			return
+		}
+	}
 	var tasks []int
 	var to []*machine
 	for i := range j.tasks {
@@ -231,58 +241,80 @@
 	task int
 }
 
-// preempt makes room for jobs that found none: by stopping work of lower
-// priority, or work that another team runs beyond its guarantee if the job is
-// within its own team's.
+// patience is how long a fetch a class's aim on starting leaves time for. Only
+// the highest priority gets others stopped for its fetch.
+func (n *Node) patience(s *protocol.JobSpec) float64 {
+	p := math.Inf(1)
+	if s.Rank() != protocol.Production {
+		return p
+	}
+	for _, o := range n.cfg.Params.Aims {
+		if o.Kind == "wait" && o.Class == s.Class {
+			p = min(p, 0.7*o.WithinS)
+		}
+	}
+	return p
+}
+
+// preempt makes room for jobs that found none.
 func (n *Node) preempt(s *share, waits []*job, now time.Time) {
+	for _, j := range waits {
+		if r := n.startable(j); !j.busy && r > 0 && !now.Before(j.preempted) {
+			n.makeRoom(s, j, r, false, now)
+		}
+	}
+}
+
+// makeRoom stops work of lower priority, or work that another team runs beyond
+// its guarantee if the job is within its own team's, so that up to r tasks fit.
+// With cached, only machines that have the job's image count.
+func (n *Node) makeRoom(s *share, j *job, r int, cached bool, now time.Time) bool {
+	if j.rank == protocol.Low {
+		return false
+	}
 	borrowed := map[int]Amounts{} // by team: what is beyond its guarantee
 	for i, t := range n.teams {
 		borrowed[i] = t.used.Add(t.guarantee, -1)
 	}
-	var ms []*machine
-	for _, j := range waits {
-		r := n.startable(j)
-		if j.busy || r == 0 || now.Before(j.preempted) || j.rank == protocol.Low {
+	tm := n.teams[j.team]
+	within := tm.used.Add(j.need, float64(r)).within(tm.guarantee)
+	var choices []*sacrifice
+	for _, m := range n.shareMachines(s.index) {
+		if !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !n.usable(m, now) || n.stopping(m) || cached && !m.has(j.spec.Image) {
 			continue
 		}
-		if ms == nil {
-			ms = n.shareMachines(s.index)
+		if c := n.sacrifice(m, j, r, within, borrowed, now); c != nil {
+			choices = append(choices, c)
 		}
-		tm := n.teams[j.team]
-		within := tm.used.Add(j.need, float64(r)).within(tm.guarantee)
-		var choices []*sacrifice
-		for _, m := range ms {
-			if !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !n.usable(m, now) || n.stopping(m) {
-				continue
-			}
-			if c := n.sacrifice(m, j, r, within, borrowed, now); c != nil {
-				choices = append(choices, c)
-			}
+	}
+	slices.SortStableFunc(choices, func(a, b *sacrifice) int { return cmp.Compare(a.loss/float64(a.gain), b.loss/float64(b.gain)) })
+	if j.spec.Shape == protocol.Gang {
+		got := 0
+		for _, c := range choices {
+			got += c.gain
 		}
-		slices.SortStableFunc(choices, func(a, b *sacrifice) int { return cmp.Compare(a.loss/float64(a.gain), b.loss/float64(b.gain)) })
-		gang := j.spec.Shape == protocol.Gang
-		if gang {
-			got := 0
-			for _, c := range choices {
-				got += c.gain
-			}
-			if got < r || len(j.tasks) > 1 && j.spec.OneZone && len(n.cfg.Params.Zones) > 1 {
-				continue // stopping some would not start it
-			}
+		if got < r || len(j.tasks) > 1 && j.spec.OneZone && len(n.cfg.Params.Zones) > 1 {
+			return false // stopping some would not start it
 		}
-		for _, c := range choices {
-			if r <= 0 {
-				break
-			}
-			r -= c.gain
-			j.preempted = now.Add(8 * time.Second)
-			for _, v := range c.victims {
-				n.log.Info("task stopped for another job", "task", protocol.TaskID(v.job.id, v.task), "for", j.id, "machine", c.m.name)
-				borrowed[v.job.team] = borrowed[v.job.team].Add(v.job.need, -1)
-				n.stopTask(v.job, v.task)
-			}
+	}
+	made := false
+	for _, c := range choices {
+		if r <= 0 {
+			break
+		}
+		r -= c.gain
+		made = true
+		if until := now.Add(8 * time.Second); cached {
+			j.roomTill = until
+		} else {
+			j.preempted = until
+		}
+		for _, v := range c.victims {
+			n.log.Info("task stopped for another job", "task", protocol.TaskID(v.job.id, v.task), "for", j.id, "machine", c.m.name)
+			n.stopTask(v.job, v.task)
 		}
 	}
+	return made
 }
 
 // within says whether a fits into a guarantee (0: none of that kind given).
