--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -229,3 +229,22 @@
 		synctest.Wait()
 	})
 }
+
+// A machine that was moved here long after it was rented is not one that never
+// booted. (Seen on a simulated day: each moved machine was returned at once.)
+func TestMovedMachineIsGivenTime(t *testing.T) {
+	b := newBench(t)
+	b.put(protocol.MachineKey("host-2"), protocol.MachineRecord{Share: 1, Type: "g4", Zone: "a", Addr: "host-2:9000"})
+	m := b.machines["host-2"]
+	m.added = time.Now().Add(-time.Hour)
+	b.put(protocol.MachineKey("host-2"), protocol.MachineRecord{Share: 0, Token: 8, Type: "g4", Zone: "a", Addr: "host-2:9000"})
+	if b.dead(m, time.Now()) {
+		t.Fatal("given up at once")
+	}
+	if !b.dead(m, time.Now().Add(2*b.silentLimit())) {
+		b.Contact(time.Now().Add(2 * b.silentLimit()))
+		if !b.dead(m, time.Now().Add(2*b.silentLimit())) {
+			t.Fatal("a machine that is never heard is kept for ever")
+		}
+	}
+}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -61,8 +61,13 @@
 			}
 		}
 	}
+	lent := n.lendable(s)
 	for _, j := range waits {
 		j.why = "no capacity"
+		if now.Sub(j.seen) < n.moveTime() {
+			f.bins = append(f.bins, lent...)
+			lent = nil
+		}
 		f.imagine(j, j.nWaiting())
 	}
 	// Running machines come first for what is only expected: the fullest ones,
@@ -107,6 +112,27 @@
 	n.ask(s, best, min(most, 50))
 }
 
+// lendable are free machines that the leader can be expected to move here
+// sooner than a rented one boots.
+func (n *Node) lendable(s *share) []*bin {
+	var out []*bin
+	waits := map[int]bool{}
+	for i := range n.shares {
+		waits[i] = n.shareWaits(i)
+	}
+	for _, m := range n.machines {
+		if m.known && m.rec.Share != s.index && len(m.on) == 0 && m.rec.Addr != "" && !waits[m.rec.Share] {
+			out = append(out, &bin{offer: offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, free: n.free(m)})
+		}
+	}
+	return out
+}
+
+// moveTime is how long a move takes at most when all goes well.
+func (n *Node) moveTime() time.Duration {
+	return time.Duration((n.policy.MoveS + n.cfg.Params.Workers.ReportS) * float64(time.Second))
+}
+
 // shareMachines are the recorded machines of a share by name.
 func (n *Node) shareMachines(share int) []*machine {
 	var out []*machine
@@ -403,7 +429,7 @@
 	if m.heard.IsZero() {
 		boot := 60 * time.Second
 		if t := n.types[m.rec.Type]; t != nil {
-			boot = max(boot, time.Duration(4*t.BootS*float64(time.Second)))
+			boot = max(boot, time.Duration(3*t.BootS*float64(time.Second)))
 		}
 		if len(m.on) > 0 || m.rec.Addr != "" {
 			boot = n.silentLimit() + 3*time.Second // it was up under an earlier holder
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -208,14 +208,18 @@
 	return n.secondsPerGB(m) * s.ImageGB
 }
 
+// secondsPerGB is what was learned, in steps of half of what the type should
+// take: finer differences are those of the report interval, and would only keep
+// machines that are as good from counting as equal.
 func (n *Node) secondsPerGB(m *machine) float64 {
-	if m.secPerGB > 0 {
-		return m.secPerGB
-	}
+	nominal := 1.0
 	if t := n.types[m.rec.Type]; t != nil && t.FetchGBPerS > 0 {
-		return 1 / t.FetchGBPerS
+		nominal = 1 / t.FetchGBPerS
+	}
+	if m.secPerGB == 0 {
+		return nominal
 	}
-	return 1
+	return max(nominal, math.Round(2*m.secPerGB/nominal)/2*nominal)
 }
 
 // order breaks ties of cost: spot machines for jobs that may use them, then
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -86,6 +86,9 @@
 		m.unfence()
 		m.moving = false
 		n.unpark(m)
+		// A holder gives a machine it has never heard time from now on: without
+		// this every moved machine was at once given up as one that never booted.
+		m.added, m.heard = time.Now(), time.Time{}
 	}
 	if !m.known {
 		m.added = time.Now()
