--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -29,6 +29,11 @@
 	offer
 	free    Amounts
 	machine *machine // nil: asked for, or only imagined
+	uses    int      // tasks imagined on it
+}
+
+func (n *Node) binOf(m *machine) *bin {
+	return &bin{offer: offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, free: n.free(m), machine: m}
 }
 
 // rent asks for the machines that the waiting jobs lack beyond those on the
@@ -46,7 +51,7 @@
 		}
 		f.inZone[m.rec.Zone]++
 		m.needed = false
-		b := &bin{offer: offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, free: n.free(m), machine: m}
+		b := n.binOf(m)
 		if m.heard.IsZero() && !m.notice {
 			f.bins = append(f.bins, b)
 		} else if n.usable(m, now) {
@@ -61,7 +66,13 @@
 			}
 		}
 	}
+	// What ends before a rented machine is up serves what waits sooner.
+	for _, b := range running {
+		b.free = b.free.Add(n.freedWithin(b.machine, n.bootTime(b.typ), now), 1)
+	}
 	lent := n.lendable(s)
+	booting := f.bins
+	f.bins = append(slices.Clone(running), booting...)
 	for _, j := range waits {
 		j.why = "no capacity"
 		if now.Sub(j.seen) < n.moveTime() {
@@ -72,11 +83,15 @@
 	}
 	// Running machines come first for what is only expected: the fullest ones,
 	// so that the emptiest can go.
-	slices.SortStableFunc(running, func(a, b *bin) int { return len(b.machine.on) - len(a.machine.on) })
-	f.bins = append(running, f.bins...)
+	slices.SortStableFunc(f.bins, func(a, b *bin) int { return b.tasks() - a.tasks() })
 	for _, j := range n.expected(s, now) {
 		f.imagine(j, len(j.tasks))
 	}
+	for _, b := range f.bins {
+		if b.machine != nil {
+			b.machine.needed = b.uses > 0
+		}
+	}
 	if n.policy.NoRents {
 		return
 	}
@@ -112,6 +127,39 @@
 	n.ask(s, best, min(most, 50))
 }
 
+func (b *bin) tasks() int {
+	if b.machine == nil {
+		return 0
+	}
+	return len(b.machine.on)
+}
+
+// bootTime is how long a machine of a type should take to boot.
+func (n *Node) bootTime(typ string) time.Duration {
+	if t := n.types[typ]; t != nil {
+		return time.Duration(t.BootS * float64(time.Second))
+	}
+	return 0
+}
+
+// freedWithin is what a machine's tasks that should be done within d take. By
+// the owner's estimate, which is often wrong; an overdue task counts as ending
+// soon.
+func (n *Node) freedWithin(m *machine, d time.Duration, now time.Time) Amounts {
+	var out Amounts
+	for k := range m.on {
+		j := k.job
+		if j.spec.Shape == protocol.Service && !j.cancelled {
+			continue
+		}
+		ran := now.Sub(j.tasks[k.task].since).Seconds()
+		if j.cancelled || j.spec.EstimateS+n.cost(m, j.spec)-ran < d.Seconds() {
+			out = out.Add(j.need, 1)
+		}
+	}
+	return out
+}
+
 // lendable are free machines that the leader can be expected to move here
 // sooner than a rented one boots.
 func (n *Node) lendable(s *share) []*bin {
@@ -122,7 +170,9 @@
 	}
 	for _, m := range n.machines {
 		if m.known && m.rec.Share != s.index && len(m.on) == 0 && m.rec.Addr != "" && !waits[m.rec.Share] {
-			out = append(out, &bin{offer: offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, free: n.free(m)})
+			b := n.binOf(m)
+			b.machine = nil // not ours to keep
+			out = append(out, b)
 		}
 	}
 	return out
@@ -198,6 +248,8 @@
 	used   map[int]Amounts // by team, of what was imagined
 	want   map[offer]int
 	inZone map[string]int
+
+	onlyBins bool // open no new ones
 }
 
 // imagine puts r tasks of a job on bins, opening new ones where allowed.
@@ -237,6 +289,9 @@
 			}
 		}
 		if b == nil {
+			if f.onlyBins {
+				return
+			}
 			o, ok := n.bestOffer(j, fits, f.inZone, f.now)
 			if !ok {
 				return
@@ -247,9 +302,7 @@
 			f.bins = append(f.bins, b)
 		}
 		b.free = b.free.Add(j.need, -1)
-		if b.machine != nil {
-			b.machine.needed = true
-		}
+		b.uses++
 		byZone[b.zone]++
 		if j.spec.OneZone {
 			only = b.zone
@@ -408,6 +461,40 @@
 	}
 	n.giveBack(back, now)
 	n.list(now)
+	n.sayHow(now)
+}
+
+// sayHow logs now and then how the shares held are doing.
+func (n *Node) sayHow(now time.Time) {
+	if now.Sub(n.lastSaid) < 20*time.Second {
+		return
+	}
+	n.lastSaid = now
+	for _, s := range n.shares {
+		if !n.mine(s) {
+			continue
+		}
+		up, booting, empty, waits := 0, 0, 0, 0
+		var used, free Amounts
+		for _, m := range n.shareMachines(s.index) {
+			if m.heard.IsZero() {
+				booting++
+				continue
+			}
+			up++
+			if len(m.on) == 0 {
+				empty++
+			}
+			used, free = used.Add(m.used, 1), free.Add(n.free(m), 1)
+		}
+		for _, j := range n.jobs {
+			if j.share == s.index {
+				waits += n.startable(j)
+			}
+		}
+		n.log.Info("share", "share", s.index, "up", up, "booting", booting, "empty", empty,
+			"gpus_used", used.GPUs, "gpus_free", free.GPUs, "cpus_used", used.CPUs, "cpus_free", free.CPUs, "tasks_waiting", waits)
+	}
 }
 
 // recordAddr stores where a worker is, so that a later holder can call it.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -70,6 +70,7 @@
 	lastList    time.Time
 	lastMove    time.Time
 	lastTend    time.Time
+	lastSaid    time.Time
 	lastRelease time.Time
 	rentSeq     uint64
 	nextRent    time.Time // when the cloud's rate allows another request
@@ -92,7 +93,7 @@
 }
 
 func defaultPolicy() policySettings {
-	return policySettings{Window: DefaultWindow, MoveS: 1, IdleS: 45, Headroom: 1}
+	return policySettings{Window: DefaultWindow, MoveS: 1, IdleS: 45, Headroom: 2}
 }
 
 // counters tell what happened since the start.
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -154,7 +154,7 @@
 	n.balance(now)
 	if n.leads() && now.Sub(n.lastMove).Seconds() >= n.policy.MoveS {
 		n.lastMove = now
-		n.planMoves()
+		n.planMoves(now)
 	}
 }
 
@@ -257,58 +257,55 @@
 }
 
 // planMoves tells holders of shares without waiting tasks to hand free
-// machines to shares with them.
-func (n *Node) planMoves() {
-	lack := make([]int, len(n.shares)) // machines wanted
-	wants := make([]Amounts, len(n.shares))
-	for _, j := range n.jobs {
-		if w := n.startable(j); w > 0 {
-			wants[j.share] = wants[j.share].Add(j.need, float64(w))
-		}
-	}
-	var free []*machine
-	for _, m := range n.machines {
-		// Only machines that are up: the address is stored with the first report.
-		if m.known && len(m.on) == 0 && !m.gone && m.rec.Addr != "" {
-			free = append(free, m)
+// machines to shares with them: those that what waits could use, beyond what
+// is free where it waits.
+func (n *Node) planMoves(now time.Time) {
+	waits := make([][]*job, len(n.shares))
+	any := false
+	for i := range n.shares {
+		for _, j := range n.sortedJobs(i) {
+			if n.startable(j) > 0 {
+				waits[i] = append(waits[i], j)
+				any = true
+			}
 		}
 	}
-	slices.SortFunc(free, func(a, b *machine) int { return compareNames(a.name, b.name) })
-	var largest Amounts
-	for _, t := range n.types {
-		if s := size(t); s.Times(largest) > 0 {
-			largest = s
-		}
+	if !any {
+		return
 	}
-	for i, w := range wants {
-		for w != (Amounts{}) && lack[i] < 50 && largest.scale(float64(lack[i])).Times(w) == 0 {
-			lack[i]++
+	var donors []*bin
+	for i := range n.shares {
+		if len(waits[i]) > 0 {
+			continue
 		}
-	}
-	for _, m := range free {
-		if lack[m.rec.Share] > 0 {
-			lack[m.rec.Share]--
+		for _, m := range n.shareMachines(i) {
+			// Only machines that are up: the address is stored with the first report.
+			if len(m.on) == 0 && !m.gone && m.rec.Addr != "" {
+				donors = append(donors, n.binOf(m))
+			}
 		}
 	}
 	var mv protocol.Moves
-	for _, m := range free {
-		if wants[m.rec.Share] != (Amounts{}) {
+	for i := range n.shares {
+		if len(waits[i]) == 0 {
 			continue
 		}
-		to := -1
-		for i, l := range lack {
-			if l > 0 && (to < 0 || l > lack[to]) {
-				to = i
+		f := &forecast{n: n, now: now, used: map[int]Amounts{}, onlyBins: true}
+		for _, m := range n.shareMachines(i) {
+			if !m.gone && m.rec.Addr != "" {
+				f.bins = append(f.bins, n.binOf(m))
 			}
 		}
-		if to < 0 {
-			break
-		}
-		lack[to]--
-		mv.Moves = append(mv.Moves, protocol.Move{Machine: m.name, Share: to})
-		if len(mv.Moves) >= 20 {
-			break
+		f.bins = append(f.bins, donors...)
+		for _, j := range waits[i] {
+			f.imagine(j, n.startable(j))
 		}
+		donors = slices.DeleteFunc(donors, func(b *bin) bool {
+			if b.uses > 0 && len(mv.Moves) < 20 {
+				mv.Moves = append(mv.Moves, protocol.Move{Machine: b.machine.name, Share: i})
+			}
+			return b.uses > 0
+		})
 	}
 	if len(mv.Moves) == 0 {
 		return
@@ -318,8 +315,6 @@
 		Writes: []storage.Write{{Put: protocol.MovesKey, Value: mustJSON(mv)}}}, func(storage.Result) {})
 }
 
-func (a Amounts) scale(k float64) Amounts { return Amounts{}.Add(a, k) }
-
 // startable is how many of a job's tasks wait and are within its team's limit.
 func (n *Node) startable(j *job) int {
 	if j.cancelled || j.abandon {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -201,7 +201,9 @@
 	return &r, ok, nil
 }
 
-func (f *Fleet) broken(format string, a ...any) { f.Broken = append(f.Broken, fmt.Sprintf(format, a...)) }
+func (f *Fleet) broken(format string, a ...any) {
+	f.Broken = append(f.Broken, fmt.Sprintf(format, a...))
+}
 
 func (m *Machine) changed() {
 	select {
