--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -126,6 +126,18 @@
 	if err != nil {
 		return err
 	}
+	peers, err := net.Listen("tcp4", cfg.PeerAddr)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := transport.AcceptFrames(ctx, peers, 10*time.Second, node.TakeHint); err != nil {
+			cancel(err)
+		}
+	}()
+	for _, s := range cfg.Siblings {
+		go transport.SendFrames(ctx, s.Addr, coordination.HintPeriod, node.Hint)
+	}
 	go func() {
 		if err := transport.Serve(ctx, ln, node.API()); err != nil {
 			cancel(err)
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -118,7 +118,7 @@
 
 func (n *Node) getReady(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	n.serve(w, r, func(reply chan<- answer) {
-		if !n.loaded || n.sinceContact(time.Now()) > 3*time.Second {
+		if !n.ready(time.Now()) {
 			reply <- answer{status: 503}
 			return
 		}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -524,7 +524,7 @@
 		return now.Sub(m.added) > boot
 	}
 	limit := n.silentLimit()
-	if n.zoneSilent(m.rec.Zone, now) {
+	if n.zoneSilent(m.rec.Zone, now) || n.zoneCut(m.rec.Zone, now) {
 		limit = max(limit, 75*time.Second)
 	}
 	return now.Sub(m.heard) > limit
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -38,12 +38,14 @@
 	books   *storage.Committer // everything else
 	rng     *rand.Rand
 
-	started time.Time
-	contact atomic.Int64 // when the last answered store call was sent, since started
-	inbox   chan func()
-	wg      sync.WaitGroup
-	ctx     context.Context
+	started  time.Time
+	contact  atomic.Int64 // when the last answered store call was sent, since started
+	followed uint64       // revision of the replica; read atomically by others
+	inbox    chan func()
+	wg       sync.WaitGroup
+	ctx      context.Context
 
+	siblings map[string]*sibling
 	loaded   bool // the replica has been read once
 	ver      map[string]uint64
 	orphans  map[string]protocol.Chunk // chunks whose head is not there (yet)
@@ -132,6 +134,10 @@
 		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, strays: map[string]time.Time{}, returned: map[string]time.Time{},
 		refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, policy: defaultPolicy(),
 	}
+	n.siblings = map[string]*sibling{}
+	for _, s := range cfg.Siblings {
+		n.siblings[s.Node] = &sibling{zone: s.Zone}
+	}
 	n.contact.Store(-int64(time.Hour))
 	var guarantees []float64
 	for _, t := range cfg.Params.Teams {
--- /dev/null
+++ b/internal/coordination/peers.go
@@ -0,0 +1,97 @@
+package coordination
+
+import (
+	"sync/atomic"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// HintPeriod is how often controllers tell one another how they are.
+const HintPeriod = time.Second
+
+// sibling is what is known of another controller by its own hints.
+type sibling struct {
+	zone    string
+	heard   time.Time
+	stateOK bool
+}
+
+// Hint is what this node tells its siblings now. Any routine may call it.
+func (n *Node) Hint() []byte {
+	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Revision: atomic.LoadUint64(&n.followed)}.Encode()
+}
+
+// TakeHint takes in a sibling's hint; a malformed one is counted and refused.
+func (n *Node) TakeHint(data []byte) error {
+	h, err := protocol.DecodeHint(data)
+	n.post(func() {
+		if err != nil {
+			n.count.malformed++
+		} else if s := n.siblings[h.Node]; s != nil {
+			s.heard, s.stateOK = time.Now(), h.StateOK
+		}
+	})
+	return err
+}
+
+// stateLost is after how long without an answer the state service counts as
+// lost to a node.
+const stateLost = 3 * time.Second
+
+// hears says whether a sibling's hints arrive.
+func (n *Node) hears(node string, now time.Time) bool {
+	s := n.siblings[node]
+	return s != nil && now.Sub(s.heard) < 3500*time.Millisecond
+}
+
+// ready says whether users should come here. A node that alone has lost the
+// state service sends them to the others; if nobody has it, turning away would
+// only leave users with nobody to tell them when to come back.
+func (n *Node) ready(now time.Time) bool {
+	if !n.loaded {
+		return false
+	}
+	if n.sinceContact(now) < stateLost {
+		return true
+	}
+	for name, s := range n.siblings {
+		if n.hears(name, now) && s.stateOK {
+			return false
+		}
+	}
+	return true
+}
+
+// zoneCut says whether a controller in a zone cannot be heard: the zone may be
+// cut off, and its machines working.
+func (n *Node) zoneCut(zone string, now time.Time) bool {
+	for name, s := range n.siblings {
+		if s.zone == zone && zone != n.cfg.Zone && !n.hears(name, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// standIn answers for a holder that this node cannot reach but that still
+// holds its share: the leases of the machines on this side go on. That is safe
+// under the holder's own token, since the holder takes a task for gone only by
+// a report of its own or when the machine is returned, never for a lease's end.
+// No starts are given, or the holder could not tell that one is on its way.
+func (n *Node) standIn(m *machine, r *protocol.Report, now time.Time) (protocol.Orders, bool) {
+	s := n.shares[m.rec.Share]
+	token := n.token(m)
+	if s.holder.Token == 0 || n.hears(s.holder.Node, now) || !n.mayAnswer(now) || n.sinceContact(now) > time.Second || r.Token > token {
+		return protocol.Orders{}, false
+	}
+	o := protocol.Orders{Token: token, Commands: []protocol.Command{}}
+	for i := range r.Tasks {
+		tr := &r.Tasks[i]
+		id, _, _ := protocol.ParseTaskID(tr.Task)
+		if j := n.jobs[id]; j != nil && j.cancelled && tr.State != protocol.TaskExited {
+			o.Commands = append(o.Commands, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt})
+		}
+	}
+	return o, true
+}
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/protocol"
@@ -79,6 +80,7 @@
 	for _, it := range items {
 		n.apply(it)
 	}
+	atomic.StoreUint64(&n.followed, epoch)
 	// Deletions older than what the watch has delivered cannot be contradicted
 	// by a late event any more.
 	for key, st := range n.ver {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -412,6 +412,10 @@
 // redirect answers for a machine of a share that another node holds.
 func (n *Node) redirect(r *protocol.Report, s *share, m *machine, now time.Time, reply chan<- answer) {
 	h := s.holder.Node
+	if o, ok := n.standIn(m, r, now); ok && h != n.cfg.Node {
+		reply <- answer{status: 200, body: o}
+		return
+	}
 	if s.holder.Token == 0 || h == n.cfg.Node || n.sinceContact(now) > leaseLife {
 		reply <- answer{status: 503}
 		return
--- /dev/null
+++ b/internal/transport/frames.go
@@ -0,0 +1,101 @@
+package transport
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"time"
+)
+
+// maxFrame bounds a message between controllers.
+const maxFrame = 64 << 10
+
+// WriteFrame sends one message with its length before it.
+func WriteFrame(w io.Writer, data []byte) error {
+	buf := make([]byte, 4+len(data))
+	binary.BigEndian.PutUint32(buf, uint32(len(data)))
+	copy(buf[4:], data)
+	_, err := w.Write(buf)
+	return err
+}
+
+// ReadFrame receives one message.
+func ReadFrame(r io.Reader) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > maxFrame {
+		return nil, errors.New("frame too long")
+	}
+	data := make([]byte, size)
+	_, err := io.ReadFull(r, data)
+	return data, err
+}
+
+// AcceptFrames takes connections on ln until ctx ends, one routine each, and
+// hands over what comes. A connection that take returns an error for, or that
+// is quiet for longer than quiet, is closed.
+func AcceptFrames(ctx context.Context, ln net.Listener, quiet time.Duration, take func([]byte) error) error {
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			var ne net.Error
+			if errors.As(err, &ne) { // out of sockets, say
+				time.Sleep(100 * time.Millisecond)
+				continue
+			}
+			return err
+		}
+		go func() {
+			defer c.Close()
+			done := context.AfterFunc(ctx, func() { c.Close() })
+			defer done()
+			for {
+				c.SetReadDeadline(time.Now().Add(quiet))
+				data, err := ReadFrame(c)
+				if err != nil || take(data) != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// SendFrames keeps a connection to addr until ctx ends and sends what make
+// returns every period.
+func SendFrames(ctx context.Context, addr string, period time.Duration, make func() []byte) {
+	d := &net.Dialer{Timeout: 2 * time.Second}
+	var c net.Conn
+	defer func() {
+		if c != nil {
+			c.Close()
+		}
+	}()
+	for ctx.Err() == nil {
+		if c == nil {
+			if conn, err := d.DialContext(ctx, "tcp4", addr); err == nil {
+				c = conn
+			}
+		}
+		if c != nil {
+			c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			if WriteFrame(c, make()) != nil {
+				c.Close()
+				c = nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(period):
+		}
+	}
+}
