--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -76,6 +76,7 @@
 		Use: "version", Short: "Print the version", Args: usage(cobra.NoArgs),
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dapplestage", version) },
 	})
+	root.AddCommand(adminCommands()...)
 	return root
 }
 
@@ -109,7 +110,10 @@
 // serve runs the node until it is told to stop.
 func serve(cfg *protocol.Settings) error {
 	planMachine(cfg.Params.Quota)
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})).With("node", cfg.Node)
+	level := &slog.LevelVar{}
+	level.Set(logLevel())
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Node)
+	coordination.Version = version
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 
@@ -121,6 +125,12 @@
 	defer cancel(nil)
 	node := coordination.New(ctx, cfg, log, store, cloud, storage.NewWorkers(), h.Sum64()^uint64(time.Now().UnixNano()))
 	store.OnContact = node.Contact
+	node.SetLevel = func(l slog.Level, chosen bool) {
+		if !chosen {
+			l = logLevel()
+		}
+		level.Set(l)
+	}
 
 	ln, err := net.Listen("tcp4", cfg.APIAddr)
 	if err != nil {
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -22,6 +22,7 @@
 	r.POST("/api/jobs/:id/cancel", n.postCancel)
 	r.POST("/v1/report", n.postReport)
 	r.GET("/ready", n.getReady)
+	n.routeAdmin(r)
 	return r
 }
 
@@ -77,7 +78,9 @@
 		write(w, answer{status: 400, body: errorBody{err.Error()}})
 		return
 	}
+	came := time.Now()
 	n.serve(w, r, func(reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
+	since(n.metrics.accept, came, time.Now())
 }
 
 func (n *Node) getJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
@@ -109,7 +112,7 @@
 		rep, err = protocol.ParseReport(data)
 	}
 	if err != nil {
-		n.post(func() { n.count.malformed++ })
+		n.metrics.refused.WithLabelValues("malformed_report").Inc()
 		write(w, answer{status: 400, body: errorBody{err.Error()}})
 		return
 	}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -453,6 +453,7 @@
 // stored learns how a change of a job ended.
 func (n *Node) stored(j *job, op *storage.Op, r storage.Result) {
 	if r.OK {
+		n.metrics.state.WithLabelValues("stored").Inc()
 		for _, w := range op.Writes {
 			n.learn(w, r.Epoch)
 		}
@@ -466,7 +467,7 @@
 		n.wakeMachines(j)
 		return
 	}
-	n.count.refused++
+	n.metrics.state.WithLabelValues("refused").Inc()
 	n.log.Info("change of a job refused", "job", j.id, "failed", strings.Join(r.Failed, " "), "why", r.Err)
 	n.resync(r.Failed, func([]storage.Item, error) {
 		j.busy = false
@@ -479,14 +480,19 @@
 
 // ended tells what became of a job, and where its time went.
 func (n *Node) ended(j *job) {
-	since := func(t time.Time) float64 {
+	now := time.Now()
+	n.remember(j, now)
+	if !j.cancelled {
+		since(n.metrics.finish.WithLabelValues(n.metrics.class(j.spec.Class)), j.submitted, now)
+	}
+	after := func(t time.Time) float64 {
 		if t.IsZero() {
 			return -1
 		}
 		return t.Sub(j.submitted).Seconds()
 	}
 	n.log.Info("job ended", "job", j.id, "class", j.spec.Class, "team", j.spec.Team, "tasks", j.spec.Tasks, "cancelled", j.cancelled,
-		"placed_s", since(j.allPlaced), "started_s", since(j.started), "ended_s", time.Since(j.submitted).Seconds())
+		"placed_s", after(j.allPlaced), "started_s", after(j.started), "ended_s", after(now))
 }
 
 // learn takes an own committed write into the replica.
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -349,6 +349,7 @@
 		names, err := n.cloud.Rent(ctx, req)
 		n.post(func() {
 			now := time.Now()
+			n.metrics.cloud.WithLabelValues("rent", outcome(err)).Inc()
 			delete(n.renting, r)
 			n.replan = true
 			n.log.Info("rental", "request", req.Request, "zone", r.zone, "spot", r.spot, "asked", count, "got", len(names), "why", err)
@@ -639,6 +640,7 @@
 		err := n.cloud.Return(ctx, names)
 		n.post(func() {
 			now := time.Now()
+			n.metrics.cloud.WithLabelValues("return", outcome(err)).Inc()
 			if err != nil {
 				n.log.Info("return not confirmed", "machines", len(names), "why", err)
 				for _, m := range ms {
--- /dev/null
+++ b/internal/coordination/metrics.go
@@ -0,0 +1,62 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the node's figures for Prometheus. Labels are bounded: classes
+// are those of the objectives, and "other".
+type Metrics struct {
+	Registry *prometheus.Registry
+	accept   prometheus.Histogram
+	start    *prometheus.HistogramVec
+	finish   *prometheus.HistogramVec
+	state    *prometheus.CounterVec
+	cloud    *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	placed   prometheus.Counter
+	classes  map[string]bool
+}
+
+func newMetrics(classes map[string]bool) *Metrics {
+	m := &Metrics{Registry: prometheus.NewRegistry(), classes: classes}
+	long := []float64{1, 2, 5, 10, 20, 40, 80, 160, 320, 640, 1280}
+	m.accept = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dapplestage_accept_seconds",
+		Help: "Time to answer a submission.", Buckets: []float64{.01, .03, .1, .2, .5, 1, 2, 5}})
+	m.start = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "dapplestage_start_seconds",
+		Help: "Time from submission until a task of the job was seen running.", Buckets: long}, []string{"class"})
+	m.finish = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "dapplestage_done_seconds",
+		Help: "Time from submission until the job was stored as done.", Buckets: long}, []string{"class"})
+	m.state = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dapplestage_state_calls_total",
+		Help: "Changes of the state service by outcome."}, []string{"outcome"})
+	m.cloud = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dapplestage_cloud_calls_total",
+		Help: "Calls of the cloud by kind and outcome."}, []string{"call", "outcome"})
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dapplestage_guard_refusals_total",
+		Help: "What was refused to keep a rule, by guard."}, []string{"guard"})
+	m.placed = prometheus.NewCounter(prometheus.CounterOpts{Name: "dapplestage_placed_tasks_total", Help: "Tasks given a machine."})
+	m.Registry.MustRegister(m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
+	return m
+}
+
+func (m *Metrics) class(c string) string {
+	if m.classes[c] {
+		return c
+	}
+	return "other"
+}
+
+func outcome(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
+
+// since observes a time from t until now, if t is known.
+func since(h prometheus.Observer, t, now time.Time) {
+	if !t.IsZero() {
+		h.Observe(max(0, now.Sub(t).Seconds()))
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -34,9 +34,11 @@
 	store   storage.Service
 	cloud   CloudService
 	workers Workers
-	users   *storage.Committer // changes that a user waits for
-	books   *storage.Committer // everything else
-	rng     *rand.Rand
+	// SetLevel, if set, is told the log level that operators chose, if any.
+	SetLevel func(l slog.Level, chosen bool)
+	users    *storage.Committer // changes that a user waits for
+	books    *storage.Committer // everything else
+	rng      *rand.Rand
 
 	started  time.Time
 	contact  atomic.Int64 // when the last answered store call was sent, since started
@@ -81,27 +83,9 @@
 	refusedTill map[offer]time.Time
 	renting     map[rental]int // machines asked for
 	blindTill   time.Time
-	policy      policySettings
-	count       counters
-}
-
-// policySettings are the values that operators may change.
-type policySettings struct {
-	Window   int     // arrivals remembered for the threshold
-	MoveS    float64 // period of the leader's moves
-	IdleS    float64 // how long a machine that nothing needs is kept
-	Headroom float64 // boot times of expected arrivals to keep room for
-	Greedy   bool    // every job counts as heavy
-	NoRents  bool
-}
-
-func defaultPolicy() policySettings {
-	return policySettings{Window: DefaultWindow, MoveS: 1, IdleS: 45, Headroom: 2}
-}
-
-// counters tell what happened since the start.
-type counters struct {
-	placed, done, lost, refused, malformed int
+	policy      Policy
+	metrics     *Metrics
+	endedJobs   []EndedJob
 }
 
 type team struct {
@@ -133,12 +117,17 @@
 		ver: map[string]uint64{}, orphans: map[string]protocol.Chunk{}, jobs: map[string]*job{}, finals: newFinalCache(50000),
 		machines: map[string]*machine{}, teamOf: map[string]int{}, nodes: map[string]time.Time{},
 		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}, cutAt: map[string]time.Time{},
-		refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, policy: defaultPolicy(),
+		refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, policy: DefaultPolicy(),
 	}
 	n.siblings = map[string]*sibling{}
 	for _, s := range cfg.Siblings {
 		n.siblings[s.Node] = &sibling{zone: s.Zone}
 	}
+	classes := map[string]bool{}
+	for _, o := range cfg.Params.Aims {
+		classes[o.Class] = true
+	}
+	n.metrics = newMetrics(classes)
 	n.contact.Store(-int64(time.Hour))
 	var guarantees []float64
 	for _, t := range cfg.Params.Teams {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -27,7 +27,7 @@
 	h, err := protocol.DecodeHint(data)
 	n.post(func() {
 		if err != nil {
-			n.count.malformed++
+			n.metrics.refused.WithLabelValues("malformed_hint").Inc()
 		} else if s := n.siblings[h.Node]; s != nil {
 			s.heard, s.stateOK = time.Now(), h.StateOK
 		}
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -162,6 +162,11 @@
 		if read(&mv) {
 			n.onMoves(mv)
 		}
+	case it.Key == protocol.PolicyKey:
+		p := DefaultPolicy()
+		if it.Value == nil || read(&p) {
+			n.setPolicy(p)
+		}
 	case strings.HasPrefix(it.Key, protocol.JobPrefix):
 		id, chunk := splitJobKey(it.Key)
 		if chunk == 0 {
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -173,7 +173,7 @@
 		}
 	}
 	n.propose(j, tasks, to, now)
-	n.count.placed += len(tasks)
+	n.metrics.placed.Add(float64(len(tasks)))
 	n.log.Debug("placing", "job", j.id, "tasks", len(tasks), "heavy", j.heavy, "waiting", j.nWaiting())
 }
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/protocol"
@@ -74,7 +75,7 @@
 	m := n.machines[name]
 	if m == nil {
 		now := time.Now()
-		m = &machine{name: name, on: map[taskKey]struct{}{}, added: now, idleSince: now, fetchSince: map[string]time.Time{}}
+		m = &machine{name: name, heldBack: slices.Contains(n.policy.HeldBack, name), on: map[taskKey]struct{}{}, added: now, idleSince: now, fetchSince: map[string]time.Time{}}
 		n.machines[name] = m
 	}
 	return m
@@ -149,17 +150,20 @@
 		return
 	}
 	if !n.mayAnswer(now) {
+		n.metrics.refused.WithLabelValues("store_lost").Inc()
 		reply <- answer{status: 503}
 		return
 	}
 	token := n.token(m)
 	if r.Token > token {
 		// Somebody is entitled after us, and our replica does not show it yet.
+		n.metrics.refused.WithLabelValues("token").Inc()
 		reply <- answer{status: 503}
 		return
 	}
 	if !n.hear(m, r, token, now) {
 		// An old report, held on its way: what it lists may be long gone.
+		n.metrics.refused.WithLabelValues("old_report").Inc()
 		reply <- answer{status: 503}
 		return
 	}
@@ -284,6 +288,7 @@
 	case protocol.TaskWaiting, protocol.TaskRunning:
 		if j.started.IsZero() && tr.State == protocol.TaskRunning {
 			j.started = now
+			since(n.metrics.start.WithLabelValues(n.metrics.class(j.spec.Class)), j.submitted, now)
 			n.log.Info("job started", "job", j.id, "class", j.spec.Class, "wait_s", now.Sub(j.submitted).Seconds(), "image_gb", j.spec.ImageGB)
 		}
 		if was != t.seen {
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -12,6 +12,7 @@
 	MachineRoot = Root + "machines/"
 	NodeRoot    = Root + "nodes/"
 	MovesKey    = Root + "moves"
+	PolicyKey   = Root + "settings"
 	FinalRoot   = "f/"
 )
 
