Stop directly for preemption, refill a freed place in one answer

Cause: a place stood empty between 'clear' and the next start, and stops waited for the next report.

--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -194,7 +194,7 @@
 			fresh := t.phase == proposed && t.machine == m && t.attempt == p.Attempt
 			n.setPhase(j, i, placed, m, p.Attempt, now)
 			if fresh {
-				m.wake = true
+				m.wake(now)
 			}
 		case t.phase != waiting:
 			n.setPhase(j, i, waiting, nil, 0, now)
@@ -215,6 +215,9 @@
 	t := &j.tasks[i]
 	holds := func(p phase) bool { return p == proposed || p == placed }
 	if holds(t.phase) && t.machine != m {
+		// The worker is to forget the task, but not before what may take its place
+		// is stored: then both go in one answer.
+		t.machine.wake(now.Add(refillTime))
 		n.release(j, i)
 	}
 	if holds(p) && (t.machine != m || !holds(t.phase)) {
@@ -232,6 +235,9 @@
 	t.machine = m
 }
 
+// refillTime is how long a place that became free is usually without a new task.
+const refillTime = 100 * time.Millisecond
+
 func (n *Node) reserve(j *job, i int, m *machine) {
 	j.nPlaced++
 	tm := n.teams[j.team]
@@ -464,7 +470,6 @@
 		if n.jobs[j.id] != j {
 			n.ended(j)
 		}
-		n.wakeMachines(j)
 		return
 	}
 	n.metrics.state.WithLabelValues("refused").Inc()
@@ -526,7 +531,7 @@
 func (n *Node) wakeMachines(j *job) {
 	for i := range j.tasks {
 		if m := j.tasks[i].machine; m != nil {
-			m.wake = true
+			m.wake(time.Now())
 		}
 	}
 }
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -317,6 +317,7 @@
 			n.log.Info("task stopped for another job", "task", protocol.TaskID(v.job.id, v.task), "for", j.id, "machine", c.m.name)
 			n.stopTask(v.job, v.task)
 		}
+		n.stopNow(c.m)
 	}
 	return made
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -40,7 +40,7 @@
 	gone       bool      // returned: the cloud said so
 	recorded   bool      // its address is stored, or being stored
 	avoidTill  time.Time // place nothing new before
-	wake       bool      // answer a parked report soon
+	wakeAt     time.Time // when to answer a parked report; zero: when its time is up
 	parked     *parked
 	images     []cachedImage // most recently used last
 	secPerGB   float64       // learned seconds per GB fetched; 0: unknown
@@ -162,9 +162,10 @@
 		return
 	}
 	if !n.hear(m, r, token, now) {
-		// An old report, held on its way: what it lists may be long gone.
+		// An old report, held on its way or overtaken by the answer to a direct
+		// call: what it lists may be long gone. Its answer gives no orders.
 		n.metrics.refused.WithLabelValues("old_report").Inc()
-		reply <- answer{status: 503}
+		reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: []protocol.Command{}}}
 		return
 	}
 	if !m.fenced {
@@ -376,21 +377,48 @@
 // park lets an answer wait. A worker drops answers after 4 s, so it never waits
 // longer than 2.5.
 func (n *Node) park(m *machine, r *protocol.Report, now time.Time, reply chan<- answer) bool {
-	if m.notice || m.returning {
+	if m.notice || m.returning || len(m.on) > 0 && !n.hasRoom(m) && !m.pendingFacts() {
 		return false
 	}
-	m.wake = false
+	m.wakeAt = time.Time{}
 	m.parked = &parked{report: r, until: now.Add(n.parkTime(m)), reply: reply}
 	return true
 }
 
+// hasRoom says whether another task could start on a machine.
+func (n *Node) hasRoom(m *machine) bool {
+	f := n.free(m)
+	if t := n.types[m.rec.Type]; t != nil && t.GPUs > 0 && f.GPUs < slack {
+		return false
+	}
+	return f.CPUs > slack && f.MemoryGB > slack
+}
+
+// pendingFacts says whether something of a machine's tasks is about to be
+// stored, after which there will be orders.
+func (m *machine) pendingFacts() bool {
+	for k := range m.on {
+		if k.job.tasks[k.task].fact != noFact {
+			return true
+		}
+	}
+	return false
+}
+
+// wake makes a machine's parked report be answered in a while.
+func (m *machine) wake(at time.Time) {
+	if m.wakeAt.IsZero() || at.Before(m.wakeAt) {
+		m.wakeAt = at
+	}
+}
+
 // answerParked answers a waiting report with what is to be done by now.
 func (n *Node) answerParked(m *machine, now time.Time) {
 	p := m.parked
 	if p == nil {
 		return
 	}
-	m.parked, m.wake = nil, false
+	m.parked, m.wakeAt = nil, time.Time{}
 	if !n.mayAnswer(now) {
 		p.reply <- answer{status: 503}
 		return
@@ -408,7 +436,7 @@
 
 func (n *Node) releaseParked(now time.Time) {
 	for _, m := range n.machines {
-		if m.parked != nil && (m.wake || !now.Before(m.parked.until)) {
+		if m.parked != nil && (!m.wakeAt.IsZero() && !now.Before(m.wakeAt) || !now.Before(m.parked.until)) {
 			n.answerParked(m, now)
 		}
 	}
@@ -436,23 +464,41 @@
 	}
 	m.fencing = true
 	m.fenceTry = now.Add(2 * time.Second)
-	token := n.token(m)
-	o := protocol.Orders{Token: token, Session: max(1, m.session), Commands: []protocol.Command{}}
+	n.command(m, protocol.Orders{Token: n.token(m), Session: max(1, m.session), Commands: []protocol.Command{}})
+}
+
+// stopNow tells a worker directly to stop tasks that make room for others. A
+// stop names an attempt that nobody wants any more, so it may arrive late.
+func (n *Node) stopNow(m *machine) {
+	if m.addr == "" || !m.fenced {
+		return
+	}
+	o := protocol.Orders{Token: n.token(m), Session: m.session, Commands: []protocol.Command{}}
+	for k := range m.on {
+		if t := &k.job.tasks[k.task]; t.phase == placed && t.fact == noFact && n.unwanted(k.job, t) {
+			o.Commands = append(o.Commands, protocol.Command{Op: protocol.OpStop, Task: protocol.TaskID(k.job.id, k.task), Attempt: t.attempt, GraceS: t.graceS})
+		}
+	}
+	n.command(m, o)
+}
+
+// command sends orders directly and takes the report that comes back, if this
+// node is still entitled by then.
+func (n *Node) command(m *machine, o protocol.Orders) {
 	addr := m.addr
 	n.spawn(func(ctx context.Context) {
 		r, ok, err := n.workers.Command(ctx, addr, o)
-		if err == nil && !ok && r != nil && r.Session != o.Session {
+		if err == nil && !ok && r != nil && r.Session != o.Session && len(o.Commands) == 0 {
 			o.Session = r.Session
 			r, ok, err = n.workers.Command(ctx, addr, o)
 		}
 		n.post(func() {
 			m.fencing = false
 			now := time.Now()
-			if err != nil || !ok || r == nil || n.machines[m.name] != m || !n.mine(n.shares[m.rec.Share]) || n.token(m) != token {
+			if err != nil || !ok || r == nil || r.Machine != m.name || n.machines[m.name] != m || !n.mine(n.shares[m.rec.Share]) || n.token(m) != o.Token {
 				return
 			}
-			if r.Token == token && n.hear(m, r, token, now) {
-				// Commands only go in answers; here it is the facts that count.
+			if r.Token == o.Token && n.hear(m, r, o.Token, now) {
 				n.observeAll(m, r, now)
 			}
 		})
