--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -117,7 +117,7 @@
 		if !m.known || m.rec.Share != s.index || !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !n.usable(m, now) {
 			continue
 		}
-		if j.spec.OneZone && len(byZone) > 0 && byZone[m.rec.Zone] == 0 {
+		if j.spec.OneZone && len(byZone) > 0 && byZone[m.rec.Zone] == 0 || m.keptFrom(j, now) {
 			continue
 		}
 		k := min(n.free(m).Times(j.need), 2*r)
@@ -293,11 +293,7 @@
 	}
 	slices.SortStableFunc(choices, func(a, b *sacrifice) int { return cmp.Compare(a.loss/float64(a.gain), b.loss/float64(b.gain)) })
 	if j.spec.Shape == protocol.Gang {
-		got := 0
-		for _, c := range choices {
-			got += c.gain
-		}
-		if got < r || len(j.tasks) > 1 && j.spec.OneZone && len(n.cfg.Params.Zones) > 1 {
+		if choices, r = n.gather(s, j, choices, now); choices == nil {
 			return false // stopping some would not start it
 		}
 	}
@@ -322,6 +318,59 @@
 	return made
 }
 
+// gather picks, for a gang, what to stop so that together with what is free
+// all of it fits, in one zone if it must be. What is free there is kept for it
+// from jobs of no higher priority while the others leave.
+func (n *Node) gather(s *share, j *job, choices []*sacrifice, now time.Time) ([]*sacrifice, int) {
+	zoneOf := func(m *machine) string {
+		if j.spec.OneZone {
+			return m.rec.Zone
+		}
+		return ""
+	}
+	free := map[string][]*machine{}
+	room := map[string]int{}
+	for _, m := range n.shareMachines(s.index) {
+		if k := n.free(m).Times(j.need); k > 0 && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && n.usable(m, now) && !m.keptFrom(j, now) {
+			free[zoneOf(m)] = append(free[zoneOf(m)], m)
+			room[zoneOf(m)] += k
+		}
+	}
+	byZone := map[string][]*sacrifice{}
+	loss, gain := map[string]float64{}, map[string]int{}
+	for _, c := range choices { // cheapest first
+		z := zoneOf(c.m)
+		if slices.Contains(free[z], c.m) || room[z]+gain[z] >= len(j.tasks) {
+			continue
+		}
+		byZone[z] = append(byZone[z], c)
+		gain[z] += c.gain
+		loss[z] += c.loss
+	}
+	best, found := "", false
+	for z := range byZone {
+		if room[z]+gain[z] >= len(j.tasks) && (!found || loss[z] < loss[best] || loss[z] == loss[best] && z < best) {
+			best, found = z, true
+		}
+	}
+	if !found {
+		return nil, 0
+	}
+	keep := free[best]
+	for _, c := range byZone[best] {
+		keep = append(keep, c.m)
+	}
+	for _, m := range keep {
+		m.earmark, m.earmarkTo = j, now.Add(8*time.Second)
+	}
+	return byZone[best], len(j.tasks) - room[best]
+}
+
+// keptFrom says whether a machine is kept for a gang from a job.
+func (m *machine) keptFrom(j *job, now time.Time) bool {
+	return m.earmark != nil && m.earmark != j && now.Before(m.earmarkTo) && j.rank >= m.earmark.rank && m.earmark.nWaiting() > 0
+}
+
 // within says whether a fits into a guarantee (0: none of that kind given).
 func (a Amounts) within(g Amounts) bool {
 	return (g.GPUs > 0 || g.CPUs > 0) && (g.GPUs == 0 || a.GPUs <= g.GPUs+slack) && (g.CPUs == 0 || a.CPUs <= g.CPUs+slack)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -46,6 +46,8 @@
 	secPerGB   float64       // learned seconds per GB fetched; 0: unknown
 	fetchSince map[string]time.Time
 	heldBack   bool
+	earmark    *job // a gang that room is being gathered for
+	earmarkTo  time.Time
 	needed     bool // by what waits or is expected
 }
 
@@ -289,8 +291,10 @@
 	case protocol.TaskWaiting, protocol.TaskRunning:
 		if j.started.IsZero() && tr.State == protocol.TaskRunning {
 			j.started = now
-			since(n.metrics.start.WithLabelValues(n.metrics.class(j.spec.Class)), j.submitted, now)
-			n.log.Info("job started", "job", j.id, "class", j.spec.Class, "wait_s", now.Sub(j.submitted).Seconds(), "image_gb", j.spec.ImageGB)
+			if !t.sent.IsZero() { // else it ran before this node took the share over
+				since(n.metrics.start.WithLabelValues(n.metrics.class(j.spec.Class)), j.submitted, now)
+				n.log.Info("job started", "job", j.id, "class", j.spec.Class, "wait_s", now.Sub(j.submitted).Seconds(), "image_gb", j.spec.ImageGB)
+			}
 		}
 		if was != t.seen {
 			m.fetched(j.spec.Image, j.spec.ImageGB, n.types[m.rec.Type], now)
