--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -217,6 +217,7 @@
 		w := newWorld(t, ctx, 1)
 		w.state.Put(protocol.CounterKey, protocol.CounterRecord{Token: 41})
 		time.Sleep(8 * time.Second)
+		synctest.Wait()
 		seen := map[uint64]bool{}
 		for _, s := range w.nodes["n-0"].shares {
 			if s.holder.Token <= 41 || seen[s.holder.Token] {
--- a/internal/coordination/jobs_test.go
+++ b/internal/coordination/jobs_test.go
@@ -88,6 +88,7 @@
 			go u.run(func() { done <- true })
 		}
 		time.Sleep(4 * time.Minute)
+		synctest.Wait()
 		if us[0].final != protocol.JobDone || us[1].final != protocol.JobCancelled {
 			t.Errorf("became %q and %q", us[0].final, us[1].final)
 		}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -21,7 +21,8 @@
 // world is three controllers amid stand-ins, in simulated time.
 type world struct {
 	t     *testing.T
-	rng   *rand.Rand
+	rng   *rand.Rand // of everything that happens by itself; guarded by mu
+	plan  *rand.Rand // of the test's routine alone
 	mu    sync.Mutex // guards rng and the fault switches
 	cfg   map[string]*protocol.Settings
 	names []string
@@ -58,7 +59,7 @@
 }
 
 func newWorld(t *testing.T, ctx context.Context, seed uint64) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 8)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
 		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, held: map[string]float64{}}
 	w.ctx = ctx
@@ -348,18 +349,18 @@
 	teams := []string{"red", "blue", "green"}
 	for i := range count {
 		s := &protocol.JobSpec{ID: fmt.Sprintf("job-%06d", i), Team: teams[i%3], Class: "c", Priority: "standard", Shape: protocol.Array,
-			Tasks: 1 + w.rng.IntN(6), CPUs: 4, GPUs: 1, MemoryGB: 20, Image: fmt.Sprint("img-", w.rng.IntN(3)), ImageGB: 2, EstimateS: 5 + 10*w.rng.Float64(), Spot: w.rng.IntN(2) == 0}
-		switch w.rng.IntN(4) {
+			Tasks: 1 + w.plan.IntN(6), CPUs: 4, GPUs: 1, MemoryGB: 20, Image: fmt.Sprint("img-", w.plan.IntN(3)), ImageGB: 2, EstimateS: 5 + 10*w.plan.Float64(), Spot: w.plan.IntN(2) == 0}
+		switch w.plan.IntN(4) {
 		case 0:
-			s.Shape, s.Priority, s.Tasks = protocol.Service, "critical", 1+w.rng.IntN(2)
-			s.Spread = w.rng.IntN(2) == 0
+			s.Shape, s.Priority, s.Tasks = protocol.Service, "critical", 1+w.plan.IntN(2)
+			s.Spread = w.plan.IntN(2) == 0
 		case 1:
-			s.Shape, s.Priority, s.Tasks = protocol.Gang, "high", 1+w.rng.IntN(4)
-			s.OneZone = w.rng.IntN(2) == 0
+			s.Shape, s.Priority, s.Tasks = protocol.Gang, "high", 1+w.plan.IntN(4)
+			s.OneZone = w.plan.IntN(2) == 0
 		}
 		u := &user{w: w, spec: s}
-		if w.rng.IntN(4) == 0 || s.Shape == protocol.Service {
-			u.cancelAt = time.Duration(10+w.rng.IntN(60)) * time.Second
+		if w.plan.IntN(4) == 0 || s.Shape == protocol.Service {
+			u.cancelAt = time.Duration(10+w.plan.IntN(60)) * time.Second
 		}
 		us = append(us, u)
 	}
@@ -385,6 +386,7 @@
 	})
 	deadline := time.Now().Add(6 * time.Minute)
 	for time.Now().Before(deadline) {
+		synctest.Wait()
 		open := 0
 		for _, u := range us {
 			if u.final == "" {
@@ -434,9 +436,9 @@
 			simulate(t, seed, 16, func(w *world) {
 				w.set(func() { w.late = 0.5 })
 				for range 8 {
-					name := w.names[w.rng.IntN(3)]
+					name := w.names[w.plan.IntN(3)]
 					lasts := w.between(2*time.Second, 35*time.Second)
-					switch w.rng.IntN(7) {
+					switch w.plan.IntN(7) {
 					case 0:
 						w.crash(name)
 					case 1:
@@ -458,7 +460,7 @@
 						w.set(func() { w.deaf[name] = false })
 					case 5:
 						if ms := w.fleet.Names(); len(ms) > 0 {
-							w.fleet.Kill(ms[w.rng.IntN(len(ms))])
+							w.fleet.Kill(ms[w.plan.IntN(len(ms))])
 						}
 					case 6:
 						w.set(func() { w.lossy = 0.2 })
