--- a/internal/coordination/jobs_test.go
+++ b/internal/coordination/jobs_test.go
@@ -89,8 +89,8 @@
 		}
 		time.Sleep(4 * time.Minute)
 		synctest.Wait()
-		if us[0].final != protocol.JobDone || us[1].final != protocol.JobCancelled {
-			t.Errorf("became %q and %q", us[0].final, us[1].final)
+		if us[0].ended() != protocol.JobDone || us[1].ended() != protocol.JobCancelled {
+			t.Errorf("became %q and %q", us[0].ended(), us[1].ended())
 		}
 		for _, b := range w.fleet.Broken {
 			t.Errorf("rule broken: %s", b)
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -33,12 +33,11 @@
 	ctx   context.Context
 
 	outage  bool
-	noState map[string]bool    // nodes that the state service refuses
-	noNet   map[string]bool    // nodes cut off from everything
-	deaf    map[string]bool    // nodes that hear no workers
-	lossy   float64            // part of store answers, reports and answers lost
-	late    float64            // part of unanswered transactions applied much later
-	held    map[string]float64 // part of a node's reports delivered late
+	noState map[string]bool // nodes that the state service refuses
+	noNet   map[string]bool // nodes cut off from everything
+	deaf    map[string]bool // nodes that hear no workers
+	lossy   float64         // part of store answers, reports and answers lost
+	late    float64         // part of unanswered transactions applied much later
 }
 
 func settingsFor(names []string, i int) *protocol.Settings {
@@ -61,7 +60,7 @@
 func newWorld(t *testing.T, ctx context.Context, seed uint64) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 8)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
-		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, held: map[string]float64{}}
+		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}}
 	w.ctx = ctx
 	f := standin.NewFleet(ctx)
 	f.Types = []protocol.MachineType{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 192, CacheGB: 100, FetchGBPerS: 1, Price: 10, SpotPrice: 4, BootS: 5, Zones: []string{"a", "b"}}}
@@ -82,10 +81,11 @@
 	return w
 }
 
-func (w *world) chance(p float64) bool {
+// chance is true with the probability that p holds now.
+func (w *world) chance(p *float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.rng.Float64() < p
+	return w.rng.Float64() < *p
 }
 
 func (w *world) between(a, b time.Duration) time.Duration {
@@ -132,6 +132,8 @@
 	return w.nodes[name]
 }
 
+var half = 0.5
+
 var errNoAnswer = errors.New("no answer")
 
 // ask runs one request on a node's actor.
@@ -154,8 +156,8 @@
 
 // report is the workers' link to the nodes, with everything a network may do.
 func (w *world) report(ctx context.Context, node string, r protocol.Report) (int, protocol.Orders, string, error) {
-	if w.is(w.deaf, node) || w.chance(w.lossy) {
-		if w.chance(0.5) {
+	if w.is(w.deaf, node) || w.chance(&w.lossy) {
+		if w.chance(&half) {
 			go func() { // the report arrives late, after the worker has given up
 				time.Sleep(w.between(5*time.Second, 40*time.Second))
 				w.ask(w.ctx, node, func(n *Node, reply chan<- answer) { n.onReport(&r, time.Now(), reply) })
@@ -166,7 +168,7 @@
 	}
 	time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
 	a, err := w.ask(ctx, node, func(n *Node, reply chan<- answer) { n.onReport(&r, time.Now(), reply) })
-	if err == nil && w.chance(w.lossy) {
+	if err == nil && w.chance(&w.lossy) {
 		<-ctx.Done()
 		return 0, protocol.Orders{}, "", errNoAnswer
 	}
@@ -224,7 +226,7 @@
 
 func (f *faultyState) Txn(ctx context.Context, conds []storage.Cond, writes []storage.Write) (bool, uint64, []string, error) {
 	if err := f.meet(ctx); err != nil {
-		if errors.Is(err, storage.ErrUnknown) && f.w.chance(f.w.late) {
+		if errors.Is(err, storage.ErrUnknown) && f.w.chance(&f.w.late) {
 			go func() { // held on its way, and applied long after
 				time.Sleep(f.w.between(2*time.Second, 30*time.Second))
 				f.w.state.Txn(f.w.ctx, conds, writes)
@@ -233,7 +235,7 @@
 		return false, 0, nil, err
 	}
 	ok, rev, failed, err := f.w.state.Txn(ctx, conds, writes)
-	if f.w.chance(f.w.lossy) {
+	if f.w.chance(&f.w.lossy) {
 		time.Sleep(1500 * time.Millisecond)
 		return false, 0, nil, storage.ErrUnknown // executed, but the answer is lost
 	}
@@ -277,7 +279,7 @@
 	w        *world
 	spec     *protocol.JobSpec
 	accepted bool
-	final    string
+	final    string // guarded by the world's mu
 	cancelAt time.Duration
 }
 
@@ -305,7 +307,7 @@
 	asked := false
 	for w.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
-		if u.cancelAt > 0 && time.Since(start) > u.cancelAt && u.final == "" {
+		if u.cancelAt > 0 && time.Since(start) > u.cancelAt && u.ended() == "" {
 			asked = true
 			a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { n.onCancel(u.spec.ID, 5, reply) })
 			if err == nil && a.status == 200 {
@@ -328,7 +330,16 @@
 	}
 }
 
+// ended is what the user was told in the end, if anything.
+func (u *user) ended() string {
+	u.w.mu.Lock()
+	defer u.w.mu.Unlock()
+	return u.final
+}
+
 func (u *user) told(status string, asked bool) {
+	u.w.mu.Lock()
+	defer u.w.mu.Unlock()
 	if u.final != "" && status != u.final {
 		u.w.t.Errorf("%s went back from %s to %s", u.spec.ID, u.final, status)
 	}
@@ -389,7 +400,7 @@
 		synctest.Wait()
 		open := 0
 		for _, u := range us {
-			if u.final == "" {
+			if u.ended() == "" {
 				open++
 			}
 		}
@@ -399,8 +410,8 @@
 		time.Sleep(time.Second)
 	}
 	for _, u := range us {
-		if u.final == "" {
-			w.t.Errorf("%s (%s, %d tasks) never ended; accepted %v", u.spec.ID, u.spec.Shape, u.spec.Tasks, u.accepted)
+		if u.ended() == "" {
+			w.t.Errorf("%s (%s, %d tasks) never ended", u.spec.ID, u.spec.Shape, u.spec.Tasks)
 		}
 	}
 	for _, b := range w.fleet.Broken {
