Borrowed work is stopped only down to its team's guarantee, counted as it is chosen

Cause: what a team borrows was read once for several victims, so it was stopped below its guarantee.

--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -241,8 +241,40 @@
 
 // victim is a task that may be stopped for another.
 type victim struct {
-	job  *job
-	task int
+	job   *job
+	task  int
+	lends bool // only because its team has more than its guarantee
+}
+
+// borrowed is how many GPUs each team uses beyond its guarantee, not counting
+// tasks that are being stopped already. Without that, and without counting on as
+// victims are chosen, a team is stopped below its guarantee, has others stopped
+// in turn, and in an overload half of all work is thrown away.
+func (n *Node) borrowed() map[int]float64 {
+	out := map[int]float64{}
+	for i, t := range n.teams {
+		out[i] = t.used.GPUs - t.guarantee.GPUs
+	}
+	for _, j := range n.jobs {
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.phase == placed && n.unwanted(j, t) {
+				out[j.team] -= j.need.GPUs
+			}
+		}
+	}
+	return out
+}
+
+// affordable says whether the teams that lend still have that much to give back.
+func (c *sacrifice) affordable(borrowed map[int]float64) bool {
+	take := map[int]float64{}
+	for _, v := range c.victims {
+		take[v.job.team] += v.job.need.GPUs
+		if v.lends && take[v.job.team] > borrowed[v.job.team]+slack {
+			return false
+		}
+	}
+	return true
 }
 
 // patience is how long a fetch a class's aim on starting leaves time for. Only
@@ -276,10 +308,7 @@
 	if j.rank == protocol.Low {
 		return false
 	}
-	borrowed := map[int]Amounts{} // by team: what is beyond its guarantee
-	for i, t := range n.teams {
-		borrowed[i] = t.used.Add(t.guarantee, -1)
-	}
+	borrowed := n.borrowed()
 	tm := n.teams[j.team]
 	within := tm.used.Add(j.need, float64(r)).within(tm.guarantee)
 	var choices []*sacrifice
@@ -302,6 +331,9 @@
 		if r <= 0 {
 			break
 		}
+		if !c.affordable(borrowed) {
+			continue
+		}
 		r -= c.gain
 		made = true
 		if until := now.Add(8 * time.Second); cached {
@@ -311,6 +343,7 @@
 		}
 		for _, v := range c.victims {
 			n.log.Info("task stopped for another job", "task", protocol.TaskID(v.job.id, v.task), "for", j.id, "machine", c.m.name)
+			borrowed[v.job.team] -= v.job.need.GPUs
 			n.stopTask(v.job, v.task)
 		}
 		n.stopNow(c.m)
@@ -394,7 +427,7 @@
 }
 
 // sacrifice finds the cheapest tasks of m to stop so that up to r tasks of j fit.
-func (n *Node) sacrifice(m *machine, j *job, r int, within bool, borrowed map[int]Amounts, now time.Time) *sacrifice {
+func (n *Node) sacrifice(m *machine, j *job, r int, within bool, borrowed map[int]float64, now time.Time) *sacrifice {
 	type cand struct {
 		victim
 		loss float64
@@ -405,7 +438,7 @@
 		if t.phase != placed || t.fact != noFact || v.spec.Shape == protocol.Gang && len(v.tasks) > 1 {
 			continue
 		}
-		lends := within && v.team != j.team && v.rank >= protocol.High && borrowed[v.team].GPUs >= v.need.GPUs-slack && v.need.GPUs > 0
+		lends := within && v.team != j.team && v.rank >= protocol.High && borrowed[v.team] >= v.need.GPUs-slack && v.need.GPUs > 0
 		if v.rank <= j.rank && !lends {
 			continue
 		}
@@ -413,17 +446,21 @@
 		if v.spec.CheckpointS > 0 {
 			loss = min(loss, v.spec.SaveS+2)
 		}
-		cands = append(cands, cand{victim{v, k.task}, loss})
+		cands = append(cands, cand{victim{v, k.task, v.rank <= j.rank}, loss})
 	}
 	slices.SortFunc(cands, func(a, b cand) int {
 		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.task, b.task))
 	})
 	c := &sacrifice{m: m, loss: n.cost(m, j.spec)}
 	free := n.free(m)
+	taken := map[int]float64{}
 	for _, x := range cands {
 		if free.Times(j.need) >= r {
 			break
 		}
+		if taken[x.job.team] += x.job.need.GPUs; x.lends && taken[x.job.team] > borrowed[x.job.team]+slack {
+			continue
+		}
 		free = free.Add(x.job.need, 1)
 		c.victims = append(c.victims, x.victim)
 		c.loss += x.loss
