--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -443,6 +443,9 @@
 			continue
 		}
 		loss := now.Sub(t.since).Seconds()
+		if lends && v.rank <= j.rank && v.spec.CheckpointS == 0 && loss > v.spec.EstimateS/3 {
+			continue // it gives its place back soon by itself
+		}
 		if v.spec.CheckpointS > 0 {
 			loss = min(loss, v.spec.SaveS+2)
 		}
