--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -83,6 +84,7 @@
 	allPlaced time.Time    // when the last waiting task was first recorded
 	started   time.Time    // when a task was first seen running
 	preempted time.Time    // when others may be stopped for it again
+	noVictims time.Time    // when to look again for others to stop
 	fails     int          // tasks that ended with an error
 	notBefore time.Time    // start nothing before, after errors
 	why       string       // why its tasks wait
@@ -123,6 +125,9 @@
 			j.tasks[i].since = now
 		}
 		n.jobs[id] = j
+		list := &n.shares[j.share].jobs
+		at, _ := slices.BinarySearchFunc(*list, j, byUrgency)
+		*list = slices.Insert(*list, at, j)
 		for key, c := range n.orphans {
 			if oid, k := splitJobKey(key); oid == id {
 				delete(n.orphans, key)
@@ -194,7 +199,7 @@
 			fresh := t.phase == proposed && t.machine == m && t.attempt == p.Attempt
 			n.setPhase(j, i, placed, m, p.Attempt, now)
 			if fresh {
-				m.wake(now)
+				n.wake(m, now)
 			}
 		case t.phase != waiting:
 			n.setPhase(j, i, waiting, nil, 0, now)
@@ -217,7 +222,7 @@
 	if holds(t.phase) && t.machine != m {
 		// The worker is to forget the task, but not before what may take its place
 		// is stored: then both go in one answer.
-		t.machine.wake(now.Add(refillTime))
+		n.wake(t.machine, now.Add(refillTime))
 		n.release(j, i)
 	}
 	if holds(p) && (t.machine != m || !holds(t.phase)) {
@@ -278,6 +283,10 @@
 	}
 	delete(n.jobs, id)
 	delete(n.dirty, j)
+	list := &n.shares[j.share].jobs
+	if at, found := slices.BinarySearchFunc(*list, j, byUrgency); found {
+		*list = slices.Delete(*list, at, at+1)
+	}
 }
 
 // note records a fact about a placed task, to be stored with the next flush.
@@ -531,27 +540,12 @@
 func (n *Node) wakeMachines(j *job) {
 	for i := range j.tasks {
 		if m := j.tasks[i].machine; m != nil {
-			m.wake(time.Now())
+			n.wake(m, time.Now())
 		}
 	}
 }
 
-// sortedJobs are the unfinished jobs of a share, by priority and arrival.
-func (n *Node) sortedJobs(share int) []*job {
-	var out []*job
-	for _, j := range n.jobs {
-		if j.share == share {
-			out = append(out, j)
-		}
-	}
-	slices.SortFunc(out, func(a, b *job) int {
-		if a.rank != b.rank {
-			return a.rank - b.rank
-		}
-		if c := a.submitted.Compare(b.submitted); c != 0 {
-			return c
-		}
-		return strings.Compare(a.id, b.id)
-	})
-	return out
+// byUrgency orders jobs by priority and arrival.
+func byUrgency(a, b *job) int {
+	return cmp.Or(a.rank-b.rank, a.submitted.Compare(b.submitted), strings.Compare(a.id, b.id))
 }
--- a/internal/coordination/jobs_test.go
+++ b/internal/coordination/jobs_test.go
@@ -116,7 +116,7 @@
 	if len(s.window.images) != 0 {
 		t.Fatal("the window outlived the share")
 	}
-	b.countArrivals(s, b.sortedJobs(0), time.Now())
+	b.countArrivals(s, b.shares[0].jobs, time.Now())
 	if len(s.window.images) != 4 || b.jobs["job-3"].heavy || !b.jobs["job-0"].heavy {
 		t.Fatalf("window %+v; the 1 GB job among 8 GB ones should be light", s.window)
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -30,10 +30,12 @@
 	free    Amounts
 	machine *machine // nil: asked for, or only imagined
 	uses    int      // tasks imagined on it
+	gpus    bool     // of a type with GPUs
 }
 
 func (n *Node) binOf(m *machine) *bin {
-	return &bin{offer: offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, free: n.free(m), machine: m}
+	t := n.types[m.rec.Type]
+	return &bin{offer: offer{m.rec.Type, m.rec.Zone, m.rec.Spot}, free: n.free(m), machine: m, gpus: t != nil && t.GPUs > 0}
 }
 
 // rent asks for the machines that the waiting jobs lack beyond those on the
@@ -45,7 +47,7 @@
 	}
 	f := &forecast{n: n, now: now, used: map[int]Amounts{}, want: map[offer]int{}, inZone: map[string]int{}}
 	var running []*bin
-	for _, m := range n.shareMachines(s.index) {
+	for _, m := range s.machines {
 		if m.gone || m.returning || m.heldBack || m.moving {
 			continue
 		}
@@ -62,7 +64,7 @@
 		if t := n.types[r.typ]; t != nil && r.share == s.index {
 			for range k {
 				f.inZone[r.zone]++
-				f.bins = append(f.bins, &bin{offer: r.offer, free: size(t)})
+				f.bins = append(f.bins, &bin{offer: r.offer, free: size(t), gpus: t.GPUs > 0})
 			}
 		}
 	}
@@ -73,10 +75,12 @@
 	lent := n.lendable(s)
 	booting := f.bins
 	f.bins = append(slices.Clone(running), booting...)
+	f.open = slices.Clone(f.bins)
 	for _, j := range waits {
 		j.why = "no capacity"
 		if now.Sub(j.seen) < n.moveTime() {
 			f.bins = append(f.bins, lent...)
+			f.open = append(f.open, lent...)
 			lent = nil
 		}
 		f.imagine(j, j.nWaiting())
@@ -84,6 +88,7 @@
 	// Running machines come first for what is only expected: the fullest ones,
 	// so that the emptiest can go.
 	slices.SortStableFunc(f.bins, func(a, b *bin) int { return b.tasks() - a.tasks() })
+	f.open = slices.DeleteFunc(slices.Clone(f.bins), (*bin).full)
 	for _, j := range n.expected(s, now) {
 		f.imagine(j, len(j.tasks))
 	}
@@ -168,11 +173,16 @@
 	for i := range n.shares {
 		waits[i] = n.shareWaits(i)
 	}
-	for _, m := range n.machines {
-		if m.known && m.rec.Share != s.index && len(m.on) == 0 && m.rec.Addr != "" && !waits[m.rec.Share] {
-			b := n.binOf(m)
-			b.machine = nil // not ours to keep
-			out = append(out, b)
+	for _, o := range n.shares {
+		if o == s || waits[o.index] {
+			continue
+		}
+		for _, m := range o.machines {
+			if len(m.on) == 0 && m.rec.Addr != "" {
+				b := n.binOf(m)
+				b.machine = nil // not ours to keep
+				out = append(out, b)
+			}
 		}
 	}
 	return out
@@ -183,16 +193,22 @@
 	return time.Duration((n.policy.MoveS + n.cfg.Params.Workers.ReportS) * float64(time.Second))
 }
 
-// shareMachines are the recorded machines of a share by name.
-func (n *Node) shareMachines(share int) []*machine {
-	var out []*machine
-	for _, m := range n.machines {
-		if m.known && m.rec.Share == share {
-			out = append(out, m)
-		}
+func byName(a, b *machine) int { return compareNames(a.name, b.name) }
+
+// join puts a recorded machine into its share's list.
+func (n *Node) join(m *machine) {
+	s := n.shares[m.rec.Share]
+	if i, found := slices.BinarySearchFunc(s.machines, m, byName); !found {
+		s.machines = slices.Insert(s.machines, i, m)
+	}
+}
+
+// leave takes a machine out of its share's list.
+func (n *Node) leave(m *machine) {
+	s := n.shares[m.rec.Share]
+	if i, found := slices.BinarySearchFunc(s.machines, m, byName); found {
+		s.machines = slices.Delete(s.machines, i, i+1)
 	}
-	slices.SortFunc(out, func(a, b *machine) int { return compareNames(a.name, b.name) })
-	return out
 }
 
 // arrival is a recent job, from which the near future is expected.
@@ -244,7 +260,8 @@
 type forecast struct {
 	n      *Node
 	now    time.Time
-	bins   []*bin
+	bins   []*bin // all, in order
+	open   []*bin // those with room
 	used   map[int]Amounts // by team, of what was imagined
 	want   map[offer]int
 	inZone map[string]int
@@ -280,36 +297,51 @@
 		return allowed(j.spec, o.typ, o.zone, o.spot) && (only == "" || only == o.zone) &&
 			(!j.spec.Spread || byZone[o.zone] < half)
 	}
-	for range r {
-		var b *bin
-		for _, c := range f.bins {
-			if c.free.Times(j.need) > 0 && fits(c.offer) {
-				b = c
-				break
+	put := func(b *bin) {
+		for r > 0 && b.free.Times(j.need) > 0 && fits(b.offer) {
+			b.free = b.free.Add(j.need, -1)
+			b.uses++
+			byZone[b.zone]++
+			if j.spec.OneZone {
+				only = b.zone
 			}
+			r--
 		}
-		if b == nil {
-			if f.onlyBins {
-				return
-			}
-			o, ok := n.bestOffer(j, fits, f.inZone, f.now)
-			if !ok {
-				return
-			}
-			f.inZone[o.zone]++
-			f.want[o]++
-			b = &bin{offer: o, free: size(n.types[o.typ])}
-			f.bins = append(f.bins, b)
+	}
+	// A bin only becomes fuller, so one pass over those open does. What a fleet
+	// has filled up is not looked at again for the next job.
+	full := 0
+	for _, b := range f.open {
+		if r == 0 {
+			break
 		}
-		b.free = b.free.Add(j.need, -1)
-		b.uses++
-		byZone[b.zone]++
-		if j.spec.OneZone {
-			only = b.zone
+		put(b)
+		if b.full() {
+			full++
 		}
 	}
+	if full > 16 {
+		f.open = slices.DeleteFunc(f.open, (*bin).full)
+	}
+	for r > 0 && !f.onlyBins {
+		o, ok := n.bestOffer(j, fits, f.inZone, f.now)
+		if !ok {
+			return
+		}
+		f.inZone[o.zone]++
+		f.want[o]++
+		b := &bin{offer: o, free: size(n.types[o.typ]), gpus: n.types[o.typ].GPUs > 0}
+		put(b)
+		if b.uses == 0 {
+			return
+		}
+		f.bins, f.open = append(f.bins, b), append(f.open, b)
+	}
 }
 
+// full says whether hardly anything can fit into a bin any more.
+func (b *bin) full() bool { return b.free.CPUs <= slack || b.gpus && b.free.GPUs <= slack }
+
 // bestOffer is the cheapest kind that a job may use and that the cloud has not
 // just refused; among zones the one with the fewest machines of the share.
 func (n *Node) bestOffer(j *job, fits func(offer) bool, inZone map[string]int, now time.Time) (best offer, ok bool) {
@@ -425,20 +457,18 @@
 	for i, s := range n.shares {
 		idle[i] = n.mine(s) && !n.shareWaits(i)
 	}
-	names := make([]*machine, 0, len(n.machines))
 	for _, m := range n.machines {
-		names = append(names, m)
-	}
-	slices.SortFunc(names, func(a, b *machine) int { return compareNames(a.name, b.name) })
-	for _, m := range names {
-		s := n.shares[m.rec.Share]
 		if !m.known {
 			n.tendUnrecorded(m, now, &back)
-			continue
 		}
-		if !n.mine(s) {
-			continue
+	}
+	var ours []*machine
+	for _, s := range n.shares {
+		if n.mine(s) {
+			ours = append(ours, s.machines...)
 		}
+	}
+	for _, m := range ours {
 		switch {
 		case m.gone:
 			n.settleGone(m)
@@ -478,7 +508,7 @@
 		}
 		up, booting, empty, waits := 0, 0, 0, 0
 		var used, free Amounts
-		for _, m := range n.shareMachines(s.index) {
+		for _, m := range s.machines {
 			if m.heard.IsZero() {
 				booting++
 				continue
@@ -489,10 +519,8 @@
 			}
 			used, free = used.Add(m.used, 1), free.Add(n.free(m), 1)
 		}
-		for _, j := range n.jobs {
-			if j.share == s.index {
-				waits += n.startable(j)
-			}
+		for _, j := range s.jobs {
+			waits += n.startable(j)
 		}
 		n.log.Info("share", "share", s.index, "up", up, "booting", booting, "empty", empty,
 			"gpus_used", used.GPUs, "gpus_free", free.GPUs, "cpus_used", used.CPUs, "cpus_free", free.CPUs, "tasks_waiting", waits)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -62,9 +62,11 @@
 	lease    uint64
 	types    map[string]*protocol.MachineType
 
-	dirty       map[*job]bool // jobs with facts or placements to store
+	dirty       map[*job]bool       // jobs with facts or placements to store
+	tombs       map[string]struct{} // keys known to be deleted, until the watch has passed them
+	due         dueHeap             // when parked reports are to be answered
 	replan      bool
-	lastPlan    time.Time
+	nextPlan    time.Time // planning takes only a part of the node's time
 	reads       []*read
 	reading     bool
 	lastRead    time.Time
@@ -97,13 +99,16 @@
 }
 
 type share struct {
-	index   int
-	holder  protocol.HolderRecord // Token 0: nobody
-	vacant  time.Time
-	taken   time.Time // when this node took it
-	pending bool      // a change of the holder is being stored
-	window  *Window
-	recent  []arrival
+	index    int
+	holder   protocol.HolderRecord // Token 0: nobody
+	vacant   time.Time
+	taken    time.Time  // when this node took it
+	pending  bool       // a change of the holder is being stored
+	jobs     []*job     // unfinished, by priority and arrival
+	machines []*machine // recorded, by name
+	nextRent time.Time  // when to look again at what to rent
+	window   *Window
+	recent   []arrival
 }
 
 // New makes a node that lives until ctx ends. The caller runs it with Run.
@@ -116,7 +121,7 @@
 		started: time.Now(), inbox: make(chan func(), 1024),
 		ver: map[string]uint64{}, orphans: map[string]protocol.Chunk{}, jobs: map[string]*job{}, finals: newFinalCache(50000),
 		machines: map[string]*machine{}, teamOf: map[string]int{}, nodes: map[string]time.Time{},
-		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}, cutAt: map[string]time.Time{},
+		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, tombs: map[string]struct{}{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}, cutAt: map[string]time.Time{},
 		refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, policy: DefaultPolicy(),
 	}
 	n.siblings = map[string]*sibling{}
@@ -217,10 +222,13 @@
 	if !n.loaded {
 		return
 	}
-	if n.replan && now.Sub(n.lastPlan) >= 40*time.Millisecond {
+	if n.replan && !now.Before(n.nextPlan) {
 		n.replan = false
-		n.lastPlan = now
 		n.plan(now)
+		// A fleet of a thousand machines must not keep a small controller planning
+		// while workers and users wait: three quarters of the time are theirs.
+		end := time.Now()
+		n.nextPlan = end.Add(max(40*time.Millisecond, 3*end.Sub(now)))
 	}
 	n.flush()
 	n.releaseParked(now)
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -83,8 +83,11 @@
 	atomic.StoreUint64(&n.followed, epoch)
 	// Deletions older than what the watch has delivered cannot be contradicted
 	// by a late event any more.
-	for key, st := range n.ver {
-		if st <= epoch && !n.exists(key) {
+	for key := range n.tombs {
+		if n.exists(key) {
+			delete(n.tombs, key)
+		} else if n.ver[key] <= epoch {
+			delete(n.tombs, key)
 			delete(n.ver, key)
 		}
 	}
@@ -140,6 +143,9 @@
 		return
 	}
 	n.ver[it.Key] = it.Stamp
+	if it.Value == nil {
+		n.tombs[it.Key] = struct{}{}
+	}
 	n.replan = true
 	read := func(v any) bool {
 		if it.Value == nil {
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -42,8 +42,9 @@
 		if !n.mine(s) {
 			continue
 		}
-		jobs := n.sortedJobs(s.index)
+		jobs := s.jobs
 		n.countArrivals(s, jobs, now)
+		v := n.look(s, now)
 		var waits []*job
 		for _, j := range jobs {
 			if j.nWaiting() == 0 || j.cancelled || j.abandon {
@@ -55,15 +56,36 @@
 				continue
 			}
 			if !j.busy {
-				n.place(s, j, now)
+				n.place(s, j, v, now)
 			}
 			if j.nWaiting() > 0 {
 				waits = append(waits, j)
 			}
 		}
 		n.preempt(s, waits, now)
-		n.rent(s, waits, now)
+		if !now.Before(s.nextRent) {
+			s.nextRent = now.Add(rentPause)
+			n.rent(s, waits, now)
+		}
+	}
+}
+
+// rentPause is how often a share looks at what it lacks: the cloud's rate
+// allows hardly more requests, and jobs come in bursts that one can cover.
+const rentPause = 300 * time.Millisecond
+
+// view is what one look at a share found: the machines with room. In a full
+// fleet they are few, so that many waiting jobs cost little.
+type view struct{ roomy []*machine }
+
+func (n *Node) look(s *share, now time.Time) *view {
+	v := &view{}
+	for _, m := range s.machines {
+		if n.hasRoom(m) && n.usable(m, now) {
+			v.roomy = append(v.roomy, m)
+		}
 	}
+	return v
 }
 
 // countArrivals lets the share's window see new jobs in the order they came.
@@ -90,7 +112,7 @@
 }
 
 // place gives a job's waiting tasks machines of the share, by the threshold rule.
-func (n *Node) place(s *share, j *job, now time.Time) {
+func (n *Node) place(s *share, j *job, v *view, now time.Time) {
 	const most = 512 // tasks in one change
 	r := min(n.startable(j), most)
 	if r == 0 {
@@ -111,10 +133,11 @@
 		}
 		return zones[z]
 	}
-	var slots []Slot
+	var found []Slot // one a machine
 	var on []*machine
-	for _, m := range n.machines {
-		if !m.known || m.rec.Share != s.index || !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !n.usable(m, now) {
+	var fit []int
+	for _, m := range v.roomy {
+		if !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) {
 			continue
 		}
 		if j.spec.OneZone && len(byZone) > 0 && byZone[m.rec.Zone] == 0 || m.keptFrom(j, now) {
@@ -125,13 +148,19 @@
 			continue
 		}
 		on = append(on, m)
-		sl := Slot{Machine: len(on) - 1, Zone: zoneOf(m.rec.Zone), Cost: n.cost(m, j.spec), Order: n.order(m, j)}
-		for range k {
+		fit = append(fit, k)
+		found = append(found, Slot{Machine: len(on) - 1, Zone: zoneOf(m.rec.Zone), Cost: n.cost(m, j.spec), Order: n.order(m, j)})
+	}
+	SortSlots(found) // machines come by name, and equal ones stay so
+	var slots []Slot
+	for _, sl := range found {
+		if len(slots) >= 2*r && !j.spec.OneZone && !j.spec.Spread {
+			break // the rule looks at no more
+		}
+		for range fit[sl.Machine] {
 			slots = append(slots, sl)
 		}
 	}
-	slices.SortFunc(slots, func(a, b Slot) int { return compareNames(on[a.Machine].name, on[b.Machine].name) })
-	SortSlots(slots)
 	if j.spec.OneZone && len(byZone) == 0 {
 		slots = bestZone(slots, r)
 	}
@@ -173,6 +202,7 @@
 		}
 	}
 	n.propose(j, tasks, to, now)
+	v.roomy = slices.DeleteFunc(v.roomy, func(m *machine) bool { return !n.hasRoom(m) })
 	n.metrics.placed.Add(float64(len(tasks)))
 	n.log.Debug("placing", "job", j.id, "tasks", len(tasks), "heavy", j.heavy, "waiting", j.nWaiting())
 }
@@ -295,12 +325,18 @@
 // preempt makes room for jobs that found none.
 func (n *Node) preempt(s *share, waits []*job, now time.Time) {
 	for _, j := range waits {
-		if r := n.startable(j); !j.busy && r > 0 && !now.Before(j.preempted) {
-			n.makeRoom(s, j, r, false, now)
+		if r := n.startable(j); !j.busy && r > 0 && !now.Before(j.preempted) && !now.Before(j.noVictims) {
+			if !n.makeRoom(s, j, r, false, now) {
+				j.noVictims = now.Add(noVictimsPause)
+			}
 		}
 	}
 }
 
+// noVictimsPause is how long a job that found nobody to stop does not look
+// again: looking costs a walk over all tasks of the share.
+const noVictimsPause = time.Second
+
 // makeRoom stops work of lower priority, or work that another team runs beyond
 // its guarantee if the job is within its own team's, so that up to r tasks fit.
 // With cached, only machines that have the job's image count.
@@ -315,7 +351,7 @@
 		borrowed = n.borrowed()
 	}
 	var choices []*sacrifice
-	for _, m := range n.shareMachines(s.index) {
+	for _, m := range s.machines {
 		if !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !n.usable(m, now) || n.stopping(m) || cached && !m.has(j.spec.Image) {
 			continue
 		}
@@ -366,7 +402,7 @@
 	}
 	free := map[string][]*machine{}
 	room := map[string]int{}
-	for _, m := range n.shareMachines(s.index) {
+	for _, m := range s.machines {
 		if k := n.free(m).Times(j.need); k > 0 && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && n.usable(m, now) && !m.keptFrom(j, now) {
 			free[zoneOf(m)] = append(free[zoneOf(m)], m)
 			room[zoneOf(m)] += k
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -87,10 +87,8 @@
 	if h.Token == 0 {
 		s.vacant = now
 	}
-	for _, m := range n.machines {
-		if m.known && m.rec.Share == s.index {
-			m.unfence()
-		}
+	for _, m := range s.machines {
+		m.unfence()
 	}
 	if was {
 		n.lost(s)
@@ -99,24 +97,20 @@
 		s.taken = now
 		n.log.Info("share taken", "share", s.index, "token", h.Token)
 		s.window = NewWindow(n.policy.Window)
-		for _, j := range n.jobs {
-			if j.share == s.index {
-				j.counted = false
-				n.dirty[j] = true
-				for i := range j.tasks {
-					j.tasks[i].seen, j.tasks[i].sent = unseen, time.Time{}
-				}
+		for _, j := range s.jobs {
+			j.counted = false
+			n.dirty[j] = true
+			for i := range j.tasks {
+				j.tasks[i].seen, j.tasks[i].sent = unseen, time.Time{}
 			}
 		}
-		for _, m := range n.machines {
-			if m.known && m.rec.Share == s.index {
-				m.added, m.heard = now, time.Time{}
-				m.moving, m.returning, m.notice = false, false, false
-				if len(m.on) == 0 {
-					m.idleSince = now
-				}
-				n.fence(m, now)
+		for _, m := range s.machines {
+			m.added, m.heard = now, time.Time{}
+			m.moving, m.returning, m.notice = false, false, false
+			if len(m.on) == 0 {
+				m.idleSince = now
 			}
+			n.fence(m, now)
 		}
 	}
 }
@@ -124,13 +118,11 @@
 // lost drops what only a share's holder may have in hand.
 func (n *Node) lost(s *share) {
 	n.log.Info("share lost", "share", s.index)
-	for _, m := range n.machines {
-		if m.known && m.rec.Share == s.index {
-			n.unpark(m)
-		}
+	for _, m := range s.machines {
+		n.unpark(m)
 	}
-	for _, j := range n.jobs {
-		if j.share == s.index && !j.busy {
+	for _, j := range s.jobs {
+		if !j.busy {
 			n.revert(j)
 		}
 	}
@@ -263,7 +255,7 @@
 	waits := make([][]*job, len(n.shares))
 	any := false
 	for i := range n.shares {
-		for _, j := range n.sortedJobs(i) {
+		for _, j := range n.shares[i].jobs {
 			if n.startable(j) > 0 {
 				waits[i] = append(waits[i], j)
 				any = true
@@ -278,7 +270,7 @@
 		if len(waits[i]) > 0 {
 			continue
 		}
-		for _, m := range n.shareMachines(i) {
+		for _, m := range n.shares[i].machines {
 			// Only machines that are up: the address is stored with the first report.
 			if len(m.on) == 0 && !m.gone && m.rec.Addr != "" {
 				donors = append(donors, n.binOf(m))
@@ -291,12 +283,13 @@
 			continue
 		}
 		f := &forecast{n: n, now: now, used: map[int]Amounts{}, onlyBins: true}
-		for _, m := range n.shareMachines(i) {
+		for _, m := range n.shares[i].machines {
 			if !m.gone && m.rec.Addr != "" {
 				f.bins = append(f.bins, n.binOf(m))
 			}
 		}
 		f.bins = append(f.bins, donors...)
+		f.open = slices.Clone(f.bins)
 		for _, j := range waits[i] {
 			f.imagine(j, n.startable(j))
 		}
@@ -370,10 +363,5 @@
 
 // shareWaits says whether a share has tasks that wait for a machine.
 func (n *Node) shareWaits(share int) bool {
-	for _, j := range n.jobs {
-		if j.share == share && n.startable(j) > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(n.shares[share].jobs, func(j *job) bool { return n.startable(j) > 0 })
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"container/heap"
 	"context"
 	"slices"
 	"time"
@@ -86,6 +87,7 @@
 func (n *Node) setMachine(name string, r protocol.MachineRecord) {
 	m := n.machine(name)
 	if m.known && (m.rec.Share != r.Share || m.rec.Token != r.Token) {
+		n.leave(m)
 		m.unfence()
 		m.moving = false
 		n.unpark(m)
@@ -98,6 +100,7 @@
 	}
 	m.known = true
 	m.rec = r
+	n.join(m)
 	if r.Addr != "" {
 		m.addr = r.Addr
 	}
@@ -108,6 +111,9 @@
 	if m == nil {
 		return
 	}
+	if m.known {
+		n.leave(m)
+	}
 	m.known = false
 	n.unpark(m)
 	if len(m.on) == 0 {
@@ -386,6 +392,7 @@
 	}
 	m.wakeAt = time.Time{}
 	m.parked = &parked{report: r, until: now.Add(n.parkTime(m)), reply: reply}
+	heap.Push(&n.due, dueReport{m.parked.until, m})
 	return true
 }
 
@@ -409,10 +416,33 @@
 	return false
 }
 
+// dueReport says when a machine's parked report may have to be answered. An
+// entry that was overtaken is ignored when its time comes.
+type dueReport struct {
+	at time.Time
+	m  *machine
+}
+
+// dueHeap holds them, the earliest first: looking through the whole fleet at
+// every event cost a small controller most of its time.
+type dueHeap []dueReport
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)        { *h = append(*h, x.(dueReport)) }
+func (h *dueHeap) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
 // wake makes a machine's parked report be answered in a while.
-func (m *machine) wake(at time.Time) {
-	if m.wakeAt.IsZero() || at.Before(m.wakeAt) {
+func (n *Node) wake(m *machine, at time.Time) {
+	if m.parked != nil && (m.wakeAt.IsZero() || at.Before(m.wakeAt)) {
 		m.wakeAt = at
+		heap.Push(&n.due, dueReport{at, m})
 	}
 }
 
@@ -439,7 +469,8 @@
 }
 
 func (n *Node) releaseParked(now time.Time) {
-	for _, m := range n.machines {
+	for len(n.due) > 0 && !now.Before(n.due[0].at) {
+		m := heap.Pop(&n.due).(dueReport).m
 		if m.parked != nil && (!m.wakeAt.IsZero() && !now.Before(m.wakeAt) || !now.Before(m.parked.until)) {
 			n.answerParked(m, now)
 		}
