--- /dev/null
+++ b/internal/coordination/batches.go
@@ -0,0 +1,156 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// batch is a stored list of machines that were rented or moved together. One
+// value for many machines makes renting and returning a fleet of a thousand
+// cost tens of writes and not thousands. Only the share's holder changes it.
+type batch struct {
+	key   string
+	rec   protocol.BatchRecord
+	busy  bool      // a change of it is being stored
+	since time.Time // when something became worth storing; zero: nothing is
+}
+
+// changed notes that the stored batch is out of date.
+func (b *batch) changed(now time.Time) {
+	if b.since.IsZero() {
+		b.since = now
+	}
+}
+
+// setBatch takes in a stored batch.
+func (n *Node) setBatch(key string, r protocol.BatchRecord) {
+	b := n.batches[key]
+	if b == nil {
+		b = &batch{key: key}
+		n.batches[key] = b
+	}
+	before := b.rec.Machines
+	b.rec = r
+	present := make(map[string]bool, len(r.Machines))
+	for _, rec := range r.Machines {
+		present[rec.Name] = true
+		rec.Share, rec.Token = r.Share, r.Token
+		n.setMachine(b, rec)
+	}
+	n.forget(b, before, present)
+}
+
+// dropBatch forgets a batch whose key is gone.
+func (n *Node) dropBatch(key string) {
+	if b := n.batches[key]; b != nil {
+		delete(n.batches, key)
+		n.forget(b, b.rec.Machines, nil)
+	}
+}
+
+// forget drops the machines that a batch had and has no more, unless another
+// batch has them by now.
+func (n *Node) forget(b *batch, before []protocol.MachineRecord, present map[string]bool) {
+	for _, rec := range before {
+		if m := n.machines[rec.Name]; m != nil && m.batch == b && !present[rec.Name] {
+			n.dropMachine(rec.Name)
+		}
+	}
+}
+
+// write is the batch with only the machines that keep wants, which may change
+// them; without any it is deleted.
+func (b *batch) write(keep func(r *protocol.MachineRecord) bool) storage.Write {
+	rec := b.rec
+	rec.Machines = nil
+	for _, r := range b.rec.Machines {
+		if keep(&r) {
+			rec.Machines = append(rec.Machines, r)
+		}
+	}
+	if len(rec.Machines) == 0 {
+		return storage.Write{Delete: b.key}
+	}
+	return storage.Write{Put: b.key, Value: mustJSON(rec)}
+}
+
+// batchSize is how many machines of a kind fit one stored value.
+func (n *Node) batchSize(r protocol.MachineRecord) int {
+	const each = 100 // name, address and frame
+	return max(1, int(n.cfg.Params.State.ValueKB*1024*0.9)/(each+len(r.Type)+len(r.Zone)))
+}
+
+// adopt records the machines of a rental, and then calls done. The batch has
+// the request's name, which is never used twice.
+func (n *Node) adopt(s *share, req protocol.RentRequest, names []string, done func()) {
+	var batches []protocol.BatchRecord
+	kind := protocol.MachineRecord{Type: req.Type, Zone: req.Zone, Spot: req.Spot}
+	for part := range slices.Chunk(names, n.batchSize(kind)) {
+		rec := protocol.BatchRecord{Share: s.index}
+		for _, name := range part {
+			r := kind
+			r.Name = name
+			rec.Machines = append(rec.Machines, r)
+		}
+		batches = append(batches, rec)
+	}
+	open := len(batches)
+	if open == 0 {
+		done()
+	}
+	for i, rec := range batches {
+		key := protocol.BatchKey(fmt.Sprintf("%s-%d", req.Request, i))
+		n.submit(&storage.Op{
+			Conds:  []storage.Cond{{Key: key}, n.cond(protocol.HolderKey(s.index))},
+			Writes: []storage.Write{{Put: key, Value: mustJSON(rec)}},
+		}, func(storage.Result) {
+			if open--; open == 0 {
+				done()
+			}
+		})
+	}
+}
+
+// batchPause is how long changes of a batch are gathered: addresses come one by
+// one as machines boot, and none of them is urgent.
+const batchPause = 5 * time.Second
+
+// saveBatches stores new addresses, and drops the records of machines that are
+// gone, with everything on them noted.
+func (n *Node) saveBatches(now time.Time) {
+	for _, b := range n.batches {
+		if b.busy || b.since.IsZero() || now.Sub(b.since) < batchPause || !n.mine(n.shares[b.rec.Share]) {
+			continue
+		}
+		b.since = time.Time{}
+		changes := false
+		w := b.write(func(r *protocol.MachineRecord) bool {
+			m := n.machines[r.Name]
+			if m == nil || m.batch != b || m.gone && len(m.on) == 0 {
+				changes = true
+				return false
+			}
+			if m.gone {
+				b.changed(now) // once its tasks are settled
+			} else if m.addr != r.Addr {
+				r.Addr, changes = m.addr, true
+			}
+			return true
+		})
+		if !changes {
+			continue
+		}
+		b.busy = true
+		n.submit(&storage.Op{Conds: []storage.Cond{n.cond(b.key), n.cond(protocol.HolderKey(b.rec.Share))}, Writes: []storage.Write{w}},
+			func(r storage.Result) {
+				b.busy = false
+				if !r.OK {
+					b.changed(time.Now())
+				}
+			})
+	}
+}
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -33,7 +33,7 @@
 	n.lease = 3
 	b := &bench{Node: n, t: t, state: st, rev: 10}
 	b.put(protocol.CounterKey, protocol.CounterRecord{Token: 7})
-	b.put(protocol.MachineKey("host-1"), protocol.MachineRecord{Type: "g4", Zone: "a"})
+	b.put(protocol.BatchKey("r-0-7-1-0"), protocol.BatchRecord{Machines: []protocol.MachineRecord{{Name: "host-1", Type: "g4", Zone: "a"}}})
 	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 7, Lease: 3})
 	return b
 }
@@ -235,10 +235,12 @@
 // booted. (Seen on a simulated day: each moved machine was returned at once.)
 func TestMovedMachineIsGivenTime(t *testing.T) {
 	b := newBench(t)
-	b.put(protocol.MachineKey("host-2"), protocol.MachineRecord{Share: 1, Type: "g4", Zone: "a", Addr: "host-2:9000"})
+	host2 := []protocol.MachineRecord{{Name: "host-2", Type: "g4", Zone: "a", Addr: "host-2:9000"}}
+	b.put(protocol.BatchKey("r-1-6-1-0"), protocol.BatchRecord{Share: 1, Machines: host2})
 	m := b.machines["host-2"]
 	m.added = time.Now().Add(-time.Hour)
-	b.put(protocol.MachineKey("host-2"), protocol.MachineRecord{Share: 0, Token: 8, Type: "g4", Zone: "a", Addr: "host-2:9000"})
+	b.put(protocol.BatchKey("m-0-8"), protocol.BatchRecord{Share: 0, Token: 8, Machines: host2})
+	b.apply(storage.Item{Key: protocol.BatchKey("r-1-6-1-0"), Stamp: b.rev})
 	if b.dead(m, time.Now()) {
 		t.Fatal("given up at once")
 	}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -85,6 +85,7 @@
 	started   time.Time    // when a task was first seen running
 	preempted time.Time    // when others may be stopped for it again
 	noVictims time.Time    // when to look again for others to stop
+	dirtyAt   time.Time    // since when something of it waits to be stored
 	fails     int          // tasks that ended with an error
 	notBefore time.Time    // start nothing before, after errors
 	why       string       // why its tasks wait
@@ -325,22 +326,85 @@
 	n.dirty[j] = true
 }
 
-// flush stores what is new of the jobs that no other change is being stored of.
-func (n *Node) flush() {
+// flush stores what is new of the jobs that no other change is being stored of,
+// the most urgent first, and only so much at a time: what cannot be stored at
+// once stays here, where it is put in order and gathered by job, and not in a
+// queue.
+func (n *Node) flush(now time.Time) {
+	if len(n.dirty) == 0 {
+		return
+	}
+	most := max(4, int(n.pace.PerSecond()/3))
+	if n.storing >= most {
+		return
+	}
+	type candidate struct {
+		job     *job
+		urgency int
+	}
+	ample := n.pace.Ample()
+	var turn []candidate
 	for j := range n.dirty {
 		if j.busy {
 			continue
 		}
-		if s := n.shares[j.share]; !n.mine(s) {
+		if !n.mine(n.shares[j.share]) {
 			n.revert(j)
 			delete(n.dirty, j)
 			continue
 		}
-		delete(n.dirty, j)
-		n.save(j)
+		if j.dirtyAt.IsZero() {
+			j.dirtyAt = now
+		}
+		u := j.urgency()
+		if u == onlyFacts && !ample && now.Sub(j.dirtyAt) < factPause {
+			continue
+		}
+		turn = append(turn, candidate{j, u})
+	}
+	slices.SortFunc(turn, func(a, b candidate) int {
+		return cmp.Or(a.urgency-b.urgency, a.job.dirtyAt.Compare(b.job.dirtyAt), strings.Compare(a.job.id, b.job.id))
+	})
+	for _, c := range turn {
+		if n.storing >= most {
+			return
+		}
+		delete(n.dirty, c.job)
+		c.job.dirtyAt = time.Time{}
+		n.save(c.job)
 	}
 }
 
+// factPause is how long the ends of an array's tasks are gathered when changes
+// are scarce. The job's end is not among them.
+const factPause = time.Second
+
+// How urgent it is to store what is new of a job.
+const (
+	itsEnd = iota
+	urgentStart
+	otherStart
+	onlyFacts
+)
+
+func (j *job) urgency() int {
+	starts, over := false, true
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		starts = starts || t.phase == proposed
+		over = over && (t.phase == done || t.fact == finished)
+	}
+	switch {
+	case over || j.cancelled:
+		return itsEnd
+	case starts && j.rank <= protocol.High || j.spec.Shape == protocol.Gang:
+		return urgentStart
+	case starts:
+		return otherStart
+	}
+	return onlyFacts
+}
+
 // record builds chunk k as it is to be stored.
 func (j *job) record(k int) protocol.Chunk {
 	var c protocol.Chunk
@@ -384,25 +448,20 @@
 	j.taskChunk = map[int]bool{}
 	left := 0
 	anyDone := false
-	machines := map[string]bool{}
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.fact != noFact {
 			t.storing = true
 			touched[i/protocol.ChunkTasks] = true
 		}
-		if t.phase == proposed {
-			machines[t.machine.name] = true
-		}
 		anyDone = anyDone || t.phase == done || t.fact == finished
 		if !(t.phase == done || t.fact == finished) && !(j.cancelled && (t.phase == waiting || t.phase == proposed || t.fact == gone)) {
 			left++
 		}
 	}
+	// The machines need no condition of their own: only the holder moves or
+	// returns those of its share, and it does neither while a task is proposed.
 	op := &storage.Op{Conds: []storage.Cond{n.cond(protocol.HolderKey(j.share)), n.cond(protocol.JobKey(j.id))}}
-	for name := range machines {
-		op.Conds = append(op.Conds, n.cond(protocol.MachineKey(name)))
-	}
 	if j.spec.Shape == protocol.Gang && anyDone {
 		left = 0 // they complete together
 	}
@@ -429,10 +488,15 @@
 		n.splitRest(j, touched, op)
 	}
 	j.busy = true
+	n.storing += len(op.Writes)
 	op.Done = func(r storage.Result) {
-		n.post(func() { n.stored(j, op, r) })
+		n.post(func() {
+			n.storing -= len(op.Writes)
+			n.stored(j, op, r)
+		})
 	}
 	if !n.books.Submit(op) {
+		n.storing -= len(op.Writes)
 		j.busy = false
 		n.revert(j)
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -260,8 +260,8 @@
 type forecast struct {
 	n      *Node
 	now    time.Time
-	bins   []*bin // all, in order
-	open   []*bin // those with room
+	bins   []*bin          // all, in order
+	open   []*bin          // those with room
 	used   map[int]Amounts // by team, of what was imagined
 	want   map[offer]int
 	inZone map[string]int
@@ -382,8 +382,6 @@
 		n.post(func() {
 			now := time.Now()
 			n.metrics.cloud.WithLabelValues("rent", outcome(err)).Inc()
-			delete(n.renting, r)
-			n.replan = true
 			n.log.Info("rental", "request", req.Request, "zone", r.zone, "spot", r.spot, "asked", count, "got", len(names), "why", err)
 			if err != nil || len(names) < count {
 				wait := 3 * time.Second
@@ -392,9 +390,12 @@
 				}
 				n.refusedTill[r.offer] = now.Add(wait)
 			}
-			for _, name := range names {
-				n.adopt(s, name, protocol.MachineRecord{Share: s.index, Type: r.typ, Zone: r.zone, Spot: r.spot})
-			}
+			// Until they are recorded they count as asked for, or the share would
+			// rent them once more.
+			n.adopt(s, req, names, func() {
+				delete(n.renting, r)
+				n.replan = true
+			})
 		})
 	})
 }
@@ -402,34 +403,15 @@
 // ErrNoCapacity is the cloud's refusal for want of machines.
 var ErrNoCapacity = storage.ErrNoCapacity
 
-// adopt records a machine that has no record.
-func (n *Node) adopt(s *share, name string, rec protocol.MachineRecord) {
-	key := protocol.MachineKey(name)
-	if n.stamp(key) != 0 {
-		return
-	}
-	n.submit(&storage.Op{
-		Conds:  []storage.Cond{{Key: key}, n.cond(protocol.HolderKey(s.index))},
-		Writes: []storage.Write{{Put: key, Value: mustJSON(rec)}},
-	}, func(storage.Result) {})
-}
-
 // onStray answers a machine without a record: a rental whose answer was lost,
-// or one executed late. The leader adopts it.
-func (n *Node) onStray(r *protocol.Report, reply chan<- answer) {
+// or is still being stored, or that was executed late. The leader returns it if
+// it stays without one. It is not adopted: its rental's answer may yet come, and
+// then two shares would each think it theirs.
+func (n *Node) onStray(r *protocol.Report, now time.Time, reply chan<- answer) {
 	lead := n.shares[0].holder
 	switch {
 	case n.leads():
-		if _, ok := n.returned[r.Machine]; !ok && n.types[r.Type] != nil {
-			to := 0
-			for i := range n.shares {
-				if n.shareWaits(i) && !n.shareWaits(to) {
-					to = i
-				}
-			}
-			n.log.Info("stray machine adopted", "machine", r.Machine, "share", to)
-			n.adopt(n.shares[0], r.Machine, protocol.MachineRecord{Share: to, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Addr: r.Addr})
-		}
+		n.noteStray(r.Machine, now)
 		reply <- answer{status: 503}
 	case lead.Token != 0 && lead.Node != n.cfg.Node:
 		reply <- answer{status: 421, body: protocol.Redirect{ReportTo: lead.Node}}
@@ -438,6 +420,34 @@
 	}
 }
 
+func (n *Node) noteStray(name string, now time.Time) {
+	if _, ok := n.strays[name]; !ok {
+		n.strays[name] = now
+	}
+}
+
+// strayLimit is how long a machine may be without a record: much longer than
+// storing the rental takes when the state service answers at all.
+const strayLimit = 30 * time.Second
+
+// returnStrays gives back what nobody has recorded.
+func (n *Node) returnStrays(now time.Time, back *[]*machine) {
+	for name, first := range n.strays {
+		m := n.machines[name]
+		_, over := n.returned[name]
+		switch {
+		case over || m != nil && m.known:
+			delete(n.strays, name)
+		case m == nil && n.leads() && n.sinceContact(now) < 2*time.Second && now.Sub(first) > strayLimit:
+			n.log.Info("stray machine returned", "machine", name)
+			*back = append(*back, &machine{name: name, on: map[taskKey]struct{}{}})
+			delete(n.strays, name)
+		case now.Sub(first) > 4*strayLimit:
+			delete(n.strays, name)
+		}
+	}
+}
+
 // silentLimit is how long a machine may be silent before it is given back.
 func (n *Node) silentLimit() time.Duration {
 	return time.Duration((3*n.cfg.Params.Workers.ReportS + 4) * float64(time.Second))
@@ -486,11 +496,11 @@
 		default:
 			if !m.fenced {
 				n.fence(m, now)
-			} else if m.rec.Addr == "" && !m.recorded && m.addr != "" && !m.moving {
-				n.recordAddr(m)
 			}
 		}
 	}
+	n.returnStrays(now, &back)
+	n.saveBatches(now)
 	n.giveBack(back, now)
 	n.list(now)
 	n.sayHow(now)
@@ -527,16 +537,6 @@
 	}
 }
 
-// recordAddr stores where a worker is, so that a later holder can call it.
-func (n *Node) recordAddr(m *machine) {
-	m.recorded = true
-	rec := m.rec
-	rec.Addr = m.addr
-	key := protocol.MachineKey(m.name)
-	n.submit(&storage.Op{Conds: []storage.Cond{n.cond(key), n.cond(protocol.HolderKey(rec.Share))},
-		Writes: []storage.Write{{Put: key, Value: mustJSON(rec)}}}, func(r storage.Result) { m.recorded = r.OK })
-}
-
 // dead says whether a machine is to be given up: it does not boot, or it is
 // silent while others are heard.
 func (n *Node) dead(m *machine, now time.Time) bool {
@@ -639,16 +639,14 @@
 	}
 }
 
-// settleGone notes the tasks of a machine that is gone and then drops its record.
+// settleGone notes that the tasks of a machine that is gone are so too. Its
+// record goes with the batch's next change.
 func (n *Node) settleGone(m *machine) {
 	for k := range m.on {
 		n.note(k.job, k.task, gone)
 	}
-	if len(m.on) == 0 && m.known && !m.moving {
-		m.moving = true
-		key := protocol.MachineKey(m.name)
-		n.submit(&storage.Op{Conds: []storage.Cond{n.cond(key), n.cond(protocol.HolderKey(m.rec.Share))},
-			Writes: []storage.Write{{Delete: key}}}, func(storage.Result) { m.moving = false })
+	if m.known {
+		m.batch.changed(time.Now())
 	}
 }
 
@@ -711,37 +709,19 @@
 			delete(n.returned, name)
 		}
 	}
-	seen := map[string]bool{}
 	var back []*machine
 	for _, l := range ms {
-		seen[l.ID] = true
 		m := n.machines[l.ID]
-		if m != nil && m.known {
-			if m.addr == "" {
-				m.addr = l.Addr
-			}
-			delete(n.strays, l.ID)
-			if l.State == "failed" && !m.gone && !m.returning && n.mine(n.shares[m.rec.Share]) {
-				n.log.Info("machine failed", "machine", l.ID)
-				back = append(back, m)
-			}
-			continue
-		}
-		if _, ok := n.returned[l.ID]; ok {
+		if m == nil || !m.known {
+			n.noteStray(l.ID, now)
 			continue
 		}
-		first, ok := n.strays[l.ID]
-		if !ok {
-			n.strays[l.ID] = now
-		} else if wait := 40 * time.Second; now.Sub(first) > wait {
-			n.log.Info("stray machine returned", "machine", l.ID, "state", l.State)
-			back = append(back, &machine{name: l.ID, on: map[taskKey]struct{}{}})
-			delete(n.strays, l.ID)
+		if m.addr == "" {
+			m.addr = l.Addr
 		}
-	}
-	for name := range n.strays {
-		if !seen[name] {
-			delete(n.strays, name)
+		if l.State == "failed" && !m.gone && !m.returning && n.mine(n.shares[m.rec.Share]) {
+			n.log.Info("machine failed", "machine", l.ID)
+			back = append(back, m)
 		}
 	}
 	n.giveBack(back, now)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -38,6 +38,8 @@
 	SetLevel func(l slog.Level, chosen bool)
 	users    *storage.Committer // changes that a user waits for
 	books    *storage.Committer // everything else
+	pace     *storage.Pace      // of both
+	storing  int                // writes of jobs under way
 	rng      *rand.Rand
 
 	started  time.Time
@@ -54,6 +56,7 @@
 	jobs     map[string]*job
 	finals   *finalCache
 	machines map[string]*machine
+	batches  map[string]*batch // of machines, by key
 	shares   []*share
 	teams    []*team
 	teamOf   map[string]int
@@ -70,7 +73,7 @@
 	reads       []*read
 	reading     bool
 	lastRead    time.Time
-	strays      map[string]time.Time // unrecorded machines in the cloud's list, first seen
+	strays      map[string]time.Time // unrecorded machines that were listed or heard, first seen
 	returned    map[string]time.Time // machines that are gone for good
 	cutAt       map[string]time.Time // zones: when last found unreachable
 	listing     bool
@@ -113,14 +116,16 @@
 
 // New makes a node that lives until ctx ends. The caller runs it with Run.
 func New(ctx context.Context, cfg *protocol.Settings, log *slog.Logger, store storage.Service, cloud CloudService, workers Workers, seed uint64) *Node {
+	pace := storage.NewPace(cfg.Params.State, cfg.Params.Nodes)
 	n := &Node{
 		ctx: ctx, cfg: cfg, log: log, store: store, cloud: cloud, workers: workers,
-		users:   storage.NewCommitter(store, cfg.Params.State.TxnOps),
-		books:   storage.NewCommitter(store, cfg.Params.State.TxnOps),
+		pace:    pace,
+		users:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, true),
+		books:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, false),
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		started: time.Now(), inbox: make(chan func(), 1024),
 		ver: map[string]uint64{}, orphans: map[string]protocol.Chunk{}, jobs: map[string]*job{}, finals: newFinalCache(50000),
-		machines: map[string]*machine{}, teamOf: map[string]int{}, nodes: map[string]time.Time{},
+		machines: map[string]*machine{}, batches: map[string]*batch{}, teamOf: map[string]int{}, nodes: map[string]time.Time{},
 		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, tombs: map[string]struct{}{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}, cutAt: map[string]time.Time{},
 		refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, policy: DefaultPolicy(),
 	}
@@ -230,7 +235,7 @@
 		end := time.Now()
 		n.nextPlan = end.Add(max(40*time.Millisecond, 3*end.Sub(now)))
 	}
-	n.flush()
+	n.flush(now)
 	n.releaseParked(now)
 	n.startRead(now)
 }
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -107,8 +107,7 @@
 		_, ok := n.orphans[key]
 		return ok
 	case strings.HasPrefix(key, protocol.MachineRoot):
-		m := n.machines[strings.TrimPrefix(key, protocol.MachineRoot)]
-		return m != nil && m.known
+		return n.batches[key] != nil
 	case strings.HasPrefix(key, protocol.NodeRoot):
 		_, ok := n.nodes[strings.TrimPrefix(key, protocol.NodeRoot)]
 		return ok
@@ -188,12 +187,11 @@
 		ok := read(&c)
 		n.setChunk(id, chunk, it.Key, c, ok)
 	case strings.HasPrefix(it.Key, protocol.MachineRoot):
-		name := strings.TrimPrefix(it.Key, protocol.MachineRoot)
-		var r protocol.MachineRecord
-		if read(&r) {
-			n.setMachine(name, r)
+		var r protocol.BatchRecord
+		if read(&r) && r.Share >= 0 && r.Share < len(n.shares) {
+			n.setBatch(it.Key, r)
 		} else {
-			n.dropMachine(name)
+			n.dropBatch(it.Key)
 		}
 	case strings.HasPrefix(it.Key, protocol.NodeRoot):
 		name := strings.TrimPrefix(it.Key, protocol.NodeRoot)
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -70,7 +71,7 @@
 	return c
 }
 
-// leads says whether this node makes the moves and adopts strays: the holder
+// leads says whether this node makes the moves and returns strays: the holder
 // of the first share does.
 func (n *Node) leads() bool { return n.mine(n.shares[0]) }
 
@@ -143,6 +144,8 @@
 			held++
 		}
 	}
+	// Most changes are made by holders; all nodes take submissions.
+	n.pace.SetPart(float64(1+3*held) / float64(max(1, len(n.nodes))+3*len(n.shares)))
 	n.balance(now)
 	if n.leads() && now.Sub(n.lastMove).Seconds() >= n.policy.MoveS {
 		n.lastMove = now
@@ -248,6 +251,9 @@
 		})
 }
 
+// mostMoves is how many machines one plan names.
+const mostMoves = 60
+
 // planMoves tells holders of shares without waiting tasks to hand free
 // machines to shares with them: those that what waits could use, beyond what
 // is free where it waits.
@@ -294,7 +300,7 @@
 			f.imagine(j, n.startable(j))
 		}
 		donors = slices.DeleteFunc(donors, func(b *bin) bool {
-			if b.uses > 0 && len(mv.Moves) < 20 {
+			if b.uses > 0 && len(mv.Moves) < mostMoves {
 				mv.Moves = append(mv.Moves, protocol.Move{Machine: b.machine.name, Share: i})
 			}
 			return b.uses > 0
@@ -336,29 +342,73 @@
 // onMoves hands over the machines of ours that are still free: placing there
 // stops first, then one conditional write moves them under a new token.
 func (n *Node) onMoves(mv protocol.Moves) {
-	byShare := map[int][]*machine{}
+	type path struct{ from, to int }
+	going := map[path][]*machine{}
 	for _, x := range mv.Moves {
 		m := n.machines[x.Machine]
-		if m == nil || !m.known || len(m.on) > 0 || m.moving || m.returning || m.gone ||
+		if m == nil || !m.known || len(m.on) > 0 || m.moving || m.returning || m.gone || m.batch.busy ||
 			x.Share < 0 || x.Share >= len(n.shares) || x.Share == m.rec.Share || !n.mine(n.shares[m.rec.Share]) || n.shareWaits(m.rec.Share) {
 			continue
 		}
-		byShare[m.rec.Share] = append(byShare[m.rec.Share], m)
+		p := path{m.rec.Share, x.Share}
+		going[p] = append(going[p], m)
+	}
+	for p, ms := range going {
+		n.move(ms, p.from, p.to)
+	}
+}
+
+// move hands machines of one share to another in one conditional write.
+func (n *Node) move(ms []*machine, from, to int) {
+	token := n.counter + 1
+	key := protocol.BatchKey(fmt.Sprintf("m-%d-%d", to, token))
+	moved := protocol.BatchRecord{Share: to, Token: token}
+	left := map[*batch]map[string]bool{}
+	room := n.batchSize(ms[0].rec)
+	for _, m := range ms {
+		// The new batch, the counter and each batch that shrinks are a write each.
+		if left[m.batch] == nil && m.batch.busy {
+			continue
+		}
+		if left[m.batch] == nil && len(left)+3 > n.cfg.Params.State.TxnOps || len(moved.Machines) == room {
+			continue
+		}
+		if left[m.batch] == nil {
+			left[m.batch] = map[string]bool{}
+		}
+		left[m.batch][m.name] = true
 		m.moving = true
 		rec := m.rec
-		rec.Share = x.Share
-		rec.Token = n.counter + 1
-		n.submit(&storage.Op{
-			Conds: []storage.Cond{n.cond(protocol.HolderKey(m.rec.Share)), n.cond(protocol.MachineKey(m.name)), n.cond(protocol.CounterKey)},
-			Writes: []storage.Write{
-				{Put: protocol.MachineKey(m.name), Value: mustJSON(rec)},
-				{Put: protocol.CounterKey, Value: mustJSON(protocol.CounterRecord{Token: rec.Token})},
-			},
-		}, func(r storage.Result) {
-			m.moving = false
-			n.log.Info("machine moved", "machine", m.name, "to", x.Share, "ok", r.OK)
-		})
+		rec.Addr = m.addr
+		moved.Machines = append(moved.Machines, rec)
 	}
+	if len(left) == 0 {
+		return
+	}
+	// The new batch first: a machine is never seen without one.
+	op := &storage.Op{
+		Conds: []storage.Cond{n.cond(protocol.HolderKey(from)), {Key: key}, n.cond(protocol.CounterKey)},
+		Writes: []storage.Write{
+			{Put: key, Value: mustJSON(moved)},
+			{Put: protocol.CounterKey, Value: mustJSON(protocol.CounterRecord{Token: token})},
+		},
+	}
+	for b, names := range left {
+		b.busy = true
+		op.Conds = append(op.Conds, n.cond(b.key))
+		op.Writes = append(op.Writes, b.write(func(r *protocol.MachineRecord) bool { return !names[r.Name] }))
+	}
+	n.submit(op, func(r storage.Result) {
+		for b := range left {
+			b.busy = false
+		}
+		for _, rec := range moved.Machines {
+			if m := n.machines[rec.Name]; m != nil {
+				m.moving = false
+			}
+		}
+		n.log.Info("machines moved", "machines", len(moved.Machines), "from", from, "to", to, "ok", r.OK)
+	})
 }
 
 // shareWaits says whether a share has tasks that wait for a machine.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -20,6 +20,7 @@
 	name  string
 	known bool // it has a record
 	rec   protocol.MachineRecord
+	batch *batch // what it is recorded in
 	on    map[taskKey]struct{}
 	used  Amounts
 
@@ -39,7 +40,6 @@
 	distrust   int       // errors of different jobs in a row
 	lastError  string    // the job of the last one
 	gone       bool      // returned: the cloud said so
-	recorded   bool      // its address is stored, or being stored
 	avoidTill  time.Time // place nothing new before
 	wakeAt     time.Time // when to answer a parked report; zero: when its time is up
 	parked     *parked
@@ -84,8 +84,9 @@
 	return m
 }
 
-func (n *Node) setMachine(name string, r protocol.MachineRecord) {
-	m := n.machine(name)
+func (n *Node) setMachine(b *batch, r protocol.MachineRecord) {
+	m := n.machine(r.Name)
+	m.batch = b
 	if m.known && (m.rec.Share != r.Share || m.rec.Token != r.Token) {
 		n.leave(m)
 		m.unfence()
@@ -149,7 +150,7 @@
 	}
 	m := n.machines[r.Machine]
 	if m == nil || !m.known {
-		n.onStray(r, reply)
+		n.onStray(r, now, reply)
 		return
 	}
 	s := n.shares[m.rec.Share]
@@ -194,8 +195,9 @@
 	}
 	n.answerParked(m, now) // an earlier report's answer is not waited for any more
 	m.session, m.seq = r.Session, r.Seq
-	if r.Addr != "" {
+	if r.Addr != "" && r.Addr != m.rec.Addr {
 		m.addr = r.Addr
+		m.batch.changed(now)
 	}
 	if r.Token == token {
 		if !m.fenced {
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -37,8 +37,8 @@
 // HolderKey is the key that names the holder of a share.
 func HolderKey(share int) string { return HolderRoot + strconv.Itoa(share) + "/holder" }
 
-// MachineKey is the key of a machine's record.
-func MachineKey(name string) string { return MachineRoot + name }
+// BatchKey is the key of a batch of machines.
+func BatchKey(name string) string { return MachineRoot + name }
 
 // NodeKey is the key that says a node lives.
 func NodeKey(name string) string { return NodeRoot + name }
@@ -81,14 +81,23 @@
 	Lease uint64 `json:"lease"`
 }
 
-// MachineRecord assigns a machine to a share, fenced by Token if it was moved.
+// BatchRecord assigns machines that were rented or moved together to a share,
+// fenced by Token if they were moved. Only the share's holder changes it.
+type BatchRecord struct {
+	Share    int             `json:"share"`
+	Token    uint64          `json:"token,omitempty"`
+	Machines []MachineRecord `json:"m"`
+}
+
+// MachineRecord is one machine of a batch. Share and Token are the batch's.
 type MachineRecord struct {
-	Share int    `json:"share"`
-	Token uint64 `json:"token"`
-	Type  string `json:"type"`
-	Zone  string `json:"zone"`
-	Spot  bool   `json:"spot,omitempty"`
-	Addr  string `json:"addr,omitempty"`
+	Share int    `json:"-"`
+	Token uint64 `json:"-"`
+	Name  string `json:"n"`
+	Type  string `json:"y"`
+	Zone  string `json:"z"`
+	Spot  bool   `json:"p,omitempty"`
+	Addr  string `json:"a,omitempty"`
 }
 
 // CounterRecord is the never-deleted counter of tokens.
--- a/internal/storage/commit.go
+++ b/internal/storage/commit.go
@@ -41,12 +41,15 @@
 type Committer struct {
 	store  Service
 	txnOps int
+	pace   *Pace
+	urgent bool
 	in     chan *Op
 }
 
-// NewCommitter makes a committer; Run serves it.
-func NewCommitter(s Service, txnOps int) *Committer {
-	return &Committer{store: s, txnOps: txnOps, in: make(chan *Op, 4096)}
+// NewCommitter makes a committer; Run serves it. urgent says that users wait
+// for its ops.
+func NewCommitter(s Service, txnOps int, pace *Pace, urgent bool) *Committer {
+	return &Committer{store: s, txnOps: txnOps, pace: pace, urgent: urgent, in: make(chan *Op, 4096)}
 }
 
 // Submit queues an op. It returns false, and drops the op, if too many wait.
@@ -155,7 +158,13 @@
 		}
 		writes = append(writes, o.Writes...)
 	}
-	ok, epoch, failed, err := c.store.Txn(ctx, conds, writes)
+	var ok bool
+	var epoch uint64
+	var failed []string
+	err := c.pace.wait(ctx, len(writes), c.urgent)
+	if err == nil {
+		ok, epoch, failed, err = c.store.Txn(ctx, conds, writes)
+	}
 	switch {
 	case err != nil:
 		for _, o := range batch {
--- a/internal/storage/state.go
+++ b/internal/storage/state.go
@@ -11,8 +11,6 @@
 	"strconv"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/transport"
 )
@@ -72,8 +70,7 @@
 
 // Store calls the state service within this node's part of its rates.
 type Store struct {
-	calls  *transport.Client
-	writes *rate.Limiter
+	calls *transport.Client
 	// OnContact, if set, is told when a call that the service answered was sent.
 	OnContact func(sent time.Time)
 }
@@ -82,14 +79,14 @@
 // 10 ms, now and then in a few hundred.
 const callTimeout = 1500 * time.Millisecond
 
-// NewStore plans the rates for one of nodes nodes. A tenth is left unused, since
-// the service's clock and ours differ and retries come on top.
+// usable is the part of the service's rates that is planned for: its clock and
+// ours differ, and retries come on top.
+const usable = 0.9
+
+// NewStore plans the rate of requests for one of nodes nodes. Changes are paced
+// by a Pace.
 func NewStore(addr string, limits protocol.StateSettings, nodes int) *Store {
-	part := func(r float64) float64 { return max(1, 0.9*r/float64(nodes)) }
-	return &Store{
-		calls:  transport.NewClient(addr, part(limits.RPS)),
-		writes: rate.NewLimiter(rate.Limit(part(limits.WriteRPS)), max(limits.TxnOps, int(part(limits.WriteRPS)))),
-	}
+	return &Store{calls: transport.NewClient(addr, max(1, usable*limits.RPS/float64(nodes)))}
 }
 
 func (s *Store) call(ctx context.Context, timeout time.Duration, method, path string, body any) (transport.Answer, error) {
@@ -198,11 +195,6 @@
 // Txn runs a transaction. ok is false, with the failed keys, if a condition
 // did not hold.
 func (s *Store) Txn(ctx context.Context, conds []Cond, writes []Write) (ok bool, epoch uint64, failed []string, err error) {
-	if len(writes) > 0 {
-		if err := s.writes.WaitN(ctx, min(len(writes), s.writes.Burst())); err != nil {
-			return false, 0, nil, fmt.Errorf("%w: %v", ErrRefused, err)
-		}
-	}
 	if conds == nil {
 		conds = []Cond{}
 	}
