--- a/internal/storage/commit.go
+++ b/internal/storage/commit.go
@@ -82,7 +82,11 @@
 				more = false
 			}
 		}
-		batch, rest := pack(queue, c.txnOps)
+		most := c.txnOps
+		if !c.pace.Ample() {
+			most = max(len(queue[0].Writes), c.pace.fairBatch(c.txnOps))
+		}
+		batch, rest := pack(queue, most)
 		again := c.commit(ctx, batch)
 		queue = append(again, rest...)
 		if ctx.Err() != nil {
--- a/internal/storage/pace.go
+++ b/internal/storage/pace.go
@@ -10,7 +10,9 @@
 )
 
 // Pace spends this node's part of the rate of changes. Changes that a user
-// waits for go first: the books leave a few of the rate's tokens to them.
+// waits for go first: the books leave a few of the rate's tokens to them, but
+// wait no longer than patience for that. Without this a wave of submissions kept
+// the books waiting, and no machine was rented, for as long as it lasted.
 type Pace struct {
 	total   float64
 	limiter *rate.Limiter
@@ -42,7 +44,7 @@
 		return p.limiter.WaitN(ctx, min(n, p.limiter.Burst()))
 	}
 	n = min(n, p.limiter.Burst()-forUsers)
-	for {
+	for since := time.Now(); time.Since(since) < patience; {
 		lack := float64(n+forUsers) - p.limiter.Tokens()
 		if lack <= 0 && p.limiter.AllowN(time.Now(), n) {
 			return nil
@@ -50,7 +52,14 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(max(10*time.Millisecond, time.Duration(lack/p.PerSecond()*float64(time.Second)))):
+		case <-time.After(max(10*time.Millisecond, min(patience, time.Duration(lack/p.PerSecond()*float64(time.Second))))):
 		}
 	}
+	return p.limiter.WaitN(ctx, n)
 }
+
+// patience is how long the books let users go first.
+const patience = 200 * time.Millisecond
+
+// fairBatch is how many changes one transaction may hold while others wait.
+func (p *Pace) fairBatch(txnOps int) int { return min(txnOps, max(4, int(p.PerSecond()/3))) }
