--- a/internal/coordination/batches.go
+++ b/internal/coordination/batches.go
@@ -136,7 +136,9 @@
 			}
 			if m.gone {
 				b.changed(now) // once its tasks are settled
-			} else if m.addr != r.Addr {
+			} else if m.addr != r.Addr && !m.heard.IsZero() {
+				// An address says that the machine is up. The cloud's list names it while it
+				// still boots, and a holder that stored that gave the machine up for silence.
 				r.Addr, changes = m.addr, true
 			}
 			return true
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -73,6 +73,8 @@
 	reads       []*read
 	reading     bool
 	lastRead    time.Time
+	asked       int                  // users' changes under way
+	nextTurn    time.Time            // when the next user turned away should come back
 	strays      map[string]time.Time // unrecorded machines that were listed or heard, first seen
 	returned    map[string]time.Time // machines that are gone for good
 	cutAt       map[string]time.Time // zones: when last found unreachable
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strings"
 	"time"
 
@@ -68,6 +69,53 @@
 
 var busy = answer{status: 503, retryS: 1}
 
+// usersPart is the part of the rate of changes that users can count on while
+// the books have much to store too.
+const usersPart = 0.6
+
+// turnAway says whether a change that a user waits for could not be stored soon.
+// Then the user is told at once when to come back: each one turned away a turn
+// later, by what the rate allows, so that they do not all return together.
+func (n *Node) turnAway(now time.Time) (answer, bool) {
+	perChange := time.Duration(float64(time.Second) / (usersPart * n.pace.PerSecond()))
+	backlog := now.Add(time.Duration(n.asked) * perChange)
+	if n.asked <= forWaiting || backlog.Sub(now) < mostWait {
+		return answer{}, false
+	}
+	if n.nextTurn.Before(backlog) {
+		n.nextTurn = backlog
+	}
+	n.nextTurn = n.nextTurn.Add(perChange)
+	return answer{status: 503, retryS: min(30, int(math.Ceil(n.nextTurn.Sub(now).Seconds())))}, true
+}
+
+const (
+	// mostWait is how long a user's change may wait for its turn to be stored.
+	mostWait = 1500 * time.Millisecond
+	// forWaiting is how many may wait whatever the rate: the rate has a burst.
+	forWaiting = 16
+)
+
+// forUser queues a change that a user waits for.
+func (n *Node) forUser(op *storage.Op, reply chan<- answer, then func(storage.Result)) {
+	if a, full := n.turnAway(time.Now()); full {
+		reply <- a
+		return
+	}
+	n.asked++
+	op.Once = true
+	op.Done = func(r storage.Result) {
+		n.post(func() {
+			n.asked--
+			then(r)
+		})
+	}
+	if !n.users.Submit(op) {
+		n.asked--
+		reply <- busy
+	}
+}
+
 // read is a request that needs to know what is stored of a job.
 type read struct {
 	id    string
@@ -266,26 +314,21 @@
 		return
 	}
 	rec := protocol.JobRecord{Spec: s, SubmittedMS: now.UnixMilli(), Next: 1}
-	op := &storage.Op{Once: true,
+	op := &storage.Op{
 		Conds:  []storage.Cond{{Key: protocol.JobKey(s.ID)}, {Key: protocol.FinalKey(s.ID)}},
 		Writes: []storage.Write{{Put: protocol.JobKey(s.ID), Value: mustJSON(rec)}}}
-	op.Done = func(r storage.Result) {
-		n.post(func() {
-			switch {
-			case r.OK:
-				n.learn(op.Writes[0], r.Epoch)
-				n.log.Debug("job accepted", "job", s.ID, "class", s.Class, "tasks", s.Tasks)
-				reply <- answer{status: 201, body: protocol.JobStatus{ID: s.ID, Status: protocol.JobQueued}}
-			case r.Err != nil:
-				reply <- busy
-			default:
-				repeat(func() { reply <- busy })
-			}
-		})
-	}
-	if !n.users.Submit(op) {
-		reply <- busy
-	}
+	n.forUser(op, reply, func(r storage.Result) {
+		switch {
+		case r.OK:
+			n.learn(op.Writes[0], r.Epoch)
+			n.log.Debug("job accepted", "job", s.ID, "class", s.Class, "tasks", s.Tasks)
+			reply <- answer{status: 201, body: protocol.JobStatus{ID: s.ID, Status: protocol.JobQueued}}
+		case r.Err != nil:
+			reply <- busy
+		default:
+			repeat(func() { reply <- busy })
+		}
+	})
 }
 
 // onCancel cancels a job: from the moment it is stored no start of it can be.
@@ -314,36 +357,31 @@
 func (n *Node) cancel(j *job, tries int, reply chan<- answer) {
 	rec := j.stored()
 	rec.Cancelled = true
-	op := &storage.Op{Once: true, Conds: []storage.Cond{n.cond(protocol.JobKey(j.id))},
+	op := &storage.Op{Conds: []storage.Cond{n.cond(protocol.JobKey(j.id))},
 		Writes: []storage.Write{{Put: protocol.JobKey(j.id), Value: mustJSON(rec)}}}
 	if len(rec.Placed) == 0 && len(j.chunks) == 0 {
 		op.Conds = append(op.Conds, storage.Cond{Key: protocol.FinalKey(j.id)})
 		op.Writes = finalWrites(j.id, protocol.JobCancelled, len(j.tasks))
 	}
-	op.Done = func(r storage.Result) {
-		n.post(func() {
-			switch {
-			case r.OK:
-				for _, w := range op.Writes {
-					n.learn(w, r.Epoch)
-				}
-				reply <- answer{status: 200, body: protocol.JobStatus{ID: j.id, Status: protocol.JobCancelled}}
-			case r.Err == nil && tries > 0:
-				n.resync([]string{protocol.JobKey(j.id), protocol.FinalKey(j.id)}, func(_ []storage.Item, err error) {
-					if err != nil {
-						reply <- busy
-						return
-					}
-					n.onCancel(j.id, tries-1, reply)
-				})
-			default:
-				reply <- busy
+	n.forUser(op, reply, func(r storage.Result) {
+		switch {
+		case r.OK:
+			for _, w := range op.Writes {
+				n.learn(w, r.Epoch)
 			}
-		})
-	}
-	if !n.users.Submit(op) {
-		reply <- busy
-	}
+			reply <- answer{status: 200, body: protocol.JobStatus{ID: j.id, Status: protocol.JobCancelled}}
+		case r.Err == nil && tries > 0:
+			n.resync([]string{protocol.JobKey(j.id), protocol.FinalKey(j.id)}, func(_ []storage.Item, err error) {
+				if err != nil {
+					reply <- busy
+					return
+				}
+				n.onCancel(j.id, tries-1, reply)
+			})
+		default:
+			reply <- busy
+		}
+	})
 }
 
 // stored is a job's head as it is stored now, without what is only proposed
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -380,14 +380,17 @@
 // parkTime is how long the answer to a report may wait for a start.
 func (n *Node) parkTime(m *machine) time.Duration {
 	w := time.Duration(n.cfg.Params.Workers.ReportS * float64(time.Second))
-	if len(m.on) > 0 {
-		return min(w/4, 700*time.Millisecond)
+	for k := range m.on {
+		if k.job.spec.Shape != protocol.Service {
+			// The end of a task is not reported before this report is answered.
+			return min(w/4, 1500*time.Millisecond)
+		}
 	}
-	return min(w, 2500*time.Millisecond)
+	return min(w, 3300*time.Millisecond)
 }
 
 // park lets an answer wait. A worker drops answers after 4 s, so it never waits
-// longer than 2.5.
+// longer than 3.3.
 func (n *Node) park(m *machine, r *protocol.Report, now time.Time, reply chan<- answer) bool {
 	if m.notice || m.returning || len(m.on) > 0 && !n.hasRoom(m) && !m.pendingFacts() {
 		return false
