--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -548,18 +548,42 @@
 		if t := n.types[m.rec.Type]; t != nil {
 			boot = max(boot, time.Duration(3*t.BootS*float64(time.Second)))
 		}
-		if len(m.on) > 0 || m.rec.Addr != "" {
-			boot = n.silentLimit() + 3*time.Second // it was up under an earlier holder
+		if len(m.on) == 0 && m.rec.Addr == "" {
+			return now.Sub(m.added) > boot
 		}
-		return now.Sub(m.added) > boot
+		// It was up under an earlier holder, and needs a moment to find this one.
 	}
 	// While its zone cannot be reached the machine is most likely working, and
 	// when the cut ends it needs a moment to come back.
-	since := m.heard
+	last := m.heard
+	if last.IsZero() {
+		last = m.added.Add(3 * time.Second)
+	}
+	since := last
 	if cut := n.cutAt[m.rec.Zone]; cut.After(since) {
 		since = cut
 	}
-	return now.Sub(since) > n.silentLimit() || now.Sub(m.heard) > maxCut
+	return now.Sub(since) > n.silentLimit() || now.Sub(last) > maxCut ||
+		m.unlisted && n.suspect(m, now) && now.Sub(since) > n.suspectLimit()
+}
+
+// suspectLimit is how long a machine that was up may be silent before the cloud
+// is asked whether it still has it.
+func (n *Node) suspectLimit() time.Duration {
+	return time.Duration((1.4*n.cfg.Params.Workers.ReportS + 1) * float64(time.Second))
+}
+
+// suspect says whether a machine that was up, and that the cloud must have
+// listed by now, is silent.
+func (n *Node) suspect(m *machine, now time.Time) bool {
+	last := m.heard
+	if last.IsZero() {
+		if len(m.on) == 0 && m.rec.Addr == "" {
+			return false
+		}
+		last = m.added
+	}
+	return !m.returning && !m.gone && now.Sub(last) > n.suspectLimit()
 }
 
 // maxCut is how long the machines of an unreachable zone are kept.
@@ -646,7 +670,8 @@
 		n.note(k.job, k.task, gone)
 	}
 	if m.known {
-		m.batch.changed(time.Now())
+		// Soon: a new holder would wait for it.
+		m.batch.changed(time.Now().Add(time.Second - batchPause))
 	}
 }
 
@@ -685,9 +710,19 @@
 	})
 }
 
-// list lets the leader look for machines that nobody has recorded.
+// list lets the leader look for machines that nobody has recorded, and any
+// holder whether the cloud still has machines that have fallen silent. A wave of
+// spot machines taken back is noticed so in half the time that silence takes.
 func (n *Node) list(now time.Time) {
-	if !n.leads() || n.listing || now.Sub(n.lastList) < 15*time.Second {
+	pause := 15 * time.Second
+	if slices.ContainsFunc(n.shares, func(s *share) bool {
+		return n.mine(s) && slices.ContainsFunc(s.machines, func(m *machine) bool { return !m.unlisted && n.suspect(m, now) })
+	}) {
+		pause = 5 * time.Second
+	} else if !n.leads() {
+		return
+	}
+	if n.listing || now.Sub(n.lastList) < pause {
 		return
 	}
 	n.lastList = now
@@ -696,24 +731,29 @@
 		ms, err := n.cloud.List(ctx)
 		n.post(func() {
 			n.listing = false
-			if err == nil && n.leads() {
-				n.onList(ms, time.Now())
+			if err == nil {
+				n.onList(ms, now, time.Now())
 			}
 		})
 	})
 }
 
-func (n *Node) onList(ms []protocol.ListedMachine, now time.Time) {
+// onList takes in a list asked for at a time.
+func (n *Node) onList(ms []protocol.ListedMachine, asked, now time.Time) {
 	for name, t := range n.returned {
 		if now.Sub(t) > 5*time.Minute {
 			delete(n.returned, name)
 		}
 	}
 	var back []*machine
+	listed := make(map[string]bool, len(ms))
 	for _, l := range ms {
+		listed[l.ID] = true
 		m := n.machines[l.ID]
 		if m == nil || !m.known {
-			n.noteStray(l.ID, now)
+			if n.leads() {
+				n.noteStray(l.ID, now)
+			}
 			continue
 		}
 		if m.addr == "" {
@@ -724,6 +764,18 @@
 			back = append(back, m)
 		}
 	}
+	// A list may be older than the one before, by twice the nominal lag. What was
+	// rented long before that and is not on it is most likely gone; the answer to
+	// its return is the proof.
+	old := time.Duration((4*n.cfg.Params.Cloud.ListLagS + 5) * float64(time.Second))
+	for _, s := range n.shares {
+		if !n.mine(s) {
+			continue
+		}
+		for _, m := range s.machines {
+			m.unlisted = !listed[m.name] && asked.Sub(m.born) > old
+		}
+	}
 	n.giveBack(back, now)
 }
 
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -151,7 +151,7 @@
 func TestListedAddressIsNoSignOfLife(t *testing.T) {
 	b := newBench(t)
 	now := time.Now()
-	b.onList([]protocol.ListedMachine{{ID: "host-1", Addr: "host-1:9000", Type: "g4", Zone: "a", State: "booting"}}, now)
+	b.onList([]protocol.ListedMachine{{ID: "host-1", Addr: "host-1:9000", Type: "g4", Zone: "a", State: "booting"}}, now, now)
 	m := b.machines["host-1"]
 	m.batch.changed(now.Add(-time.Hour))
 	b.saveBatches(now)
@@ -191,3 +191,51 @@
 		t.Fatalf("%d turned away, the last for %d s", turned, last)
 	}
 }
+
+// A machine that falls silent and that the cloud lists no more is given up in
+// half the time that silence alone takes; one that is listed, or too young for
+// the list's lag, is not.
+func TestUnlistedSilentMachineIsGivenUpSoon(t *testing.T) {
+	b := newBench(t)
+	b.report(7, 1)
+	m := b.machines["host-1"]
+	m.born = m.born.Add(-time.Minute)
+	now := time.Now().Add(b.suspectLimit() + time.Second)
+	b.Contact(now)
+	if b.dead(m, now) || !b.suspect(m, now) {
+		t.Fatal("silence this short should be a suspicion only")
+	}
+	b.onList([]protocol.ListedMachine{{ID: "host-1", State: "running"}}, now, now)
+	if b.dead(m, now) {
+		t.Fatal("given up though it is listed")
+	}
+	b.onList(nil, now, now)
+	if !b.dead(m, now) {
+		t.Fatal("kept though it is silent and not listed")
+	}
+	m.born = now
+	b.onList(nil, now, now)
+	if b.dead(m, now) {
+		t.Fatal("given up before a list could show it")
+	}
+}
+
+// A holder that takes a share over during a cut waits for the machines beyond
+// it. (Seen on a simulated day: 120 working machines with 354 tasks were given up
+// 13 s after a take-over in a partition.)
+func TestMachinesBeyondACutAreKeptAfterATakeOver(t *testing.T) {
+	b := newBench(t)
+	j := b.job("job-1", false, onHost1)
+	m := b.machines["host-1"]
+	now := time.Now().Add(b.silentLimit() + 4*time.Second)
+	b.Contact(now)
+	if !b.dead(m, now) {
+		t.Fatalf("a machine with %d tasks that was never heard should be given up", j.nPlaced)
+	}
+	b.siblings["n-1"].zone = "a"
+	b.cfg.Zone = "b"
+	b.noteCuts(now)
+	if b.dead(m, now) {
+		t.Fatal("given up although its zone is cut off")
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -40,6 +40,8 @@
 	distrust   int       // errors of different jobs in a row
 	lastError  string    // the job of the last one
 	gone       bool      // returned: the cloud said so
+	unlisted   bool      // the cloud's last list lacks it
+	born       time.Time // when this node first saw its record
 	avoidTill  time.Time // place nothing new before
 	wakeAt     time.Time // when to answer a parked report; zero: when its time is up
 	parked     *parked
@@ -98,6 +100,7 @@
 	}
 	if !m.known {
 		m.added = time.Now()
+		m.born = m.added
 	}
 	m.known = true
 	m.rec = r
