--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -85,9 +85,11 @@
 		}
 		f.imagine(j, j.nWaiting())
 	}
-	// Running machines come first for what is only expected: the fullest ones,
-	// so that the emptiest can go.
-	slices.SortStableFunc(f.bins, func(a, b *bin) int { return b.tasks() - a.tasks() })
+	// Running machines come first for what is only expected: the fullest ones, and
+	// then those with the most images, so that the others can go.
+	slices.SortStableFunc(f.bins, func(a, b *bin) int {
+		return cmp.Or(b.tasks()-a.tasks(), b.images()-a.images())
+	})
 	f.open = slices.DeleteFunc(slices.Clone(f.bins), (*bin).full)
 	for _, j := range n.expected(s, now) {
 		f.imagine(j, len(j.tasks))
@@ -139,6 +141,13 @@
 	return len(b.machine.on)
 }
 
+func (b *bin) images() int {
+	if b.machine == nil {
+		return 0
+	}
+	return len(b.machine.images)
+}
+
 // bootTime is how long a machine of a type should take to boot.
 func (n *Node) bootTime(typ string) time.Duration {
 	if t := n.types[typ]; t != nil {
@@ -504,6 +513,7 @@
 	n.giveBack(back, now)
 	n.list(now)
 	n.sayHow(now)
+	n.tellCaches(now)
 }
 
 // sayHow logs now and then how the shares held are doing.
@@ -645,7 +655,7 @@
 // record: they are returned, which proves the tasks gone.
 func (n *Node) tendUnrecorded(m *machine, now time.Time, back *[]*machine) {
 	if len(m.on) == 0 {
-		if !m.returning {
+		if !m.returning || m.gone {
 			delete(n.machines, m.name)
 		}
 		return
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -73,10 +73,13 @@
 	reads       []*read
 	reading     bool
 	lastRead    time.Time
-	asked       int                  // users' changes under way
-	nextTurn    time.Time            // when the next user turned away should come back
-	strays      map[string]time.Time // unrecorded machines that were listed or heard, first seen
-	returned    map[string]time.Time // machines that are gone for good
+	asked       int                              // users' changes under way
+	nextTurn    time.Time                        // when the next user turned away should come back
+	strays      map[string]time.Time             // unrecorded machines that were listed or heard, first seen
+	returned    map[string]time.Time             // machines that are gone for good
+	caches      atomic.Pointer[[]protocol.Cache] // what the next hints tell; read by others
+	lastCaches  time.Time
+	nextCache   int
 	cutAt       map[string]time.Time // zones: when last found unreachable
 	listing     bool
 	lastList    time.Time
@@ -141,6 +144,7 @@
 	}
 	n.metrics = newMetrics(classes)
 	n.contact.Store(-int64(time.Hour))
+	n.caches.Store(&[]protocol.Cache{})
 	var guarantees []float64
 	for _, t := range cfg.Params.Teams {
 		guarantees = append(guarantees, max(t.GPUs, t.CPUs/8))
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,43 @@
 
 // Hint is what this node tells its siblings now. Any routine may call it.
 func (n *Node) Hint() []byte {
-	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Revision: atomic.LoadUint64(&n.followed)}.Encode()
+	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Revision: atomic.LoadUint64(&n.followed), Caches: *n.caches.Load()}.Encode()
+}
+
+// cachesPerHint is how many machines one hint tells of.
+const cachesPerHint = 80
+
+// tellCaches readies what the next hints tell of the caches of machines of the
+// shares held. A node that takes a share over, or gets a machine moved, then
+// knows where the images are; without it every take-over made all jobs fetch.
+func (n *Node) tellCaches(now time.Time) {
+	if now.Sub(n.lastCaches) < HintPeriod {
+		return
+	}
+	n.lastCaches = now
+	var ours []*machine
+	for _, s := range n.shares {
+		if n.mine(s) {
+			ours = append(ours, s.machines...)
+		}
+	}
+	told := []protocol.Cache{}
+	for range min(cachesPerHint, len(ours)) {
+		n.nextCache = (n.nextCache + 1) % len(ours)
+		if m := ours[n.nextCache]; len(m.images) > 0 {
+			told = append(told, protocol.Cache{Machine: m.name, Images: slices.Clone(m.images)})
+		}
+	}
+	n.caches.Store(&told)
+}
+
+// learnCaches takes in what a sibling tells of the machines that it commands.
+func (n *Node) learnCaches(told []protocol.Cache) {
+	for _, c := range told {
+		if m := n.machines[c.Machine]; m != nil && m.known && !n.mine(n.shares[m.rec.Share]) {
+			m.images = c.Images
+		}
+	}
 }
 
 // TakeHint takes in a sibling's hint; a malformed one is counted and refused.
@@ -30,6 +67,7 @@
 			n.metrics.refused.WithLabelValues("malformed_hint").Inc()
 		} else if s := n.siblings[h.Node]; s != nil {
 			s.heard, s.stateOK = time.Now(), h.StateOK
+			n.learnCaches(h.Caches)
 		}
 	})
 	return err
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -239,3 +239,24 @@
 		t.Fatal("given up although its zone is cut off")
 	}
 }
+
+// Where images are is known beyond the node that learned it, and a sibling's
+// word does not replace what this node sees itself.
+func TestCachesAreToldToSiblings(t *testing.T) {
+	a, b := newBench(t), newBench(t)
+	a.machines["host-1"].images = []protocol.CachedImage{{Name: "i", GB: 4}}
+	a.tellCaches(time.Now())
+	h, err := protocol.DecodeHint(a.Hint())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.learnCaches(h.Caches)
+	if b.machines["host-1"].has("i") {
+		t.Fatal("a holder believed another about its own machine")
+	}
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 4})
+	b.learnCaches(h.Caches)
+	if !b.machines["host-1"].has("i") {
+		t.Fatal("what a sibling told is not known")
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -45,8 +45,8 @@
 	avoidTill  time.Time // place nothing new before
 	wakeAt     time.Time // when to answer a parked report; zero: when its time is up
 	parked     *parked
-	images     []cachedImage // most recently used last
-	secPerGB   float64       // learned seconds per GB fetched; 0: unknown
+	images     []protocol.CachedImage // most recently used last
+	secPerGB   float64                // learned seconds per GB fetched; 0: unknown
 	fetchSince map[string]time.Time
 	heldBack   bool
 	earmark    *job // a gang that room is being gathered for
@@ -54,11 +54,6 @@
 	needed     bool // by what waits or is expected
 }
 
-type cachedImage struct {
-	name string
-	gb   float64
-}
-
 // parked is a report whose answer waits a moment, so that a start can go out
 // as soon as it is stored.
 type parked struct {
@@ -99,7 +94,9 @@
 		m.added, m.heard = time.Now(), time.Time{}
 	}
 	if !m.known {
-		m.added = time.Now()
+		m.unfence()
+		m.moving, m.returning, m.gone = false, false, false
+		m.added, m.heard = time.Now(), time.Time{}
 		m.born = m.added
 	}
 	m.known = true
@@ -118,11 +115,10 @@
 	if m.known {
 		n.leave(m)
 	}
+	// It is forgotten with the next look at the machines, not at once: a move's
+	// two halves may be seen in either order, and its images are still there.
 	m.known = false
 	n.unpark(m)
-	if len(m.on) == 0 {
-		delete(n.machines, name)
-	}
 }
 
 // unfence forgets what the worker said under an earlier token.
@@ -355,14 +351,14 @@
 	total := gb
 	kept := m.images[:0]
 	for _, im := range m.images {
-		if im.name != image {
+		if im.Name != image {
 			kept = append(kept, im)
-			total += im.gb
+			total += im.GB
 		}
 	}
-	m.images = append(kept, cachedImage{image, gb})
+	m.images = append(kept, protocol.CachedImage{Name: image, GB: gb})
 	for t != nil && total > t.CacheGB && len(m.images) > 1 {
-		total -= m.images[0].gb
+		total -= m.images[0].GB
 		m.images = m.images[1:]
 	}
 }
@@ -373,7 +369,7 @@
 		return true
 	}
 	for _, im := range m.images {
-		if im.name == image {
+		if im.Name == image {
 			return true
 		}
 	}
--- a/internal/protocol/peer_test.go
+++ b/internal/protocol/peer_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -8,8 +9,15 @@
 
 func TestHintRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := Hint{rapid.StringMatching(`[a-z0-9-]{1,40}`).Draw(t, "node"), rapid.Bool().Draw(t, "ok"), rapid.Uint64().Draw(t, "rev")}
-		if got, err := DecodeHint(h.Encode()); err != nil || got != h {
+		h := Hint{Node: rapid.StringMatching(`[a-z0-9-]{1,40}`).Draw(t, "node"), StateOK: rapid.Bool().Draw(t, "ok"), Revision: rapid.Uint64().Draw(t, "rev")}
+		for range rapid.IntRange(0, 5).Draw(t, "machines") {
+			c := Cache{Machine: rapid.StringMatching(`[a-z0-9-]{1,20}`).Draw(t, "machine")}
+			for range rapid.IntRange(0, 4).Draw(t, "images") {
+				c.Images = append(c.Images, CachedImage{rapid.StringMatching(`[a-z]{1,4}`).Draw(t, "image"), float64(rapid.IntRange(0, 200).Draw(t, "halves")) / 2})
+			}
+			h.Caches = append(h.Caches, c)
+		}
+		if got, err := DecodeHint(h.Encode()); err != nil || !reflect.DeepEqual(got, h) {
 			t.Fatalf("%+v became %+v, %v", h, got, err)
 		}
 	})
@@ -22,7 +30,7 @@
 		if h, err := DecodeHint(data); err == nil && h.Node == "" {
 			t.Fatal("accepted a hint without a node")
 		}
-		good := Hint{"n-1", true, 7}.Encode()
+		good := Hint{Node: "n-1", StateOK: true, Revision: 7, Caches: []Cache{{"host-1", []CachedImage{{"i", 2}}}}}.Encode()
 		good[rapid.IntRange(0, len(good)-1).Draw(t, "at")] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
 		DecodeHint(good)
 	})
--- a/internal/protocol/peerfb/Hint.go
+++ b/internal/protocol/peerfb/Hint.go
@@ -65,8 +65,48 @@
 	return rcv._tab.MutateUint64Slot(8, n)
 }
 
+func (rcv *Hint) Images(obj *Image, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Hint) ImagesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Hint) Caches(obj *Cache, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Hint) CachesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func HintStart(builder *flatbuffers.Builder) {
-	builder.StartObject(3)
+	builder.StartObject(5)
 }
 func HintAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -77,6 +117,18 @@
 func HintAddRevision(builder *flatbuffers.Builder, revision uint64) {
 	builder.PrependUint64Slot(2, revision, 0)
 }
+func HintAddImages(builder *flatbuffers.Builder, images flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(3, flatbuffers.UOffsetT(images), 0)
+}
+func HintStartImagesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func HintAddCaches(builder *flatbuffers.Builder, caches flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(4, flatbuffers.UOffsetT(caches), 0)
+}
+func HintStartCachesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func HintEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
