--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -204,7 +204,7 @@
 	n.propose(j, tasks, to, now)
 	v.roomy = slices.DeleteFunc(v.roomy, func(m *machine) bool { return !n.hasRoom(m) })
 	n.metrics.placed.Add(float64(len(tasks)))
-	n.log.Debug("placing", "job", j.id, "tasks", len(tasks), "heavy", j.heavy, "waiting", j.nWaiting())
+	n.log.Debug("placing", "job", j.id, "class", j.spec.Class, "tasks", len(tasks), "heavy", j.heavy, "waiting", j.nWaiting(), "fetch_s", picked[len(picked)-1].Cost, "after_s", now.Sub(j.seen).Seconds())
 }
 
 // bestZone keeps the zone with room for r tasks and the least cost of the
