--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -260,3 +260,39 @@
 		t.Fatal("what a sibling told is not known")
 	}
 }
+
+// A service that finds all but one of its places where its image is gets one task
+// stopped there, and not as many as it has itself.
+func TestRoomIsMadeOnlyForWhatLacksTheImage(t *testing.T) {
+	b := newBench(t)
+	b.put(protocol.BatchKey("r-0-7-2-0"), protocol.BatchRecord{Machines: []protocol.MachineRecord{{Name: "host-2", Type: "g4", Zone: "a"}, {Name: "host-3", Type: "g4", Zone: "a"}}})
+	now := time.Now()
+	for _, name := range []string{"host-1", "host-2", "host-3"} {
+		m := b.machines[name]
+		m.fenced, m.heard = true, now
+		if name != "host-3" {
+			m.images = []protocol.CachedImage{{Name: "i", GB: 30}}
+		}
+	}
+	b.cfg.Params.Aims = []protocol.Objective{{Kind: "wait", Class: "s", WithinS: 10, Share: 0.9}}
+	b.teams[0].limit = Amounts{}
+	var placed []protocol.Placement
+	for i := range 4 {
+		placed = append(placed, protocol.Placement{Task: i, Attempt: 1, Machine: "host-2"})
+	}
+	low := &protocol.JobSpec{ID: "job-1", Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 4, CPUs: 4, GPUs: 1, Image: "x"}
+	b.put(protocol.JobKey("job-1"), protocol.JobRecord{Spec: low, Next: 2, Chunk: protocol.Chunk{Placed: placed}})
+	spec := &protocol.JobSpec{ID: "job-2", Team: "red", Class: "s", Shape: protocol.Service, Priority: "critical", Tasks: 5, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 30}
+	b.put(protocol.JobKey("job-2"), protocol.JobRecord{Spec: spec, SubmittedMS: 1, Next: 1})
+	b.policy.NoRents = true
+	b.plan(now)
+	stopped := 0
+	for i := range 4 {
+		if b.jobs["job-1"].tasks[i].stop {
+			stopped++
+		}
+	}
+	if stopped != 1 {
+		t.Fatalf("%d tasks stopped, want 1", stopped)
+	}
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -181,10 +181,10 @@
 		j.why = "no free machine"
 		return
 	}
-	if picked[len(picked)-1].Cost > n.patience(j.spec) && !now.Before(j.preempted) {
+	if short := countAbove(picked, n.patience(j.spec)); short > 0 && !now.Before(j.preempted) {
 		// The aim would be missed for the fetch alone. Room that was made without
 		// regard to the image is taken, or another job would take it.
-		if now.Before(j.roomTill) || j.roomTill.IsZero() && n.makeRoom(s, j, r, true, now) {
+		if now.Before(j.roomTill) || j.roomTill.IsZero() && n.makeRoom(s, j, short, true, now) {
 			j.why = "room is being made where its image is"
 			n.replan = true
 			return
@@ -207,6 +207,17 @@
 	n.log.Debug("placing", "job", j.id, "class", j.spec.Class, "tasks", len(tasks), "heavy", j.heavy, "waiting", j.nWaiting(), "fetch_s", picked[len(picked)-1].Cost, "after_s", now.Sub(j.seen).Seconds())
 }
 
+// countAbove is how many slots cost more than a bound.
+func countAbove(slots []Slot, bound float64) int {
+	c := 0
+	for _, s := range slots {
+		if s.Cost > bound {
+			c++
+		}
+	}
+	return c
+}
+
 // bestZone keeps the zone with room for r tasks and the least cost of the
 // first r, or else the one with the most room.
 func bestZone(slots []Slot, r int) []Slot {
@@ -461,11 +472,11 @@
 type sacrifice struct {
 	m       *machine
 	victims []victim
-	gain    int     // tasks of the job that would fit
+	gain    int     // tasks of the job that would fit in addition
 	loss    float64 // seconds of work lost, and of fetching the image
 }
 
-// sacrifice finds the cheapest tasks of m to stop so that up to r tasks of j fit.
+// sacrifice finds the cheapest tasks of m to stop so that up to r more tasks of j fit.
 func (n *Node) sacrifice(m *machine, j *job, r int, within bool, borrowed map[int]float64, now time.Time) *sacrifice {
 	type cand struct {
 		victim
@@ -495,9 +506,10 @@
 	})
 	c := &sacrifice{m: m, loss: n.cost(m, j.spec)}
 	free := n.free(m)
+	before := free.Times(j.need)
 	taken := map[int]float64{}
 	for _, x := range cands {
-		if free.Times(j.need) >= r {
+		if free.Times(j.need)-before >= r {
 			break
 		}
 		if taken[x.job.team] += x.job.need.GPUs; x.lends && taken[x.job.team] > borrowed[x.job.team]+slack {
@@ -507,8 +519,8 @@
 		c.victims = append(c.victims, x.victim)
 		c.loss += x.loss
 	}
-	c.gain = min(r, free.Times(j.need))
-	if c.gain == 0 || len(c.victims) == 0 {
+	c.gain = min(r, free.Times(j.need)-before)
+	if c.gain <= 0 || len(c.victims) == 0 {
 		return nil
 	}
 	return c
