--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -34,6 +34,7 @@
 	phase   phase
 	fact    fact
 	storing bool // the fact is part of a change being stored
+	freed   bool // its place counts as free: it is known not to be there
 	stop    bool // wanted off its machine
 	seen    seenState
 	attempt uint64
@@ -220,13 +221,14 @@
 func (n *Node) setPhase(j *job, i int, p phase, m *machine, attempt uint64, now time.Time) {
 	t := &j.tasks[i]
 	holds := func(p phase) bool { return p == proposed || p == placed }
-	if holds(t.phase) && t.machine != m {
+	other := t.machine != m || t.attempt != attempt
+	if holds(t.phase) && other {
 		// The worker is to forget the task, but not before what may take its place
 		// is stored: then both go in one answer.
 		n.wake(t.machine, now.Add(refillTime))
 		n.release(j, i)
 	}
-	if holds(p) && (t.machine != m || !holds(t.phase)) {
+	if holds(p) && (other || !holds(t.phase)) {
 		n.reserve(j, i, m)
 	}
 	if t.phase != done && p == done {
@@ -255,21 +257,32 @@
 
 func (n *Node) release(j *job, i int) {
 	j.nPlaced--
-	tm := n.teams[j.team]
-	tm.used = tm.used.Add(j.need, -1)
+	n.freePlace(j, i)
 	m := j.tasks[i].machine
-	m.used = m.used.Add(j.need, -1)
 	delete(m.on, taskKey{j, i})
 	if len(m.on) == 0 {
 		m.used = Amounts{}
 		m.idleSince = time.Now()
-		if !m.known {
-			delete(n.machines, m.name)
-		}
 	}
 	n.replan = true
 }
 
+// freePlace gives back what a task took, once: when it is known to be gone, which is
+// before that is stored. The next task need not wait for the books: should this
+// node end before they are written, the next holder counts both until a fenced
+// report shows which is there. What is stored first is that task's placement.
+func (n *Node) freePlace(j *job, i int) {
+	t := &j.tasks[i]
+	if t.freed {
+		return
+	}
+	t.freed = true
+	tm := n.teams[j.team]
+	tm.used = tm.used.Add(j.need, -1)
+	t.machine.used = t.machine.used.Add(j.need, -1)
+	n.replan = true
+}
+
 // dropJob forgets a job whose head is gone: it is final.
 func (n *Node) dropJob(id string) {
 	j := n.jobs[id]
@@ -298,6 +311,7 @@
 	}
 	t.fact = f
 	n.dirty[j] = true
+	n.freePlace(j, i)
 	if j.spec.Shape != protocol.Gang {
 		return
 	}
@@ -306,6 +320,7 @@
 		for k := range j.tasks {
 			if j.tasks[k].phase == placed {
 				j.tasks[k].fact = finished
+				n.freePlace(j, k)
 			}
 		}
 	} else if !j.abandon {
@@ -377,7 +392,7 @@
 
 // factPause is how long the ends of an array's tasks are gathered when changes
 // are scarce. The job's end is not among them.
-const factPause = time.Second
+const factPause = 3 * time.Second
 
 // How urgent it is to store what is new of a job.
 const (
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -296,3 +296,34 @@
 		t.Fatalf("%d tasks stopped, want 1", stopped)
 	}
 }
+
+// A place is free as soon as its task is known to be gone, and is given back
+// once, whatever becomes of the record: stored, lost to another holder, or
+// replaced by a later attempt on the same machine.
+func TestPlaceIsGivenBackOnce(t *testing.T) {
+	b := newBench(t)
+	j := b.job("job-1", false, onHost1)
+	m, tm := b.machines["host-1"], b.teams[0]
+	used := func(want float64) {
+		t.Helper()
+		if m.used.GPUs != want || tm.used.GPUs != want {
+			t.Fatalf("%v GPUs of the machine and %v of the team in use, want %v", m.used.GPUs, tm.used.GPUs, want)
+		}
+	}
+	used(1)
+	b.note(j, 0, gone)
+	used(0)
+	if len(m.on) != 1 {
+		t.Fatal("a machine with a task whose end is not stored counts as empty")
+	}
+	again := onHost1
+	again.Attempt = 2
+	b.put(protocol.JobKey("job-1"), protocol.JobRecord{Spec: j.spec, Next: 3, Chunk: protocol.Chunk{Placed: []protocol.Placement{again}}})
+	used(1)
+	b.note(j, 0, finished)
+	b.put(protocol.JobKey("job-1"), protocol.JobRecord{Spec: j.spec, Next: 3, Chunk: protocol.Chunk{Done: [][2]int{{0, 0}}}})
+	used(0)
+	if len(m.on) != 0 {
+		t.Fatal("a task that is done is still counted on its machine")
+	}
+}
