--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -71,7 +71,7 @@
 
 // usersPart is the part of the rate of changes that users can count on while
 // the books have much to store too.
-const usersPart = 0.6
+const usersPart = 0.85
 
 // turnAway says whether a change that a user waits for could not be stored soon.
 // Then the user is told at once when to come back: each one turned away a turn
