--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -102,8 +102,9 @@
 	n.serve(w, r, func(reply chan<- answer) { n.onCancel(id, 5, reply) })
 }
 
-// maxReport bounds a worker's report; it is no user's body.
-const maxReport = 8 << 20
+// maxReport bounds a worker's report: a request holds 64 KiB; a little more
+// does no harm, and a longer one is cut and so refused as malformed.
+const maxReport = 4 * protocol.MaxBody
 
 func (n *Node) postReport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxReport))
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -17,6 +17,8 @@
 	cloud    *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	placed   prometheus.Counter
+	lag      prometheus.Histogram
+	backlog  prometheus.Gauge
 	classes  map[string]bool
 }
 
@@ -36,7 +38,11 @@
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dapplestage_guard_refusals_total",
 		Help: "What was refused to keep a rule, by guard."}, []string{"guard"})
 	m.placed = prometheus.NewCounter(prometheus.CounterOpts{Name: "dapplestage_placed_tasks_total", Help: "Tasks given a machine."})
-	m.Registry.MustRegister(m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
+	m.lag = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dapplestage_lag_seconds",
+		Help: "How late the node comes to what is due; late in most cases: too little processor time.", Buckets: []float64{.005, .02, .05, .1, .25, .5, 1, 2}})
+	m.backlog = prometheus.NewGauge(prometheus.GaugeOpts{Name: "dapplestage_backlog",
+		Help: "Changes and reads that wait for the state service."})
+	m.Registry.MustRegister(m.lag, m.backlog, m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
 	return m
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -220,7 +220,10 @@
 				}
 			}
 			n.settle(time.Now())
-		case now := <-tick.C:
+		case due := <-tick.C:
+			now := time.Now()
+			n.metrics.lag.Observe(now.Sub(due).Seconds())
+			n.metrics.backlog.Set(float64(n.storing + n.asked + len(n.reads)))
 			n.tick(now)
 			n.settle(now)
 		}
@@ -273,6 +276,11 @@
 }
 
 func (n *Node) setTypes(types []protocol.MachineType) {
+	if len(n.types) == 0 {
+		for _, s := range Shortages(n.cfg, types) {
+			n.log.Warn("settings can hardly be met", "why", s)
+		}
+	}
 	for i := range types {
 		n.types[types[i].Name] = &types[i]
 	}
