--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -85,10 +85,10 @@
 		}
 		f.imagine(j, j.nWaiting())
 	}
-	// Running machines come first for what is only expected: the fullest ones, then
-	// the cheapest, then those with the most images, so that the others can go.
+	// Running machines come first for what is only expected: the fullest ones, and
+	// then those with the most images, so that the others can go.
 	slices.SortStableFunc(f.bins, func(a, b *bin) int {
-		return cmp.Or(b.tasks()-a.tasks(), cmp.Compare(n.price(a.offer), n.price(b.offer)), b.images()-a.images())
+		return cmp.Or(b.tasks()-a.tasks(), b.images()-a.images())
 	})
 	f.open = slices.DeleteFunc(slices.Clone(f.bins), (*bin).full)
 	for _, j := range n.expected(s, now) {
@@ -141,18 +141,6 @@
 	return len(b.machine.on)
 }
 
-// price is what a kind of machine costs an hour at present.
-func (n *Node) price(o offer) float64 {
-	t := n.types[o.typ]
-	switch {
-	case t == nil:
-		return 0
-	case o.spot:
-		return t.SpotPrice
-	}
-	return t.Price
-}
-
 func (b *bin) images() int {
 	if b.machine == nil {
 		return 0
@@ -406,8 +394,11 @@
 		}
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
+				p := t.Price
+				if spot {
+					p = t.SpotPrice
+				}
 				o := offer{t.Name, z, spot}
-				p := n.price(o)
 				if fits(o) && !now.Before(n.refusedTill[o]) && better(o, p) {
 					best, price, ok = o, p, true
 				}
