--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -244,7 +244,7 @@
 	part := min(1, n.policy.Headroom*boot/span)
 	var out []*job
 	sums := map[string]float64{}
-	for _, a := range withoutWaves(s.recent, now) {
+	for _, a := range s.recent {
 		sum, ok := sums[a.spec.Class]
 		if !ok && a.spec.Rank() == protocol.Production {
 			sum = 1 - part // one of a class that must not wait is always expected
@@ -265,35 +265,6 @@
 	return out
 }
 
-// withoutWaves leaves out what came in waves far above the usual: the jobs that
-// are there when the service starts, or come back after an outage, say nothing of
-// the rate. (Seen on simulated days: for two minutes after the start a third of a
-// fleet of 1,600 stood empty for more of them.)
-func withoutWaves(recent []arrival, now time.Time) []arrival {
-	const span = 10 * time.Second
-	slot := func(a arrival) int { return int(now.Sub(a.at) / span) }
-	counts := map[int]int{}
-	last := 0
-	for _, a := range recent {
-		counts[slot(a)]++
-		last = max(last, slot(a))
-	}
-	all := make([]int, last+1)
-	for i := range all {
-		all[i] = counts[i]
-	}
-	slices.Sort(all)
-	most := 3*all[len(all)/2] + 3
-	var out []arrival
-	clear(counts)
-	for _, a := range recent {
-		if counts[slot(a)]++; counts[slot(a)] <= most {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
 // forecast is one look at what machines the near future needs.
 type forecast struct {
 	n      *Node
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -357,29 +357,3 @@
 		}
 	}
 }
-
-// The jobs that are there at the start are not taken for the usual rate; a burst
-// of three times as many is.
-func TestWavesAreNotTheUsualRate(t *testing.T) {
-	now := time.Now()
-	var recent []arrival
-	for i := range 100 {
-		recent = append(recent, arrival{at: now.Add(-100*time.Second + time.Duration(i)*10*time.Millisecond)})
-	}
-	for i := range 45 {
-		recent = append(recent, arrival{at: now.Add(-90*time.Second + time.Duration(2*i)*time.Second)})
-	}
-	if got := len(withoutWaves(recent, now)); got < 45 || got > 70 {
-		t.Errorf("of a wave of 100 and 45 steady arrivals %d count", got)
-	}
-	recent = recent[100:]
-	for i := range 30 {
-		recent = append(recent, arrival{at: now.Add(-20*time.Second + time.Duration(i)*600*time.Millisecond)})
-	}
-	if got := len(withoutWaves(recent, now)); got < 70 {
-		t.Errorf("of 75 arrivals, the last 30 in a burst, %d count", got)
-	}
-	if withoutWaves(nil, now) != nil {
-		t.Error("arrivals from nothing")
-	}
-}
