--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -196,7 +196,7 @@
 func TestFinalIDIsNotTakenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := newWorld(t, ctx, 1)
+		w := newWorld(t, ctx, 1, asTheyAre)
 		w.state.Put(protocol.FinalKey("job-000001"), protocol.FinalRecord{Status: protocol.JobDone, Tasks: 1})
 		time.Sleep(5 * time.Second)
 		s := &protocol.JobSpec{ID: "job-000001", Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i"}
@@ -214,7 +214,7 @@
 func TestTakeOverRaisesToken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := newWorld(t, ctx, 1)
+		w := newWorld(t, ctx, 1, asTheyAre)
 		w.state.Put(protocol.CounterKey, protocol.CounterRecord{Token: 41})
 		time.Sleep(8 * time.Second)
 		synctest.Wait()
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -202,6 +202,7 @@
 			n.setPhase(j, i, placed, m, p.Attempt, now)
 			if fresh {
 				n.wake(m, now)
+				n.starts[m] = true
 			}
 		case t.phase != waiting:
 			n.setPhase(j, i, waiting, nil, 0, now)
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -508,6 +508,11 @@
 			}
 		}
 	}
+	for _, s := range n.shares {
+		if n.mine(s) {
+			n.endDoubts(s)
+		}
+	}
 	n.returnStrays(now, &back)
 	n.saveBatches(now)
 	n.giveBack(back, now)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -74,6 +74,8 @@
 	reading     bool
 	lastRead    time.Time
 	asked       int                              // users' changes under way
+	starts      map[*machine]bool                // machines with starts just stored
+	direct      int                              // direct starts under way
 	nextTurn    time.Time                        // when the next user turned away should come back
 	strays      map[string]time.Time             // unrecorded machines that were listed or heard, first seen
 	returned    map[string]time.Time             // machines that are gone for good
@@ -131,7 +133,7 @@
 		started: time.Now(), inbox: make(chan func(), 1024),
 		ver: map[string]uint64{}, orphans: map[string]protocol.Chunk{}, jobs: map[string]*job{}, finals: newFinalCache(50000),
 		machines: map[string]*machine{}, batches: map[string]*batch{}, teamOf: map[string]int{}, nodes: map[string]time.Time{},
-		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, tombs: map[string]struct{}{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}, cutAt: map[string]time.Time{},
+		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, starts: map[*machine]bool{}, tombs: map[string]struct{}{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}, cutAt: map[string]time.Time{},
 		refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, policy: DefaultPolicy(),
 	}
 	n.siblings = map[string]*sibling{}
@@ -246,6 +248,10 @@
 	}
 	n.flush(now)
 	n.releaseParked(now)
+	for m := range n.starts {
+		n.startNow(m, now)
+	}
+	clear(n.starts)
 	n.startRead(now)
 }
 
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -11,7 +11,7 @@
 
 // usable says whether new tasks may be placed on a machine.
 func (n *Node) usable(m *machine, now time.Time) bool {
-	return m.known && m.fenced && !m.notice && !m.returning && !m.gone && !m.moving && !m.heldBack &&
+	return m.known && m.fenced && !m.notice && !m.returning && !m.gone && !m.moving && !m.heldBack && len(m.doubt) == 0 &&
 		m.distrust < 3 && !now.Before(m.avoidTill) &&
 		now.Sub(m.heard).Seconds() < 2.5*n.cfg.Params.Workers.ReportS+1
 }
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -100,6 +100,9 @@
 		s.window = NewWindow(n.policy.Window)
 		for _, j := range s.jobs {
 			j.counted = false
+			// A gang of which an earlier holder recorded only a part, or took a part
+			// back, cannot start: the rest must go before its next attempt.
+			j.abandon = j.spec.Shape == protocol.Gang && j.nPlaced > 0 && j.nWaiting() > 0
 			n.dirty[j] = true
 			for i := range j.tasks {
 				j.tasks[i].seen, j.tasks[i].sent = unseen, time.Time{}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -57,7 +57,7 @@
 	return s
 }
 
-func newWorld(t *testing.T, ctx context.Context, seed uint64) *world {
+func newWorld(t *testing.T, ctx context.Context, seed uint64, change func(p *protocol.WorkerSettings)) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 8)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
 		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}}
@@ -68,6 +68,7 @@
 	f.Teams = map[string]protocol.Team{}
 	for i := range w.names {
 		w.cfg[w.names[i]] = settingsFor(w.names, i)
+		change(&w.cfg[w.names[i]].Params.Workers)
 	}
 	f.Workers = w.cfg["n-0"].Params.Workers
 	for _, tm := range w.cfg["n-0"].Params.Teams {
@@ -113,7 +114,7 @@
 		log = slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", name)
 	}
 	fs := &faultyState{w: w, node: name}
-	n := New(ctx, w.cfg[name], log, fs, w.fleet, w.fleet, 1)
+	n := New(ctx, w.cfg[name], log, fs, w.fleet, &faultyWorkers{w, name}, 1)
 	fs.contact = n.Contact
 	w.set(func() { w.nodes[name], w.stop[name] = n, cancel })
 	go n.Run()
@@ -185,6 +186,33 @@
 	return a.status, protocol.Orders{}, "", nil
 }
 
+// faultyWorkers are direct calls to workers as one node makes them: some are held
+// on their way and executed much later, some answers are lost.
+type faultyWorkers struct {
+	w    *world
+	node string
+}
+
+func (f *faultyWorkers) Command(ctx context.Context, addr string, o protocol.Orders) (*protocol.Report, bool, error) {
+	time.Sleep(f.w.between(time.Millisecond, 5*time.Millisecond))
+	if f.w.is(f.w.noNet, f.node) || f.w.is(f.w.deaf, f.node) || f.w.chance(&f.w.lossy) {
+		if f.w.chance(&half) {
+			go func() {
+				time.Sleep(f.w.between(2*time.Second, 70*time.Second))
+				f.w.fleet.Command(f.w.ctx, addr, o)
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		return nil, false, errNoAnswer
+	}
+	r, ok, err := f.w.fleet.Command(ctx, addr, o)
+	if f.w.chance(&f.w.lossy) {
+		time.Sleep(2 * time.Second)
+		return nil, false, errNoAnswer // executed, but the answer is lost
+	}
+	return r, ok, err
+}
+
 // faultyState is the state service as one node meets it.
 type faultyState struct {
 	w       *world
@@ -425,10 +453,10 @@
 	}
 }
 
-func simulate(t *testing.T, seed uint64, count int, faults func(w *world)) {
+func simulate(t *testing.T, seed uint64, count int, change func(p *protocol.WorkerSettings), faults func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := newWorld(t, ctx, seed)
+		w := newWorld(t, ctx, seed, change)
 		w.run(count, faults)
 		cancel()
 		time.Sleep(2 * time.Minute) // until all that was held has come
@@ -437,50 +465,63 @@
 }
 
 func TestQuietDay(t *testing.T) {
-	simulate(t, 1, 20, func(*world) { time.Sleep(30 * time.Second) })
+	simulate(t, 1, 20, asTheyAre, func(*world) { time.Sleep(30 * time.Second) })
 }
 
 // Random troubles, one after the other and overlapping.
 func TestTroubles(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			simulate(t, seed, 16, func(w *world) {
-				w.set(func() { w.late = 0.5 })
-				for range 8 {
-					name := w.names[w.plan.IntN(3)]
-					lasts := w.between(2*time.Second, 35*time.Second)
-					switch w.plan.IntN(7) {
-					case 0:
-						w.crash(name)
-					case 1:
-						w.set(func() { w.outage = true })
-						time.Sleep(lasts)
-						w.set(func() { w.outage = false })
-						w.state.Refill()
-					case 2:
-						w.set(func() { w.noState[name] = true })
-						time.Sleep(lasts)
-						w.set(func() { w.noState[name] = false })
-					case 3:
-						w.set(func() { w.noNet[name] = true })
-						time.Sleep(lasts)
-						w.set(func() { w.noNet[name] = false })
-					case 4:
-						w.set(func() { w.deaf[name] = true })
-						time.Sleep(lasts)
-						w.set(func() { w.deaf[name] = false })
-					case 5:
-						if ms := w.fleet.Names(); len(ms) > 0 {
-							w.fleet.Kill(ms[w.plan.IntN(len(ms))])
-						}
-					case 6:
-						w.set(func() { w.lossy = 0.2 })
-						time.Sleep(lasts)
-						w.set(func() { w.lossy = 0 })
-					}
-					time.Sleep(w.between(time.Millisecond, 8*time.Second))
-				}
-			})
+			simulate(t, seed, 16, asTheyAre, troubles)
+		})
+	}
+}
+
+// The same where workers report rarely, so that starts go out directly.
+func TestTroublesWithDirectStarts(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			simulate(t, 100+seed, 16, func(p *protocol.WorkerSettings) { p.ReportS, p.LeaseS, p.CancelS = 6, 36, 56 }, troubles)
 		})
 	}
 }
+
+func asTheyAre(*protocol.WorkerSettings) {}
+
+func troubles(w *world) {
+	w.set(func() { w.late = 0.5 })
+	for range 8 {
+		name := w.names[w.plan.IntN(3)]
+		lasts := w.between(2*time.Second, 35*time.Second)
+		switch w.plan.IntN(7) {
+		case 0:
+			w.crash(name)
+		case 1:
+			w.set(func() { w.outage = true })
+			time.Sleep(lasts)
+			w.set(func() { w.outage = false })
+			w.state.Refill()
+		case 2:
+			w.set(func() { w.noState[name] = true })
+			time.Sleep(lasts)
+			w.set(func() { w.noState[name] = false })
+		case 3:
+			w.set(func() { w.noNet[name] = true })
+			time.Sleep(lasts)
+			w.set(func() { w.noNet[name] = false })
+		case 4:
+			w.set(func() { w.deaf[name] = true })
+			time.Sleep(lasts)
+			w.set(func() { w.deaf[name] = false })
+		case 5:
+			if ms := w.fleet.Names(); len(ms) > 0 {
+				w.fleet.Kill(ms[w.plan.IntN(len(ms))])
+			}
+		case 6:
+			w.set(func() { w.lossy = 0.2 })
+			time.Sleep(lasts)
+			w.set(func() { w.lossy = 0 })
+		}
+		time.Sleep(w.between(time.Millisecond, 8*time.Second))
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -40,6 +40,9 @@
 	distrust   int       // errors of different jobs in a row
 	lastError  string    // the job of the last one
 	gone       bool      // returned: the cloud said so
+	calling    bool      // a direct start is under way
+	doubt      []started // direct starts that were not answered
+	reported   time.Time // when its last report came
 	unlisted   bool      // the cloud's last list lacks it
 	born       time.Time // when this node first saw its record
 	avoidTill  time.Time // place nothing new before
@@ -125,6 +128,7 @@
 func (m *machine) unfence() {
 	m.fenced = false
 	m.fenceTry = time.Time{}
+	m.doubt = nil // the token is a higher one: what is late does nothing
 }
 
 // token is what entitles this node to command a machine.
@@ -176,7 +180,8 @@
 		reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: []protocol.Command{}}}
 		return
 	}
-	if !m.fenced {
+	m.reported = now
+	if !m.fenced || m.inDoubt(r) {
 		reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: []protocol.Command{}}}
 		return
 	}
