--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -513,11 +513,6 @@
 			n.endDoubts(s)
 		}
 	}
-	for i, s := range n.shares {
-		if n.mine(s) {
-			n.returnSpare(s, idle[i], now, &back)
-		}
-	}
 	n.returnStrays(now, &back)
 	n.saveBatches(now)
 	n.giveBack(back, now)
@@ -683,48 +678,6 @@
 	}
 }
 
-// returnSpare gives back as many empty machines as a share has had to spare all
-// the time lately. Which of them stand empty changes with the images that jobs
-// need, so that no single one may be empty for long; what counts is how many were
-// never needed at once.
-func (n *Node) returnSpare(s *share, idle bool, now time.Time, back *[]*machine) {
-	var empty []*machine
-	count := 0
-	for _, m := range s.machines {
-		if len(m.on) == 0 && m.fenced && !m.moving && !m.returning && !m.gone {
-			count++
-			if !m.needed && !m.idleSince.IsZero() && now.Sub(m.idleSince).Seconds() <= n.policy.IdleS {
-				empty = append(empty, m)
-			}
-		}
-	}
-	s.spare.add(now, count)
-	spare, known := s.spare.least(now, time.Duration(n.policy.IdleS*float64(time.Second)))
-	if !idle || !known {
-		return
-	}
-	slices.SortStableFunc(empty, func(a, b *machine) int {
-		return cmp.Or(cmp.Compare(n.price(b), n.price(a)), len(a.images)-len(b.images))
-	})
-	for _, m := range empty[:min(spare, len(empty))] {
-		n.log.Info("machine returned", "machine", m.name, "spare", spare)
-		*back = append(*back, m)
-	}
-	s.spare.less(min(spare, len(empty)))
-}
-
-// price is what a machine costs an hour at present.
-func (n *Node) price(m *machine) float64 {
-	t := n.types[m.rec.Type]
-	switch {
-	case t == nil:
-		return 0
-	case m.rec.Spot:
-		return t.SpotPrice
-	}
-	return t.Price
-}
-
 // settleGone notes that the tasks of a machine that is gone are so too. Its
 // record goes with the batch's next change.
 func (n *Node) settleGone(m *machine) {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -117,7 +117,6 @@
 	jobs     []*job     // unfinished, by priority and arrival
 	machines []*machine // recorded, by name
 	nextRent time.Time  // when to look again at what to rent
-	spare    Low        // how many machines stood empty of late
 	window   *Window
 	recent   []arrival
 }
--- a/internal/coordination/policy.go
+++ b/internal/coordination/policy.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 )
 
 // Window is the receding-horizon rule's memory of recent arrivals (paper,
@@ -144,53 +143,3 @@
 	}
 	return out
 }
-
-// Low tells the lowest of the counts of late.
-type Low struct {
-	since  time.Time // of the first count
-	counts []lowCount
-}
-
-// lowCount is the lowest count in a step of time.
-type lowCount struct {
-	at  time.Time
-	low int
-}
-
-// lowStep is how finely counts are told apart in time.
-const lowStep = 2 * time.Second
-
-// add notes a count.
-func (l *Low) add(now time.Time, count int) {
-	if len(l.counts) == 0 {
-		l.since = now
-	}
-	if last := len(l.counts) - 1; last >= 0 && now.Sub(l.counts[last].at) < lowStep {
-		l.counts[last].low = min(l.counts[last].low, count)
-		return
-	}
-	l.counts = append(l.counts, lowCount{now, count})
-}
-
-// least is the lowest count of the last span; known is false if counting has not
-// gone on for that long.
-func (l *Low) least(now time.Time, span time.Duration) (low int, known bool) {
-	for len(l.counts) > 0 && now.Sub(l.counts[0].at) > span+lowStep {
-		l.counts = l.counts[1:]
-	}
-	if len(l.counts) == 0 || now.Sub(l.since) < span {
-		return 0, false
-	}
-	low = l.counts[0].low
-	for _, c := range l.counts {
-		low = min(low, c.low)
-	}
-	return low, true
-}
-
-// less takes away what was given back from all counts.
-func (l *Low) less(count int) {
-	for i := range l.counts {
-		l.counts[i].low = max(0, l.counts[i].low-count)
-	}
-}
--- a/internal/coordination/policy_test.go
+++ b/internal/coordination/policy_test.go
@@ -1,9 +1,7 @@
 package coordination
 
 import (
-	"slices"
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 )
@@ -136,34 +134,3 @@
 		}
 	})
 }
-
-// What is told as spare was there at every moment of the span, and is told only
-// when the whole span was seen.
-func TestLowIsTheLowestOfTheSpan(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		var l Low
-		start := time.Unix(0, 0)
-		const span = 45 * time.Second
-		var counts []int
-		for i, c := range rapid.SliceOfN(rapid.IntRange(0, 50), 1, 300).Draw(t, "counts") {
-			now := start.Add(time.Duration(i) * 500 * time.Millisecond)
-			l.add(now, c)
-			counts = append(counts, c)
-			low, known := l.least(now, span)
-			if known != (now.Sub(start) >= span) {
-				t.Fatalf("known is %v after %v", known, now.Sub(start))
-			}
-			if !known {
-				continue
-			}
-			for _, was := range counts[max(0, i-90):] {
-				if low > was {
-					t.Fatalf("%d to spare, but there were %d", low, was)
-				}
-			}
-			if old := slices.Min(counts[max(0, i-100):]); low < old {
-				t.Fatalf("%d to spare, but there were never fewer than %d", low, old)
-			}
-		}
-	})
-}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -98,7 +98,6 @@
 		s.taken = now
 		n.log.Info("share taken", "share", s.index, "token", h.Token)
 		s.window = NewWindow(n.policy.Window)
-		s.spare = Low{}
 		for _, j := range s.jobs {
 			j.counted = false
 			// A gang of which an earlier holder recorded only a part, or took a part
