Facts end with the holding of a share; nothing is started above a team's limit

Cause: a node that lost a share and got it back kept what it had seen and not yet stored, while another holder, not knowing it, had started the same attempts again. Beside it: what an earlier holder recorded may be more than the limit, if a lease ended between; no start goes out then.

--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -585,3 +585,41 @@
 		}
 	}
 }
+
+// A share that comes back brings no proof with it: another holder may have
+// started the same attempt again meanwhile.
+func TestFactsDoNotOutliveTheHolding(t *testing.T) {
+	for _, f := range []fact{gone, finished} {
+		b := newBench(t)
+		j := b.job("job-1", false, onHost1)
+		b.note(j, 0, f)
+		b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 9})
+		b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 9, Lease: 3})
+		if m := b.machines["host-1"]; j.tasks[0].fact != noFact || m.used.GPUs != 1 || b.teams[0].used.GPUs != 1 {
+			t.Fatalf("fact %v, %v GPUs of the machine and %v of the team in use", j.tasks[0].fact, m.used.GPUs, b.teams[0].used.GPUs)
+		}
+		b.report(9, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning})
+		b.unpark(b.machines["host-1"])
+		if j.tasks[0].fact != noFact {
+			t.Fatal("a running task counts as over")
+		}
+	}
+}
+
+// What an earlier holder recorded may be more than the team's limit: the place of
+// a task that was over was given on, and its end not stored. Not all is started.
+func TestNoStartAboveTheLimit(t *testing.T) {
+	b := newBench(t)
+	b.teams[0].limit = Amounts{GPUs: 2}
+	for _, id := range []string{"job-1", "job-2", "job-3"} {
+		b.job(id, false, onHost1)
+	}
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 8, Lease: 3})
+	a := b.report(8, 1)
+	if a == nil {
+		t.Fatal("no answer")
+	}
+	if got := len(a.body.(protocol.Orders).Commands); got != 2 || b.teams[0].used.GPUs != 2 {
+		t.Fatalf("%d tasks started, %v GPUs counted, want 2", got, b.teams[0].used.GPUs)
+	}
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -284,6 +284,25 @@
 	n.replan = true
 }
 
+// forgetFacts takes back what was observed of a job's placed tasks when its share
+// is taken over. What this node saw as an earlier holder may be over: another
+// holder, not knowing it, may have started the same attempt again meanwhile.
+// (Found with simulated troubles: a task ran twice, and a team passed its limit,
+// after a share had come back to a node with facts that it had not yet stored.)
+func (n *Node) forgetFacts(j *job) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.freed {
+			t.freed = false
+			tm := n.teams[j.team]
+			tm.used = tm.used.Add(j.need, 1)
+			t.machine.used = t.machine.used.Add(j.need, 1)
+		}
+		t.fact, t.storing, t.stop = noFact, false, false
+		t.seen, t.sent = unseen, time.Time{}
+	}
+}
+
 // dropJob forgets a job whose head is gone: it is final.
 func (n *Node) dropJob(id string) {
 	j := n.jobs[id]
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -104,9 +104,7 @@
 			// back, cannot start: the rest must go before its next attempt.
 			j.abandon = j.spec.Shape == protocol.Gang && j.nPlaced > 0 && j.nWaiting() > 0
 			n.dirty[j] = true
-			for i := range j.tasks {
-				j.tasks[i].seen, j.tasks[i].sent = unseen, time.Time{}
-			}
+			n.forgetFacts(j)
 		}
 		for _, m := range s.machines {
 			m.added, m.heard = now, time.Time{}
@@ -342,6 +340,13 @@
 	return free.Times(need)
 }
 
+// overLimit says whether what is counted for a team is more than it may use: then
+// nothing of it is started, whatever is recorded.
+func (n *Node) overLimit(team int) bool {
+	u, l := n.teams[team].used, n.teams[team].limit
+	return l.CPUs > 0 && u.CPUs > l.CPUs+slack || l.GPUs > 0 && u.GPUs > l.GPUs+slack
+}
+
 // onMoves hands over the machines of ours that are still free: placing there
 // stops first, then one conditional write moves them under a new token.
 func (n *Node) onMoves(mv protocol.Moves) {
--- a/internal/coordination/starts.go
+++ b/internal/coordination/starts.go
@@ -35,7 +35,7 @@
 	var tasks []started
 	for k := range m.on {
 		j, t := k.job, &k.job.tasks[k.task]
-		if t.phase != placed || t.fact != noFact || t.seen != unseen || !t.sent.IsZero() || n.unwanted(j, t) ||
+		if t.phase != placed || t.fact != noFact || t.seen != unseen || !t.sent.IsZero() || n.unwanted(j, t) || n.overLimit(j.team) ||
 			j.spec.Shape == protocol.Gang && j.nPlacedStored() < len(j.tasks) {
 			continue
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -262,6 +262,11 @@
 			// Any start of ours went out in an answer to an earlier report, and
 			// earlier holders' starts are fenced off: it is not there and never will be.
 			n.note(j, k.task, gone)
+		case n.overLimit(j.team):
+			// An earlier holder gave the place of a task that was over to another one
+			// and did not store its end; if the lease ended since, neither is listed.
+			// Both are not to be started; this one is proven not to be there.
+			n.note(j, k.task, gone)
 		case j.spec.Shape == protocol.Gang && j.nPlacedStored() < len(j.tasks):
 			// A gang starts only once all of it is stored.
 		case j.spec.Shape == protocol.Gang && t.seen >= seenRunning:
