--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -146,7 +146,7 @@
 		}
 	}()
 	for _, s := range cfg.Siblings {
-		go transport.SendFrames(ctx, s.Addr, coordination.HintPeriod, node.Hint)
+		go transport.SendFrames(ctx, s.Addr, coordination.HintPeriod, node.Hint, func() { node.Refused(s.Node) })
 	}
 	go func() {
 		if err := transport.Serve(ctx, ln, node.API()); err != nil {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -623,3 +623,18 @@
 		t.Fatalf("%d tasks started, %v GPUs counted, want 2", got, b.teams[0].used.GPUs)
 	}
 }
+
+// A node stands in for a holder beyond a cut, and not for one whose host refuses
+// connections between controllers: there the workers themselves can go.
+func TestNoStandInBehindAFilter(t *testing.T) {
+	b := newBench(t)
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 9})
+	if a := b.report(8, 1); a == nil || a.status != 200 {
+		t.Fatalf("beyond a cut: %+v", a)
+	}
+	b.Refused("n-1")
+	(<-b.inbox)()
+	if a := b.report(8, 2); a == nil || a.status != 421 || a.body.(protocol.Redirect).ReportTo != "n-1" {
+		t.Fatalf("behind a filter: %+v", a)
+	}
+}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -15,6 +15,7 @@
 type sibling struct {
 	zone    string
 	heard   time.Time
+	refused time.Time // when its host last refused a connection
 	stateOK bool
 }
 
@@ -73,6 +74,16 @@
 	return err
 }
 
+// Refused notes that a sibling's host refuses connections: it can be reached, and
+// so can, most likely, the workers on its side.
+func (n *Node) Refused(node string) {
+	n.post(func() {
+		if s := n.siblings[node]; s != nil {
+			s.refused = time.Now()
+		}
+	})
+}
+
 // stateLost is after how long without an answer the state service counts as
 // lost to a node.
 const stateLost = 3 * time.Second
@@ -101,11 +112,20 @@
 	return true
 }
 
+// reaches says whether a sibling is not beyond a cut: its hints arrive, or its host
+// at least refuses connections, as a packet filter between controllers does.
+// Without this workers that came to a wrong node while such a filter was there were
+// kept by it, and machines that had just booted got no starts.
+func (n *Node) reaches(node string, now time.Time) bool {
+	s := n.siblings[node]
+	return n.hears(node, now) || s != nil && now.Sub(s.refused) < 3500*time.Millisecond
+}
+
 // zoneCut says whether a controller in a zone cannot be heard: the zone may be
 // cut off, and its machines working.
 func (n *Node) zoneCut(zone string, now time.Time) bool {
 	for name, s := range n.siblings {
-		if s.zone == zone && zone != n.cfg.Zone && !n.hears(name, now) {
+		if s.zone == zone && zone != n.cfg.Zone && !n.reaches(name, now) {
 			return true
 		}
 	}
@@ -120,7 +140,7 @@
 func (n *Node) standIn(m *machine, r *protocol.Report, now time.Time) (protocol.Orders, bool) {
 	s := n.shares[m.rec.Share]
 	token := n.token(m)
-	if s.holder.Token == 0 || n.hears(s.holder.Node, now) || !n.mayAnswer(now) || n.sinceContact(now) > time.Second || r.Token > token {
+	if s.holder.Token == 0 || n.reaches(s.holder.Node, now) || !n.mayAnswer(now) || n.sinceContact(now) > time.Second || r.Token > token {
 		return protocol.Orders{}, false
 	}
 	o := protocol.Orders{Token: token, Commands: []protocol.Command{}}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -118,6 +118,22 @@
 	fs.contact = n.Contact
 	w.set(func() { w.nodes[name], w.stop[name] = n, cancel })
 	go n.Run()
+	go w.hint(ctx, n)
+}
+
+// hint tells the other nodes every second how a node is, if both are reached.
+func (w *world) hint(ctx context.Context, n *Node) {
+	for ctx.Err() == nil {
+		for _, name := range w.names {
+			if other := w.node(name); other != nil && other != n && !w.is(w.noNet, name) && !w.is(w.noNet, n.cfg.Node) {
+				other.TakeHint(n.Hint())
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(HintPeriod):
+		}
+	}
 }
 
 func (w *world) crash(name string) {
@@ -470,7 +486,7 @@
 
 // Random troubles, one after the other and overlapping.
 func TestTroubles(t *testing.T) {
-	for seed := range uint64(12) {
+	for seed := range uint64(400) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			simulate(t, seed, 16, asTheyAre, troubles)
 		})
@@ -479,7 +495,7 @@
 
 // The same where workers report rarely, so that starts go out directly.
 func TestTroublesWithDirectStarts(t *testing.T) {
-	for seed := range uint64(8) {
+	for seed := range uint64(400) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			simulate(t, 100+seed, 16, func(p *protocol.WorkerSettings) { p.ReportS, p.LeaseS, p.CancelS = 6, 36, 56 }, troubles)
 		})
--- a/internal/transport/frames.go
+++ b/internal/transport/frames.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -71,8 +72,9 @@
 }
 
 // SendFrames keeps a connection to addr until ctx ends and sends what make
-// returns every period.
-func SendFrames(ctx context.Context, addr string, period time.Duration, make func() []byte) {
+// returns every period. refused is told when the other host refuses to connect:
+// then it is there and can be reached.
+func SendFrames(ctx context.Context, addr string, period time.Duration, make func() []byte, refused func()) {
 	d := &net.Dialer{Timeout: 2 * time.Second}
 	var c net.Conn
 	defer func() {
@@ -84,6 +86,8 @@
 		if c == nil {
 			if conn, err := d.DialContext(ctx, "tcp4", addr); err == nil {
 				c = conn
+			} else if errors.Is(err, syscall.ECONNREFUSED) {
+				refused()
 			}
 		}
 		if c != nil {
