--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -141,12 +141,12 @@
 		return err
 	}
 	go func() {
-		if err := transport.AcceptFrames(ctx, peers, 10*time.Second, node.TakeHint); err != nil {
+		if err := transport.AcceptFrames(ctx, peers, coordination.HintQuiet, node.TakeHint); err != nil {
 			cancel(err)
 		}
 	}()
 	for _, s := range cfg.Siblings {
-		go transport.SendFrames(ctx, s.Addr, coordination.HintPeriod, node.Hint, func() { node.Refused(s.Node) })
+		go transport.SendFrames(ctx, s.Addr, coordination.HintPeriod, coordination.HintQuiet, node.Hint, func() { node.Refused(s.Node) })
 	}
 	go func() {
 		if err := transport.Serve(ctx, ln, node.API()); err != nil {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -469,6 +469,7 @@
 	}
 	n.lastTend = now
 	n.replan = true // what is expected changes with time
+	n.watchWorkers(now)
 	n.checkSight(now)
 	n.noteCuts(now)
 	var back []*machine
@@ -564,20 +565,17 @@
 			boot = max(boot, time.Duration(3*t.BootS*float64(time.Second)))
 		}
 		if len(m.on) == 0 && m.rec.Addr == "" {
-			return now.Sub(m.added) > boot
+			return now.Sub(m.added) > boot && now.Sub(n.awake) > n.silentLimit()
 		}
 		// It was up under an earlier holder, and needs a moment to find this one.
 	}
 	// While its zone cannot be reached the machine is most likely working, and
 	// when the cut ends it needs a moment to come back.
-	last := m.heard
-	if last.IsZero() {
-		last = m.added.Add(3 * time.Second)
-	}
-	since := last
-	if cut := n.cutAt[m.rec.Zone]; cut.After(since) {
-		since = cut
+	last := n.lastHeard(m)
+	if m.heard.IsZero() {
+		last = last.Add(3 * time.Second)
 	}
+	since := later(last, n.cutAt[m.rec.Zone])
 	return now.Sub(since) > n.silentLimit() || now.Sub(last) > maxCut ||
 		m.unlisted && n.suspect(m, now) && now.Sub(since) > n.suspectLimit()
 }
@@ -591,14 +589,10 @@
 // suspect says whether a machine that was up, and that the cloud must have
 // listed by now, is silent.
 func (n *Node) suspect(m *machine, now time.Time) bool {
-	last := m.heard
-	if last.IsZero() {
-		if len(m.on) == 0 && m.rec.Addr == "" {
-			return false
-		}
-		last = m.added
+	if len(m.on) == 0 && !m.wasUp() {
+		return false
 	}
-	return !m.returning && !m.gone && now.Sub(last) > n.suspectLimit()
+	return !m.returning && !m.gone && now.Sub(n.lastHeard(m)) > n.suspectLimit()
 }
 
 // maxCut is how long the machines of an unreachable zone are kept.
@@ -607,53 +601,16 @@
 // noteCuts notes which zones cannot be reached at present.
 func (n *Node) noteCuts(now time.Time) {
 	for _, z := range n.cfg.Params.Zones {
-		if n.zoneSilent(z, now) || n.zoneCut(z, now) {
+		// If most of a zone is silent it is the network, and the machines keep working.
+		if n.quietPart(now, z) >= 0.7 || n.zoneCut(z, now) {
 			n.cutAt[z] = now
 		}
 	}
 }
 
-// silent says whether a machine that was heard is not heard now.
+// silent says whether a machine that was up is not heard now.
 func (n *Node) silent(m *machine, now time.Time) bool {
-	return now.Sub(m.heard).Seconds() > 2.2*n.cfg.Params.Workers.ReportS+1
-}
-
-// zoneSilent says whether most of a zone cannot be heard: then it is the
-// network, and the machines keep working.
-func (n *Node) zoneSilent(zone string, now time.Time) bool {
-	all, quiet := 0, 0
-	for _, m := range n.machines {
-		if m.known && m.rec.Zone == zone && !m.heard.IsZero() && n.mine(n.shares[m.rec.Share]) {
-			all++
-			if n.silent(m, now) {
-				quiet++
-			}
-		}
-	}
-	return all >= 3 && quiet*10 >= all*7
-}
-
-// checkSight gives the shares up if hardly any machine is heard: this node is
-// cut off from the workers, and others may not be.
-func (n *Node) checkSight(now time.Time) {
-	all, quiet := 0, 0
-	for _, m := range n.machines {
-		if m.known && !m.heard.IsZero() && n.mine(n.shares[m.rec.Share]) {
-			all++
-			if n.silent(m, now) {
-				quiet++
-			}
-		}
-	}
-	if all < 3 || quiet*10 < all*8 || now.Sub(n.lastRelease) < 10*time.Second || n.sinceContact(now) > 2*time.Second || len(n.nodes) < 2 {
-		return
-	}
-	n.blindTill = now.Add(15 * time.Second)
-	for _, s := range n.shares {
-		if n.mine(s) && !s.pending {
-			n.giveUp(s, "workers are not heard", now)
-		}
-	}
+	return now.Sub(n.lastHeard(m)).Seconds() > 2.2*n.cfg.Params.Workers.ReportS+1
 }
 
 // tendUnrecorded sees to machines that tasks are recorded on but that have no
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -25,6 +25,8 @@
 	// Command sends orders and returns the worker's report; executed is false
 	// if the worker refused them for their token or session.
 	Command(ctx context.Context, addr string, o protocol.Orders) (r *protocol.Report, executed bool, err error)
+	// Inspect asks for the worker's report.
+	Inspect(ctx context.Context, addr string) (*protocol.Report, error)
 }
 
 // Node is one controller. All fields below inbox belong to the actor routine.
@@ -94,7 +96,12 @@
 	wanted      time.Time // since when machines are wanted that were not asked for
 	refusedTill map[offer]time.Time
 	renting     map[rental]int // machines asked for
-	blindTill   time.Time
+	lastTurn    time.Time      // when the actor last did something
+	awake       time.Time      // when it last had stood still
+	sight       time.Time      // when a worker was last heard
+	blind       atomic.Bool    // no worker is heard
+	probing     int            // workers being asked how they are
+	lastProbe   time.Time
 	policy      Policy
 	metrics     *Metrics
 	endedJobs   []EndedJob
@@ -211,6 +218,7 @@
 		select {
 		case <-ctx.Done():
 		case f := <-n.inbox:
+			n.turn(time.Now())
 			f()
 			// Drain what has queued up before deciding anything.
 			for more := true; more; {
@@ -222,8 +230,10 @@
 				}
 			}
 			n.settle(time.Now())
+			n.lastTurn = time.Now()
 		case due := <-tick.C:
 			now := time.Now()
+			n.turn(now)
 			n.metrics.lag.Observe(now.Sub(due).Seconds())
 			n.metrics.backlog.Set(float64(n.storing + n.asked + len(n.reads)))
 			n.tick(now)
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -11,17 +11,21 @@
 // HintPeriod is how often controllers tell one another how they are.
 const HintPeriod = time.Second
 
+// HintQuiet is after how long without one a connection is given up.
+const HintQuiet = 4 * time.Second
+
 // sibling is what is known of another controller by its own hints.
 type sibling struct {
 	zone    string
 	heard   time.Time
 	refused time.Time // when its host last refused a connection
 	stateOK bool
+	blind   bool // it hears no workers
 }
 
 // Hint is what this node tells its siblings now. Any routine may call it.
 func (n *Node) Hint() []byte {
-	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Revision: atomic.LoadUint64(&n.followed), Caches: *n.caches.Load()}.Encode()
+	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Blind: n.blind.Load(), Revision: atomic.LoadUint64(&n.followed), Caches: *n.caches.Load()}.Encode()
 }
 
 // cachesPerHint is how many machines one hint tells of.
@@ -67,7 +71,7 @@
 		if err != nil {
 			n.metrics.refused.WithLabelValues("malformed_hint").Inc()
 		} else if s := n.siblings[h.Node]; s != nil {
-			s.heard, s.stateOK = time.Now(), h.StateOK
+			s.heard, s.stateOK, s.blind = time.Now(), h.StateOK, h.Blind
 			n.learnCaches(h.Caches)
 		}
 	})
@@ -91,7 +95,7 @@
 // hears says whether a sibling's hints arrive.
 func (n *Node) hears(node string, now time.Time) bool {
 	s := n.siblings[node]
-	return s != nil && now.Sub(s.heard) < 3500*time.Millisecond
+	return s != nil && now.Sub(later(s.heard, n.awake)) < 3500*time.Millisecond
 }
 
 // ready says whether users should come here. A node that alone has lost the
@@ -140,7 +144,8 @@
 func (n *Node) standIn(m *machine, r *protocol.Report, now time.Time) (protocol.Orders, bool) {
 	s := n.shares[m.rec.Share]
 	token := n.token(m)
-	if s.holder.Token == 0 || n.reaches(s.holder.Node, now) || !n.mayAnswer(now) || n.sinceContact(now) > time.Second || r.Token > token {
+	sib := n.siblings[s.holder.Node]
+	if s.holder.Token == 0 || n.reaches(s.holder.Node, now) && !sib.blind || !n.mayAnswer(now) || n.sinceContact(now) > time.Second || r.Token > token {
 		return protocol.Orders{}, false
 	}
 	o := protocol.Orders{Token: token, Commands: []protocol.Command{}}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -137,7 +137,7 @@
 	}
 	held := n.heldShares()
 	for _, s := range n.shares {
-		if s.holder.Token != 0 || s.pending || now.Before(n.blindTill) {
+		if s.holder.Token != 0 || s.pending {
 			continue
 		}
 		if now.Sub(s.vacant) >= n.takeDelay(s, held, now) {
@@ -167,9 +167,16 @@
 	if now.Sub(n.started) < 6*time.Second && turn > 0 {
 		d += 1500 * time.Millisecond
 	}
+	if n.blind.Load() {
+		d += blindDelay
+	}
 	return d
 }
 
+// blindDelay is how much later a node that hears no workers takes a share: only
+// if no other node wants it.
+const blindDelay = 8 * time.Second
+
 // take stores this node as the holder, with a token above all earlier ones.
 func (n *Node) take(s *share) {
 	s.pending = true
@@ -232,7 +239,7 @@
 		return
 	}
 	for node, since := range n.nodes {
-		if node != n.cfg.Node && holds[node] == 0 && now.Sub(since) > 4*time.Second {
+		if node != n.cfg.Node && holds[node] == 0 && now.Sub(since) > 4*time.Second && n.serves(node, now) {
 			n.giveUp(last, "another node holds none", now)
 			return
 		}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -229,6 +229,15 @@
 	return r, ok, err
 }
 
+func (f *faultyWorkers) Inspect(ctx context.Context, addr string) (*protocol.Report, error) {
+	time.Sleep(f.w.between(time.Millisecond, 5*time.Millisecond))
+	if f.w.is(f.w.noNet, f.node) || f.w.is(f.w.deaf, f.node) || f.w.chance(&f.w.lossy) {
+		time.Sleep(2 * time.Second)
+		return nil, errNoAnswer
+	}
+	return f.w.fleet.Inspect(ctx, addr)
+}
+
 // faultyState is the state service as one node meets it.
 type faultyState struct {
 	w       *world
--- a/internal/coordination/starts_test.go
+++ b/internal/coordination/starts_test.go
@@ -22,6 +22,8 @@
 	return nil, false, errNoAnswer
 }
 
+func (m *mute) Inspect(context.Context, string) (*protocol.Report, error) { return nil, errNoAnswer }
+
 // startOne has job-1 started directly on host-1, and returns what the worker got.
 func startOne(t *testing.T) (*bench, *job, *mute) {
 	b := newBench(t)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -147,6 +147,7 @@
 
 // onReport answers a worker's report. It calls reply exactly once, perhaps later.
 func (n *Node) onReport(r *protocol.Report, now time.Time, reply chan<- answer) {
+	n.saw(now)
 	if !n.loaded {
 		reply <- answer{status: 503}
 		return
@@ -544,6 +545,9 @@
 		n.post(func() {
 			m.fencing = false
 			now := time.Now()
+			if err == nil {
+				n.saw(now)
+			}
 			if err != nil || !ok || r == nil || r.Machine != m.name || n.machines[m.name] != m || !n.mine(n.shares[m.rec.Share]) || n.token(m) != o.Token {
 				return
 			}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -17,6 +17,7 @@
 type Hint struct {
 	Node     string
 	StateOK  bool
+	Blind    bool // it hears no worker
 	Revision uint64
 	Caches   []Cache
 }
@@ -71,6 +72,7 @@
 	peerfb.HintAddNode(b, node)
 	peerfb.HintAddStateOk(b, h.StateOK)
 	peerfb.HintAddRevision(b, h.Revision)
+	peerfb.HintAddBlind(b, h.Blind)
 	b.Finish(peerfb.HintEnd(b))
 	return b.FinishedBytes()
 }
@@ -87,7 +89,7 @@
 		return Hint{}, errors.New("malformed hint")
 	}
 	f := peerfb.GetRootAsHint(data, 0)
-	h = Hint{Node: string(f.Node()), StateOK: f.StateOk(), Revision: f.Revision()}
+	h = Hint{Node: string(f.Node()), StateOK: f.StateOk(), Blind: f.Blind(), Revision: f.Revision()}
 	if h.Node == "" {
 		return Hint{}, errors.New("hint without a node")
 	}
--- a/internal/protocol/peerfb/Hint.go
+++ b/internal/protocol/peerfb/Hint.go
@@ -105,8 +105,20 @@
 	return 0
 }
 
+func (rcv *Hint) Blind() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Hint) MutateBlind(n bool) bool {
+	return rcv._tab.MutateBoolSlot(14, n)
+}
+
 func HintStart(builder *flatbuffers.Builder) {
-	builder.StartObject(5)
+	builder.StartObject(6)
 }
 func HintAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -129,6 +141,9 @@
 func HintStartCachesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func HintAddBlind(builder *flatbuffers.Builder, blind bool) {
+	builder.PrependBoolSlot(5, blind, false)
+}
 func HintEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -201,6 +201,19 @@
 	return &r, ok, nil
 }
 
+// Inspect asks a worker for its report.
+func (f *Fleet) Inspect(_ context.Context, addr string) (*protocol.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[addr[:len(addr)-len(":9000")]]
+	if m == nil || !m.up {
+		return nil, storage.ErrUnknown
+	}
+	m.expire()
+	r := m.report()
+	return &r, nil
+}
+
 func (f *Fleet) broken(format string, a ...any) {
 	f.Broken = append(f.Broken, fmt.Sprintf(format, a...))
 }
--- a/internal/storage/workers.go
+++ b/internal/storage/workers.go
@@ -32,3 +32,15 @@
 	r, err = protocol.ParseReport(a.Body)
 	return r, a.Status == 200, err
 }
+
+// Inspect asks a worker for its report.
+func (w *Workers) Inspect(ctx context.Context, addr string) (*protocol.Report, error) {
+	a, err := w.calls.Call(ctx, 2*time.Second, "GET", "http://"+addr+"/inspect", nil)
+	if err != nil {
+		return nil, err
+	}
+	if a.Status != 200 {
+		return nil, fmt.Errorf("worker: status %d", a.Status)
+	}
+	return protocol.ParseReport(a.Body)
+}
--- a/internal/transport/frames.go
+++ b/internal/transport/frames.go
@@ -66,15 +66,38 @@
 				if err != nil || take(data) != nil {
 					return
 				}
+				c.SetWriteDeadline(time.Now().Add(quiet))
+				if _, err := c.Write(taken); err != nil {
+					return
+				}
 			}
 		}()
 	}
 }
 
+// taken confirms a message.
+var taken = []byte{1}
+
+// unconfirmed closes a connection on which nothing is confirmed for so long, and
+// ends with it. What is written to a connection that the other side has given up
+// may be lost without an error: a controller that had stood still for a minute
+// told nobody anything again, though others told it how they were.
+func unconfirmed(c net.Conn, quiet time.Duration) {
+	defer c.Close()
+	buf := make([]byte, 64)
+	for {
+		c.SetReadDeadline(time.Now().Add(quiet))
+		if _, err := c.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
 // SendFrames keeps a connection to addr until ctx ends and sends what make
-// returns every period. refused is told when the other host refuses to connect:
+// returns every period. A connection on which nothing is confirmed for longer than
+// quiet is made anew. refused is told when the other host refuses to connect:
 // then it is there and can be reached.
-func SendFrames(ctx context.Context, addr string, period time.Duration, make func() []byte, refused func()) {
+func SendFrames(ctx context.Context, addr string, period, quiet time.Duration, make func() []byte, refused func()) {
 	d := &net.Dialer{Timeout: 2 * time.Second}
 	var c net.Conn
 	defer func() {
@@ -86,6 +109,7 @@
 		if c == nil {
 			if conn, err := d.DialContext(ctx, "tcp4", addr); err == nil {
 				c = conn
+				go unconfirmed(conn, quiet)
 			} else if errors.Is(err, syscall.ECONNREFUSED) {
 				refused()
 			}
--- a/internal/transport/frames_test.go
+++ b/internal/transport/frames_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -36,3 +39,39 @@
 		}
 	})
 }
+
+// A sender whose connection the other side has given up makes a new one, even
+// if no write on the old one fails. (Seen on a simulated day: a controller that had
+// stood still for 50 s wrote its hints into a closed connection from then on, and
+// another one kept answering its workers in its place.)
+func TestSendFramesLeavesADeadConnection(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go SendFrames(ctx, ln.Addr().String(), time.Millisecond, 50*time.Millisecond, func() []byte { return []byte("hint") }, func() {})
+	first, err := ln.Accept() // taken by nobody: the kernel accepts what is written
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	got := make(chan string, 1)
+	go AcceptFrames(ctx, ln, time.Second, func(data []byte) error {
+		select {
+		case got <- string(data):
+		default:
+		}
+		return nil
+	})
+	select {
+	case m := <-got:
+		if m != "hint" {
+			t.Errorf("took %q", m)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("nothing comes on a new connection")
+	}
+}
