--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -87,7 +87,7 @@
 	preempted time.Time    // when others may be stopped for it again
 	noVictims time.Time    // when to look again for others to stop
 	dirtyAt   time.Time    // since when something of it waits to be stored
-	fails     int          // tasks that ended with an error
+	trouble   trouble      // its tasks' errors
 	notBefore time.Time    // start nothing before, after errors
 	why       string       // why its tasks wait
 	taskChunk map[int]bool // chunks to be written by the next change
@@ -145,6 +145,11 @@
 		n.dirty[j] = true
 	}
 	j.next = max(j.next, r.Next)
+	if f := &j.trouble; r.Tries > f.tries && !n.mine(n.shares[j.share]) {
+		// Known to its holder: who takes over need not find out again.
+		f.mistake, f.tries, f.from = true, r.Tries, j.next
+		j.pauseTries(time.Now())
+	}
 	n.setTasks(j, 0, &r.Chunk)
 }
 
@@ -463,7 +468,7 @@
 
 // head builds a job's head as it is to be stored.
 func (j *job) head() protocol.JobRecord {
-	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Chunk: j.record(0)}
+	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Chunk: j.record(0)}
 }
 
 func mustJSON(v any) json.RawMessage {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -72,7 +72,7 @@
 	for _, b := range running {
 		b.free = b.free.Add(n.freedWithin(b.machine, n.bootTime(b.typ), now), 1)
 	}
-	lent := n.lendable(s)
+	lent := n.lendable(s, now)
 	booting := f.bins
 	f.bins = append(slices.Clone(running), booting...)
 	f.open = slices.Clone(f.bins)
@@ -83,7 +83,7 @@
 			f.open = append(f.open, lent...)
 			lent = nil
 		}
-		f.imagine(j, j.nWaiting())
+		f.imagine(j, j.mayTry(j.nWaiting(), now))
 	}
 	// Running machines come first for what is only expected: the fullest ones, and
 	// then those with the most images, so that the others can go.
@@ -176,11 +176,11 @@
 
 // lendable are free machines that the leader can be expected to move here
 // sooner than a rented one boots.
-func (n *Node) lendable(s *share) []*bin {
+func (n *Node) lendable(s *share, now time.Time) []*bin {
 	var out []*bin
 	waits := map[int]bool{}
 	for i := range n.shares {
-		waits[i] = n.shareWaits(i)
+		waits[i] = n.shareWaits(i, now)
 	}
 	for _, o := range n.shares {
 		if o == s || waits[o.index] {
@@ -475,7 +475,7 @@
 	var back []*machine
 	idle := map[int]bool{}
 	for i, s := range n.shares {
-		idle[i] = n.mine(s) && !n.shareWaits(i)
+		idle[i] = n.mine(s) && !n.shareWaits(i, now)
 	}
 	for _, m := range n.machines {
 		if !m.known {
@@ -499,9 +499,9 @@
 		case n.dead(m, now):
 			n.log.Info("machine given up", "machine", m.name, "heard", !m.heard.IsZero(), "tasks", len(m.on))
 			back = append(back, m)
-		case len(m.on) == 0 && m.fenced && !m.moving && (m.notice || m.distrust >= 3 ||
+		case len(m.on) == 0 && m.fenced && !m.moving && (m.notice || n.faulty(m) ||
 			idle[m.rec.Share] && !m.needed && !m.idleSince.IsZero() && now.Sub(m.idleSince).Seconds() > n.policy.IdleS):
-			n.log.Info("machine returned", "machine", m.name, "notice", m.notice, "distrust", m.distrust)
+			n.log.Info("machine returned", "machine", m.name, "notice", m.notice, "blamed_by", len(m.blame))
 			back = append(back, m)
 		default:
 			if !m.fenced {
@@ -546,7 +546,7 @@
 			used, free = used.Add(m.used, 1), free.Add(n.free(m), 1)
 		}
 		for _, j := range s.jobs {
-			waits += n.startable(j)
+			waits += n.wants(j, now)
 		}
 		n.log.Info("share", "share", s.index, "up", up, "booting", booting, "empty", empty,
 			"gpus_used", used.GPUs, "gpus_free", free.GPUs, "cpus_used", used.CPUs, "cpus_free", free.CPUs, "tasks_waiting", waits)
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -12,10 +12,13 @@
 // usable says whether new tasks may be placed on a machine.
 func (n *Node) usable(m *machine, now time.Time) bool {
 	return m.known && m.fenced && !m.notice && !m.returning && !m.gone && !m.moving && !m.heldBack && len(m.doubt) == 0 &&
-		m.distrust < 3 && !now.Before(m.avoidTill) &&
+		!n.faulty(m) && !now.Before(m.avoidTill) &&
 		now.Sub(m.heard).Seconds() < 2.5*n.cfg.Params.Workers.ReportS+1
 }
 
+// faulty says whether too many jobs failed on a machine in a row.
+func (n *Node) faulty(m *machine) bool { return len(m.blame) >= 3 }
+
 // size is what a machine of a type has.
 func size(t *protocol.MachineType) Amounts { return Amounts{t.CPUs, t.GPUs, t.MemoryGB} }
 
@@ -50,14 +53,12 @@
 			if j.nWaiting() == 0 || j.cancelled || j.abandon {
 				continue
 			}
-			if now.Before(j.notBefore) {
-				j.why = "its tasks fail"
-				n.replan = true
-				continue
-			}
-			if !j.busy {
+			if !j.busy && !now.Before(j.notBefore) {
 				n.place(s, j, v, now)
 			}
+			if j.trouble.mistake && len(s.machines) > 0 {
+				continue // nothing is rented or stopped for it
+			}
 			if j.nWaiting() > 0 {
 				waits = append(waits, j)
 			}
@@ -114,7 +115,7 @@
 // place gives a job's waiting tasks machines of the share, by the threshold rule.
 func (n *Node) place(s *share, j *job, v *view, now time.Time) {
 	const most = 512 // tasks in one change
-	r := min(n.startable(j), most)
+	r := min(n.startable(j, now), most)
 	if r == 0 {
 		j.why = "team limit"
 		return
@@ -351,7 +352,7 @@
 // preempt makes room for jobs that found none.
 func (n *Node) preempt(s *share, waits []*job, now time.Time) {
 	for _, j := range waits {
-		if r := n.startable(j); !j.busy && r > 0 && !now.Before(j.preempted) && !now.Before(j.noVictims) {
+		if r := n.wants(j, now); !j.busy && r > 0 && !now.Before(j.preempted) && !now.Before(j.noVictims) {
 			if !n.makeRoom(s, j, r, false, now) {
 				j.noVictims = now.Add(noVictimsPause)
 			}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -270,7 +270,7 @@
 	any := false
 	for i := range n.shares {
 		for _, j := range n.shares[i].jobs {
-			if n.startable(j) > 0 {
+			if n.wants(j, now) > 0 {
 				waits[i] = append(waits[i], j)
 				any = true
 			}
@@ -305,7 +305,7 @@
 		f.bins = append(f.bins, donors...)
 		f.open = slices.Clone(f.bins)
 		for _, j := range waits[i] {
-			f.imagine(j, n.startable(j))
+			f.imagine(j, n.wants(j, now))
 		}
 		donors = slices.DeleteFunc(donors, func(b *bin) bool {
 			if b.uses > 0 && len(mv.Moves) < mostMoves {
@@ -322,18 +322,29 @@
 		Writes: []storage.Write{{Put: protocol.MovesKey, Value: mustJSON(mv)}}}, func(storage.Result) {})
 }
 
-// startable is how many of a job's tasks wait and are within its team's limit.
-func (n *Node) startable(j *job) int {
+// startable is how many of a job's tasks wait, are within its team's limit and may
+// be tried.
+func (n *Node) startable(j *job, now time.Time) int {
 	if j.cancelled || j.abandon {
 		return 0
 	}
-	w := min(j.nWaiting(), n.teams[j.team].room(j.need))
+	w := min(j.mayTry(j.nWaiting(), now), n.teams[j.team].room(j.need))
 	if j.spec.Shape == protocol.Gang && w < len(j.tasks) {
 		return 0
 	}
 	return w
 }
 
+// wants is how many tasks of a job room should be made for. A job that fails on
+// every machine takes only what lies unused: without that its waiting tasks kept
+// every empty machine of their share from being returned.
+func (n *Node) wants(j *job, now time.Time) int {
+	if j.trouble.mistake {
+		return 0
+	}
+	return n.startable(j, now)
+}
+
 // room is how many more tasks of a size the team's limit allows.
 func (t *team) room(need Amounts) int {
 	free := t.limit.Add(t.used, -1)
@@ -362,7 +373,7 @@
 	for _, x := range mv.Moves {
 		m := n.machines[x.Machine]
 		if m == nil || !m.known || len(m.on) > 0 || m.moving || m.returning || m.gone || m.batch.busy ||
-			x.Share < 0 || x.Share >= len(n.shares) || x.Share == m.rec.Share || !n.mine(n.shares[m.rec.Share]) || n.shareWaits(m.rec.Share) {
+			x.Share < 0 || x.Share >= len(n.shares) || x.Share == m.rec.Share || !n.mine(n.shares[m.rec.Share]) || n.shareWaits(m.rec.Share, time.Now()) {
 			continue
 		}
 		p := path{m.rec.Share, x.Share}
@@ -427,6 +438,6 @@
 }
 
 // shareWaits says whether a share has tasks that wait for a machine.
-func (n *Node) shareWaits(share int) bool {
-	return slices.ContainsFunc(n.shares[share].jobs, func(j *job) bool { return n.startable(j) > 0 })
+func (n *Node) shareWaits(share int, now time.Time) bool {
+	return slices.ContainsFunc(n.shares[share].jobs, func(j *job) bool { return n.wants(j, now) > 0 })
 }
--- a/internal/coordination/status.go
+++ b/internal/coordination/status.go
@@ -182,6 +182,8 @@
 		k.Why = "machine unreachable"
 	case k.Waiting > 0 && j.abandon:
 		k.Why = "gang being stopped"
+	case k.Waiting > 0 && j.trouble.mistake:
+		k.Why = j.whyItFails(now)
 	case k.Waiting > 0 && j.why != "":
 		k.Why = j.why
 	case fetching > 0:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -37,8 +37,7 @@
 	returnTry  time.Time
 	idleSince  time.Time
 	moving     bool
-	distrust   int       // errors of different jobs in a row
-	lastError  string    // the job of the last one
+	blame      []string  // jobs that failed here since one last did well
 	gone       bool      // returned: the cloud said so
 	calling    bool      // a direct start is under way
 	doubt      []started // direct starts that were not answered
@@ -317,27 +316,21 @@
 		if was != t.seen {
 			m.fetched(j.spec.Image, j.spec.ImageGB, n.types[m.rec.Type], now)
 		}
-		m.distrust = 0
+		if tr.State == protocol.TaskRunning {
+			n.doesWell(j, m, false, now)
+		}
 	case protocol.TaskExited:
 		if tr.Cause == protocol.CauseDone {
 			n.note(j, i, finished)
 			m.fetched(j.spec.Image, j.spec.ImageGB, n.types[m.rec.Type], now)
-			m.distrust = 0
+			n.doesWell(j, m, true, now)
 			return
 		}
 		if t.fact == noFact {
 			n.log.Info("task exited", "task", tr.Task, "machine", m.name, "cause", tr.Cause, "saved", tr.Saved)
 			switch tr.Cause {
 			case protocol.CauseError:
-				// A job submitted with a mistake fails everywhere: it says little about
-				// the machine and must not be started over and over.
-				j.fails++
-				j.notBefore = now.Add(time.Duration(min(60, 1<<min(j.fails, 6))) * time.Second)
-				if m.lastError != j.id {
-					m.lastError = j.id
-					m.distrust++
-				}
-				m.avoidTill = now.Add(time.Duration(m.distrust) * 5 * time.Second)
+				n.failed(j, tr.Attempt, m, now)
 			case protocol.CauseNoRoom, protocol.CauseBusy, protocol.CauseUnknown:
 				m.avoidTill = now.Add(3 * time.Second)
 			}
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -64,6 +64,7 @@
 	SubmittedMS int64    `json:"t"`
 	Cancelled   bool     `json:"x,omitempty"`
 	Next        uint64   `json:"n"`
+	Tries       int      `json:"e,omitempty"` // of a job that fails on every machine
 	Chunk
 }
 
