--- /dev/null
+++ b/internal/coordination/guests_test.go
@@ -0,0 +1,62 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// A guest team's 5,000 idle-time tasks drew 950 of 1,550 machines into their share,
+// where 2,400 GPUs stood free, while 560 tasks with a guarantee waited in the others.
+// (Seen on a simulated day.)
+func TestGuestsGetWhatNobodyNeeds(t *testing.T) {
+	b := newBench(t)
+	b.teams[2].guarantee = Amounts{} // green, in share 2, is a guest
+	now := time.Now()
+	for i := range 3 {
+		b.put(protocol.HolderKey(i), protocol.HolderRecord{Node: "n-0", Token: 7, Lease: 3})
+	}
+	up := func(share int, name string) *machine {
+		b.put(protocol.BatchKey("b-"+name), protocol.BatchRecord{Share: share, Token: 7, Machines: []protocol.MachineRecord{{Name: name, Type: "g4", Zone: "a", Addr: "x:1"}}})
+		m := b.machines[name]
+		m.fenced, m.heard = true, now
+		return m
+	}
+	job := func(id, team string, tasks int, placed ...protocol.Placement) *job {
+		spec := &protocol.JobSpec{ID: id, Team: team, Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: tasks, CPUs: 6, CheckpointS: 30, SaveS: 3}
+		if team != "green" {
+			spec.GPUs = 1
+		}
+		b.put(protocol.JobKey(id), protocol.JobRecord{Spec: spec, Next: 2, Chunk: protocol.Chunk{Placed: placed}})
+		return b.jobs[id]
+	}
+	b.workers = &mute{asked: make(chan protocol.Orders, 9), answer: make(chan *protocol.Report, 9)}
+	spare := up(1, "host-a")
+	full := up(2, "host-b")
+	guest := job("job-1", "green", 100, protocol.Placement{Task: 0, Attempt: 1, Machine: "host-b"}, protocol.Placement{Task: 1, Attempt: 1, Machine: "host-b"})
+
+	// What a guest waits for goes only as spare, and its holder keeps what it needs.
+	if mv := b.moves(now); fmt.Sprint(mv.Moves) != "[{host-a 2 true}]" {
+		t.Fatalf("planned %v for a guest", mv.Moves)
+	}
+	spare.needed = true
+	b.onMoves(b.moves(now))
+	if spare.moving {
+		t.Fatal("a machine that is needed goes to a guest")
+	}
+	// For work with a guarantee the guest's machine is emptied and then goes.
+	job("job-2", "red", 8)
+	mv := b.moves(now)
+	if fmt.Sprint(mv.Moves) != "[{host-a 0 false} {host-b 0 false}]" {
+		t.Fatalf("planned %v for a guarantee", mv.Moves)
+	}
+	b.onMoves(mv)
+	if !spare.moving || full.moving || !guest.tasks[0].stop || guest.tasks[0].graceS < 3 || b.usable(full, now.Add(time.Second)) {
+		t.Fatal("a machine with guests' work alone is not emptied for a guarantee")
+	}
+	if o := <-b.workers.(*mute).asked; len(o.Commands) != 2 || o.Commands[0].Op != protocol.OpStop {
+		t.Fatalf("its worker was sent %+v", o)
+	}
+}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -245,6 +245,9 @@
 	var out []*job
 	sums := map[string]float64{}
 	for _, a := range s.recent {
+		if n.teams[n.teamOf[a.spec.Team]].guarantee == (Amounts{}) {
+			continue // a guest's one huge job says nothing of what will come
+		}
 		sum, ok := sums[a.spec.Class]
 		if !ok && a.spec.Rank() == protocol.Production {
 			sum = 1 - part // one of a class that must not wait is always expected
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -41,6 +41,7 @@
 	if n.sinceContact(now) > 2*time.Second {
 		return // nothing could be stored
 	}
+	claimed := n.anyClaimed(now)
 	for _, s := range n.shares {
 		if !n.mine(s) {
 			continue
@@ -59,7 +60,11 @@
 			if j.trouble.mistake && len(s.machines) > 0 {
 				continue // nothing is rented or stopped for it
 			}
-			if j.nWaiting() > 0 {
+			switch {
+			case j.nWaiting() == 0:
+			case claimed && n.guest(j):
+				j.why = "guarantees come first"
+			default:
 				waits = append(waits, j)
 			}
 		}
@@ -428,7 +433,10 @@
 			choices = append(choices, c)
 		}
 	}
-	slices.SortStableFunc(choices, func(a, b *sacrifice) int { return cmp.Compare(a.loss/float64(a.gain), b.loss/float64(b.gain)) })
+	slices.SortStableFunc(choices, func(a, b *sacrifice) int {
+		// Of equals the fullest, so that machines with guests' work alone stay so.
+		return cmp.Or(cmp.Compare(a.loss/float64(a.gain), b.loss/float64(b.gain)), cmp.Compare(b.m.used.GPUs, a.m.used.GPUs))
+	})
 	if j.spec.Shape == protocol.Gang {
 		if choices, r = n.gather(s, j, choices, now); choices == nil {
 			return false // stopping some would not start it
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -264,62 +264,120 @@
 
 // planMoves tells holders of shares without waiting tasks to hand free
 // machines to shares with them: those that what waits could use, beyond what
-// is free where it waits.
+// is free where it waits. Work of guest teams is no reason to keep a machine from
+// work with a guarantee, and gets only machines that nobody needs.
 func (n *Node) planMoves(now time.Time) {
-	waits := make([][]*job, len(n.shares))
+	mv := n.moves(now)
+	if len(mv.Moves) == 0 {
+		return
+	}
+	n.log.Info("moves planned", "machines", len(mv.Moves))
+	n.submit(&storage.Op{Conds: []storage.Cond{n.cond(protocol.HolderKey(0))},
+		Writes: []storage.Write{{Put: protocol.MovesKey, Value: mustJSON(mv)}}}, func(storage.Result) {})
+}
+
+// moves is the plan for now.
+func (n *Node) moves(now time.Time) (mv protocol.Moves) {
+	claims := make([][]*job, len(n.shares)) // jobs that wait in each share
+	guests := make([][]*job, len(n.shares))
 	any := false
 	for i := range n.shares {
 		for _, j := range n.shares[i].jobs {
-			if n.wants(j, now) > 0 {
-				waits[i] = append(waits[i], j)
-				any = true
+			switch {
+			case n.wants(j, now) == 0:
+				continue
+			case n.guest(j):
+				guests[i] = append(guests[i], j)
+			default:
+				claims[i] = append(claims[i], j)
 			}
+			any = true
 		}
 	}
 	if !any {
-		return
+		return mv
 	}
-	var donors []*bin
+	var empty, guestOnly []*bin
 	for i := range n.shares {
-		if len(waits[i]) > 0 {
+		if len(claims[i]) > 0 {
 			continue
 		}
 		for _, m := range n.shares[i].machines {
 			// Only machines that are up: the address is stored with the first report.
-			if len(m.on) == 0 && !m.gone && m.rec.Addr != "" {
-				donors = append(donors, n.binOf(m))
+			switch {
+			case m.gone || m.rec.Addr == "":
+			case len(m.on) == 0:
+				empty = append(empty, n.binOf(m))
+			case n.onlyGuests(m):
+				b := n.binOf(m)
+				b.free = b.free.Add(m.used, 1)
+				guestOnly = append(guestOnly, b)
 			}
 		}
 	}
-	var mv protocol.Moves
+	// Those that are being emptied already come first.
+	slices.SortStableFunc(guestOnly, func(a, b *bin) int { return a.tasks() - b.tasks() })
+	donors := append(empty, guestOnly...)
 	for i := range n.shares {
-		if len(waits[i]) == 0 {
-			continue
+		if len(claims[i]) > 0 {
+			donors = n.moveTo(i, claims[i], donors, false, &mv, now)
 		}
-		f := &forecast{n: n, now: now, used: map[int]Amounts{}, onlyBins: true}
-		for _, m := range n.shares[i].machines {
-			if !m.gone && m.rec.Addr != "" {
-				f.bins = append(f.bins, n.binOf(m))
-			}
+	}
+	donors = slices.DeleteFunc(donors, func(b *bin) bool {
+		return len(b.machine.on) > 0 || len(guests[b.machine.rec.Share]) > 0
+	})
+	for i := range n.shares {
+		if len(claims[i]) == 0 && len(guests[i]) > 0 {
+			donors = n.moveTo(i, guests[i], donors, true, &mv, now)
 		}
-		f.bins = append(f.bins, donors...)
-		f.open = slices.Clone(f.bins)
-		for _, j := range waits[i] {
-			f.imagine(j, n.wants(j, now))
+	}
+	return mv
+}
+
+// moveTo plans moves of donors to a share for jobs that wait there, and returns the
+// donors that are left.
+func (n *Node) moveTo(share int, waits []*job, donors []*bin, spare bool, mv *protocol.Moves, now time.Time) []*bin {
+	f := &forecast{n: n, now: now, used: map[int]Amounts{}, onlyBins: true}
+	for _, m := range n.shares[share].machines {
+		if !m.gone && m.rec.Addr != "" {
+			f.bins = append(f.bins, n.binOf(m))
 		}
-		donors = slices.DeleteFunc(donors, func(b *bin) bool {
-			if b.uses > 0 && len(mv.Moves) < mostMoves {
-				mv.Moves = append(mv.Moves, protocol.Move{Machine: b.machine.name, Share: i})
-			}
-			return b.uses > 0
-		})
 	}
-	if len(mv.Moves) == 0 {
-		return
+	f.bins = append(f.bins, donors...)
+	f.open = slices.Clone(f.bins)
+	for _, j := range waits {
+		f.imagine(j, n.wants(j, now))
 	}
-	n.log.Info("moves planned", "machines", len(mv.Moves))
-	n.submit(&storage.Op{Conds: []storage.Cond{n.cond(protocol.HolderKey(0))},
-		Writes: []storage.Write{{Put: protocol.MovesKey, Value: mustJSON(mv)}}}, func(storage.Result) {})
+	return slices.DeleteFunc(donors, func(b *bin) bool {
+		if b.uses > 0 && len(mv.Moves) < mostMoves {
+			mv.Moves = append(mv.Moves, protocol.Move{Machine: b.machine.name, Share: share, Spare: spare})
+		}
+		return b.uses > 0
+	})
+}
+
+// guest says whether a job's team has no guarantee: its work runs on what nobody
+// else needs.
+func (n *Node) guest(j *job) bool { return n.teams[j.team].guarantee == Amounts{} }
+
+// onlyGuests says whether all that a machine has to do is guests' work.
+func (n *Node) onlyGuests(m *machine) bool {
+	for k := range m.on {
+		if !n.guest(k.job) {
+			return false
+		}
+	}
+	return true
+}
+
+// claimed says whether work with a guarantee waits for machines in a share.
+func (n *Node) claimed(share int, now time.Time) bool {
+	return slices.ContainsFunc(n.shares[share].jobs, func(j *job) bool { return !n.guest(j) && n.wants(j, now) > 0 })
+}
+
+// anyClaimed says whether work with a guarantee waits in any share.
+func (n *Node) anyClaimed(now time.Time) bool {
+	return slices.ContainsFunc(n.shares, func(s *share) bool { return n.claimed(s.index, now) })
 }
 
 // startable is how many of a job's tasks wait, are within its team's limit and may
@@ -365,15 +423,36 @@
 	return l.CPUs > 0 && u.CPUs > l.CPUs+slack || l.GPUs > 0 && u.GPUs > l.GPUs+slack
 }
 
+// reserveTime is how long nothing is placed on a machine that guests' work is being
+// moved off, so that it can be handed over.
+const reserveTime = 12 * time.Second
+
 // onMoves hands over the machines of ours that are still free: placing there
-// stops first, then one conditional write moves them under a new token.
+// stops first, then one conditional write moves them under a new token. Guests' work
+// is stopped first; the machine goes when it has left, by a later plan.
 func (n *Node) onMoves(mv protocol.Moves) {
 	type path struct{ from, to int }
 	going := map[path][]*machine{}
+	now := time.Now()
 	for _, x := range mv.Moves {
 		m := n.machines[x.Machine]
-		if m == nil || !m.known || len(m.on) > 0 || m.moving || m.returning || m.gone || m.batch.busy ||
-			x.Share < 0 || x.Share >= len(n.shares) || x.Share == m.rec.Share || !n.mine(n.shares[m.rec.Share]) || n.shareWaits(m.rec.Share, time.Now()) {
+		if m == nil || !m.known || m.moving || m.returning || m.gone ||
+			x.Share < 0 || x.Share >= len(n.shares) || x.Share == m.rec.Share || !n.mine(n.shares[m.rec.Share]) ||
+			n.claimed(m.rec.Share, now) || x.Spare && (m.needed || n.shareWaits(m.rec.Share, now)) {
+			continue
+		}
+		if len(m.on) > 0 {
+			if !x.Spare && n.onlyGuests(m) && !n.stopping(m) {
+				n.log.Info("guests' work stopped for another share", "machine", m.name, "tasks", len(m.on), "share", x.Share)
+				m.avoidTill = now.Add(reserveTime)
+				for k := range m.on {
+					n.stopTask(k.job, k.task)
+				}
+				n.stopNow(m)
+			}
+			continue
+		}
+		if m.batch.busy {
 			continue
 		}
 		p := path{m.rec.Share, x.Share}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -94,6 +94,7 @@
 		// A holder gives a machine it has never heard time from now on: without
 		// this every moved machine was at once given up as one that never booted.
 		m.added, m.heard = time.Now(), time.Time{}
+		m.avoidTill = time.Time{} // it was kept free for this
 	}
 	if !m.known {
 		m.unfence()
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -117,8 +117,10 @@
 	Moves []Move `json:"moves"`
 }
 
-// Move hands a machine to a share.
+// Move hands a machine to a share, if Spare only if its own share does not expect
+// to need it.
 type Move struct {
 	Machine string `json:"m"`
 	Share   int    `json:"to"`
+	Spare   bool   `json:"s,omitempty"`
 }
