--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -397,7 +397,11 @@
 			j.dirtyAt = now
 		}
 		u := j.urgency()
-		if u == onlyFacts && !ample && now.Sub(j.dirtyAt) < factPause {
+		waits := now.Sub(j.dirtyAt)
+		if n.guest(j) && waits < guestPatience {
+			u += onlyFacts // after all that is as urgent, and nearly all else
+		}
+		if u >= onlyFacts && !ample && waits < factPause {
 			continue
 		}
 		turn = append(turn, candidate{j, u})
@@ -419,7 +423,13 @@
 // are scarce. The job's end is not among them.
 const factPause = 3 * time.Second
 
-// How urgent it is to store what is new of a job.
+// guestPatience is how long what is new of a guest's job lets others go first. With
+// 25,000 tasks and 800 jobs of a guest it used up the rate: that a task of a job with
+// a guarantee was lost was not stored for 300 s, and so it did not run again.
+const guestPatience = 20 * time.Second
+
+// How urgent it is to store what is new of a job. That a task was lost is as urgent
+// as a start: it can only start again once that is stored.
 const (
 	itsEnd = iota
 	urgentStart
@@ -431,7 +441,7 @@
 	starts, over := false, true
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		starts = starts || t.phase == proposed
+		starts = starts || t.phase == proposed || t.fact == gone
 		over = over && (t.phase == done || t.fact == finished)
 	}
 	switch {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -96,17 +97,26 @@
 	wanted      time.Time // since when machines are wanted that were not asked for
 	refusedTill map[offer]time.Time
 	renting     map[rental]int // machines asked for
-	lastTurn    time.Time      // when the actor last did something
-	awake       time.Time      // when it last had stood still
-	sight       time.Time      // when a worker was last heard
-	blind       atomic.Bool    // no worker is heard
-	probing     int            // workers being asked how they are
+	changes     atomicFloat    // changes a second that this node would make
+	lastPace    time.Time
+	lastAsked   int64
+	lastTurn    time.Time   // when the actor last did something
+	awake       time.Time   // when it last had stood still
+	sight       time.Time   // when a worker was last heard
+	blind       atomic.Bool // no worker is heard
+	probing     int         // workers being asked how they are
 	lastProbe   time.Time
 	policy      Policy
 	metrics     *Metrics
 	endedJobs   []EndedJob
 }
 
+// atomicFloat is a number that other routines read.
+type atomicFloat struct{ bits atomic.Uint64 }
+
+func (f *atomicFloat) Load() float64   { return math.Float64frombits(f.bits.Load()) }
+func (f *atomicFloat) Store(v float64) { f.bits.Store(math.Float64bits(v)) }
+
 type team struct {
 	name      string
 	share     int
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -20,12 +20,13 @@
 	heard   time.Time
 	refused time.Time // when its host last refused a connection
 	stateOK bool
-	blind   bool // it hears no workers
+	blind   bool    // it hears no workers
+	changes float64 // changes a second that it would make
 }
 
 // Hint is what this node tells its siblings now. Any routine may call it.
 func (n *Node) Hint() []byte {
-	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Blind: n.blind.Load(), Revision: atomic.LoadUint64(&n.followed), Caches: *n.caches.Load()}.Encode()
+	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Blind: n.blind.Load(), Changes: float32(n.changes.Load()), Revision: atomic.LoadUint64(&n.followed), Caches: *n.caches.Load()}.Encode()
 }
 
 // cachesPerHint is how many machines one hint tells of.
@@ -71,7 +72,7 @@
 		if err != nil {
 			n.metrics.refused.WithLabelValues("malformed_hint").Inc()
 		} else if s := n.siblings[h.Node]; s != nil {
-			s.heard, s.stateOK, s.blind = time.Now(), h.StateOK, h.Blind
+			s.heard, s.stateOK, s.blind, s.changes = time.Now(), h.StateOK, h.Blind, float64(h.Changes)
 			n.learnCaches(h.Caches)
 		}
 	})
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -145,8 +145,7 @@
 			held++
 		}
 	}
-	// Most changes are made by holders; all nodes take submissions.
-	n.pace.SetPart(float64(1+3*held) / float64(max(1, len(n.nodes))+3*len(n.shares)))
+	n.partPace(now)
 	n.balance(now)
 	if n.leads() && now.Sub(n.lastMove).Seconds() >= n.policy.MoveS {
 		n.lastMove = now
@@ -154,6 +153,35 @@
 	}
 }
 
+// leastChanges is the rate of changes that every node counts for, so that it can
+// begin to make some.
+const leastChanges = 2
+
+// partPace takes this node's part of the rate of changes: by what it would make and
+// what the others say that they would. With equal parts a swarm of single jobs used
+// up the part of the node that had just come back, to which the load balancer sent
+// all of it, and of the holder of their share, while the others had plenty.
+func (n *Node) partPace(now time.Time) {
+	gone := now.Sub(n.lastPace).Seconds()
+	if gone < 1 {
+		return
+	}
+	asked := n.pace.Asked()
+	would := float64(asked-n.lastAsked)/gone + float64(n.asked+n.storing+len(n.dirty))/3
+	n.lastPace, n.lastAsked = now, asked
+	n.changes.Store((n.changes.Load() + min(would, n.pace.Total())) / 2)
+	own := leastChanges + n.changes.Load()
+	all := own
+	for name, s := range n.siblings {
+		if n.hears(name, now) {
+			all += leastChanges + s.changes
+		} else if _, lives := n.nodes[name]; lives {
+			all += leastChanges + n.pace.Total()/float64(len(n.nodes))
+		}
+	}
+	n.pace.SetPart(own / all)
+}
+
 // takeDelay staggers the nodes, so that a vacant share goes to the one with
 // the fewest and every share has a first candidate.
 func (n *Node) takeDelay(s *share, held int, now time.Time) time.Duration {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -86,6 +86,7 @@
 		n.nextTurn = backlog
 	}
 	n.nextTurn = n.nextTurn.Add(perChange)
+	n.log.Debug("user turned away", "waiting", n.asked, "per_second", n.pace.PerSecond(), "turn_s", n.nextTurn.Sub(now).Seconds())
 	return answer{status: 503, retryS: min(30, int(math.Ceil(n.nextTurn.Sub(now).Seconds())))}, true
 }
 
@@ -321,9 +322,10 @@
 		switch {
 		case r.OK:
 			n.learn(op.Writes[0], r.Epoch)
-			n.log.Debug("job accepted", "job", s.ID, "class", s.Class, "tasks", s.Tasks)
+			n.log.Debug("job accepted", "job", s.ID, "class", s.Class, "tasks", s.Tasks, "took_s", time.Since(now).Seconds())
 			reply <- answer{status: 201, body: protocol.JobStatus{ID: s.ID, Status: protocol.JobQueued}}
 		case r.Err != nil:
+			n.log.Debug("submission not stored", "job", s.ID, "why", r.Err, "took_s", time.Since(now).Seconds())
 			reply <- busy
 		default:
 			repeat(func() { reply <- busy })
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -17,7 +17,8 @@
 type Hint struct {
 	Node     string
 	StateOK  bool
-	Blind    bool // it hears no worker
+	Blind    bool    // it hears no worker
+	Changes  float32 // changes a second that it would make
 	Revision uint64
 	Caches   []Cache
 }
@@ -73,6 +74,7 @@
 	peerfb.HintAddStateOk(b, h.StateOK)
 	peerfb.HintAddRevision(b, h.Revision)
 	peerfb.HintAddBlind(b, h.Blind)
+	peerfb.HintAddChanges(b, h.Changes)
 	b.Finish(peerfb.HintEnd(b))
 	return b.FinishedBytes()
 }
@@ -89,7 +91,7 @@
 		return Hint{}, errors.New("malformed hint")
 	}
 	f := peerfb.GetRootAsHint(data, 0)
-	h = Hint{Node: string(f.Node()), StateOK: f.StateOk(), Blind: f.Blind(), Revision: f.Revision()}
+	h = Hint{Node: string(f.Node()), StateOK: f.StateOk(), Blind: f.Blind(), Changes: f.Changes(), Revision: f.Revision()}
 	if h.Node == "" {
 		return Hint{}, errors.New("hint without a node")
 	}
--- a/internal/protocol/peer_test.go
+++ b/internal/protocol/peer_test.go
@@ -9,7 +9,7 @@
 
 func TestHintRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := Hint{Node: rapid.StringMatching(`[a-z0-9-]{1,40}`).Draw(t, "node"), StateOK: rapid.Bool().Draw(t, "ok"), Blind: rapid.Bool().Draw(t, "blind"), Revision: rapid.Uint64().Draw(t, "rev")}
+		h := Hint{Node: rapid.StringMatching(`[a-z0-9-]{1,40}`).Draw(t, "node"), StateOK: rapid.Bool().Draw(t, "ok"), Blind: rapid.Bool().Draw(t, "blind"), Changes: rapid.Float32Range(0, 100).Draw(t, "changes"), Revision: rapid.Uint64().Draw(t, "rev")}
 		for range rapid.IntRange(0, 5).Draw(t, "machines") {
 			c := Cache{Machine: rapid.StringMatching(`[a-z0-9-]{1,20}`).Draw(t, "machine")}
 			for range rapid.IntRange(0, 4).Draw(t, "images") {
--- a/internal/protocol/peerfb/Hint.go
+++ b/internal/protocol/peerfb/Hint.go
@@ -117,8 +117,20 @@
 	return rcv._tab.MutateBoolSlot(14, n)
 }
 
+func (rcv *Hint) Changes() float32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.GetFloat32(o + rcv._tab.Pos)
+	}
+	return 0.0
+}
+
+func (rcv *Hint) MutateChanges(n float32) bool {
+	return rcv._tab.MutateFloat32Slot(16, n)
+}
+
 func HintStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(7)
 }
 func HintAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -144,6 +156,9 @@
 func HintAddBlind(builder *flatbuffers.Builder, blind bool) {
 	builder.PrependBoolSlot(5, blind, false)
 }
+func HintAddChanges(builder *flatbuffers.Builder, changes float32) {
+	builder.PrependFloat32Slot(6, changes, 0.0)
+}
 func HintEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/storage/pace.go
+++ b/internal/storage/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -16,6 +17,7 @@
 type Pace struct {
 	total   float64
 	limiter *rate.Limiter
+	asked   atomic.Int64
 }
 
 // forUsers is how many changes the books leave to users at any time.
@@ -38,8 +40,15 @@
 // Ample says whether much of the rate lies unused.
 func (p *Pace) Ample() bool { return p.limiter.Tokens() > float64(p.limiter.Burst())/2 }
 
+// Total is the rate that all nodes share.
+func (p *Pace) Total() float64 { return p.total }
+
+// Asked is how many changes were to be made so far.
+func (p *Pace) Asked() int64 { return p.asked.Load() }
+
 // wait takes n changes from the rate.
 func (p *Pace) wait(ctx context.Context, n int, urgent bool) error {
+	p.asked.Add(int64(n))
 	if urgent {
 		return p.limiter.WaitN(ctx, min(n, p.limiter.Burst()))
 	}
