--- a/internal/coordination/guests_test.go
+++ b/internal/coordination/guests_test.go
@@ -60,3 +60,31 @@
 		t.Fatalf("its worker was sent %+v", o)
 	}
 }
+
+// With 25,000 tasks and 800 single jobs a guest used up the changes of the state
+// service: users were turned away, and tasks with a guarantee that were lost did not
+// run again for 300 s. (Seen in a recorded incident.)
+func TestGuestsAreStoredLast(t *testing.T) {
+	lost, _ := storeTurn(otherStart, false, 0, true, false)
+	for urgency := itsEnd; urgency <= onlyFacts; urgency++ {
+		for _, waits := range []time.Duration{0, factPause, guestPatience - 1} {
+			if u, now := storeTurn(urgency, true, waits, false, false); u <= lost || now != (waits >= factPause) {
+				t.Errorf("a guest's change %d after %v: urgency %d, now %v", urgency, waits, u, now)
+			}
+			if _, now := storeTurn(urgency, true, waits, true, false); now {
+				t.Errorf("a guest's change %d after %v goes before users", urgency, waits)
+			}
+			if _, now := storeTurn(urgency, true, waits, true, true); !now {
+				t.Error("a guest waits though the rate is ample")
+			}
+		}
+		if u, now := storeTurn(urgency, true, guestPatience, true, false); u != urgency || !now {
+			t.Errorf("a guest's change %d never has its turn", urgency)
+		}
+	}
+	j := newBench(t).array("job-1", 3, "host-1")
+	j.tasks[0].fact = gone
+	if j.urgency() != otherStart {
+		t.Error("a lost task is less urgent than a start")
+	}
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -396,15 +396,10 @@
 		if j.dirtyAt.IsZero() {
 			j.dirtyAt = now
 		}
-		u := j.urgency()
-		waits := now.Sub(j.dirtyAt)
-		if n.guest(j) && waits < guestPatience {
-			u += onlyFacts // after all that is as urgent, and nearly all else
+		u, now := storeTurn(j.urgency(), n.guest(j), now.Sub(j.dirtyAt), n.asked > 0, ample)
+		if now {
+			turn = append(turn, candidate{j, u})
 		}
-		if u >= onlyFacts && !ample && waits < factPause {
-			continue
-		}
-		turn = append(turn, candidate{j, u})
 	}
 	slices.SortFunc(turn, func(a, b candidate) int {
 		return cmp.Or(a.urgency-b.urgency, a.job.dirtyAt.Compare(b.job.dirtyAt), strings.Compare(a.job.id, b.job.id))
@@ -428,6 +423,16 @@
 // a guarantee was lost was not stored for 300 s, and so it did not run again.
 const guestPatience = 20 * time.Second
 
+// storeTurn says how urgent it is to store what has been new of a job for so long,
+// and whether its turn has come.
+func storeTurn(urgency int, guest bool, waits time.Duration, usersWait, ample bool) (int, bool) {
+	guest = guest && waits < guestPatience
+	if guest {
+		urgency += onlyFacts // after nearly all else
+	}
+	return urgency, ample || !(guest && usersWait) && (urgency < onlyFacts || waits >= factPause)
+}
+
 // How urgent it is to store what is new of a job. That a task was lost is as urgent
 // as a start: it can only start again once that is stored.
 const (
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -167,7 +167,13 @@
 		return
 	}
 	asked := n.pace.Asked()
-	would := float64(asked-n.lastAsked)/gone + float64(n.asked+n.storing+len(n.dirty))/3
+	behind := n.asked + n.storing
+	for j := range n.dirty {
+		if !n.guest(j) {
+			behind++
+		}
+	}
+	would := float64(asked-n.lastAsked)/gone + float64(behind)/3
 	n.lastPace, n.lastAsked = now, asked
 	n.changes.Store((n.changes.Load() + min(would, n.pace.Total())) / 2)
 	own := leastChanges + n.changes.Load()
