--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -33,11 +33,12 @@
 	ctx   context.Context
 
 	outage  bool
-	noState map[string]bool // nodes that the state service refuses
-	noNet   map[string]bool // nodes cut off from everything
-	deaf    map[string]bool // nodes that hear no workers
-	lossy   float64         // part of store answers, reports and answers lost
-	late    float64         // part of unanswered transactions applied much later
+	noState map[string]bool      // nodes that the state service refuses
+	noNet   map[string]bool      // nodes cut off from everything
+	deaf    map[string]bool      // nodes that hear no workers
+	lossy   float64              // part of store answers, reports and answers lost
+	late    float64              // part of unanswered transactions applied much later
+	frozen  map[string]time.Time // until when a node stands still
 }
 
 func settingsFor(names []string, i int) *protocol.Settings {
@@ -50,7 +51,7 @@
 	p := &s.Params
 	p.Nodes = len(names)
 	p.Zones = []string{"a", "b"}
-	p.Teams = []protocol.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 4, GPUsMax: 8}, {Name: "green", GPUs: 4, GPUsMax: 8}}
+	p.Teams = []protocol.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 4, GPUsMax: 8}, {Name: "green", GPUs: 4, GPUsMax: 8}, {Name: "guest"}}
 	p.Workers = protocol.WorkerSettings{ReportS: 2, LeaseS: 10, GangWaitS: 40, GangPeerS: 6, CancelS: 40}
 	p.State = protocol.StateSettings{RPS: 100, WriteRPS: 40, ValueKB: 8, TxnOps: 12}
 	p.Cloud = protocol.CloudSettings{RPS: 4, ListLagS: 4}
@@ -60,7 +61,7 @@
 func newWorld(t *testing.T, ctx context.Context, seed uint64, change func(p *protocol.WorkerSettings)) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 8)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
-		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}}
+		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, frozen: map[string]time.Time{}}
 	w.ctx = ctx
 	f := standin.NewFleet(ctx)
 	f.Types = []protocol.MachineType{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 192, CacheGB: 100, FetchGBPerS: 1, Price: 10, SpotPrice: 4, BootS: 5, Zones: []string{"a", "b"}}}
@@ -114,7 +115,7 @@
 		log = slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", name)
 	}
 	fs := &faultyState{w: w, node: name}
-	n := New(ctx, w.cfg[name], log, fs, w.fleet, &faultyWorkers{w, name}, 1)
+	n := New(ctx, w.cfg[name], log, fs, &faultyCloud{w.fleet, w, name}, &faultyWorkers{w, name}, 1)
 	fs.contact = n.Contact
 	w.set(func() { w.nodes[name], w.stop[name] = n, cancel })
 	go n.Run()
@@ -124,6 +125,7 @@
 // hint tells the other nodes every second how a node is, if both are reached.
 func (w *world) hint(ctx context.Context, n *Node) {
 	for ctx.Err() == nil {
+		w.thaw(n.cfg.Node)
 		for _, name := range w.names {
 			if other := w.node(name); other != nil && other != n && !w.is(w.noNet, name) && !w.is(w.noNet, n.cfg.Node) {
 				other.TakeHint(n.Hint())
@@ -136,6 +138,26 @@
 	}
 }
 
+// freeze makes a node stand still while its clocks run on: nothing that it does
+// begins, and nothing that comes reaches it, before it goes on.
+func (w *world) freeze(name string, lasts time.Duration) {
+	w.set(func() { w.frozen[name] = time.Now().Add(lasts) })
+	if n := w.node(name); n != nil {
+		n.post(func() { w.thaw(name) })
+	}
+	time.Sleep(lasts)
+}
+
+// thaw waits until a node goes on.
+func (w *world) thaw(name string) {
+	w.mu.Lock()
+	until := w.frozen[name]
+	w.mu.Unlock()
+	if d := time.Until(until); d > 0 {
+		time.Sleep(d)
+	}
+}
+
 func (w *world) crash(name string) {
 	w.stop[name]()
 	w.set(func() { w.nodes[name] = nil })
@@ -210,6 +232,8 @@
 }
 
 func (f *faultyWorkers) Command(ctx context.Context, addr string, o protocol.Orders) (*protocol.Report, bool, error) {
+	f.w.thaw(f.node)
+	defer f.w.thaw(f.node)
 	time.Sleep(f.w.between(time.Millisecond, 5*time.Millisecond))
 	if f.w.is(f.w.noNet, f.node) || f.w.is(f.w.deaf, f.node) || f.w.chance(&f.w.lossy) {
 		if f.w.chance(&half) {
@@ -230,6 +254,8 @@
 }
 
 func (f *faultyWorkers) Inspect(ctx context.Context, addr string) (*protocol.Report, error) {
+	f.w.thaw(f.node)
+	defer f.w.thaw(f.node)
 	time.Sleep(f.w.between(time.Millisecond, 5*time.Millisecond))
 	if f.w.is(f.w.noNet, f.node) || f.w.is(f.w.deaf, f.node) || f.w.chance(&f.w.lossy) {
 		time.Sleep(2 * time.Second)
@@ -238,6 +264,25 @@
 	return f.w.fleet.Inspect(ctx, addr)
 }
 
+// faultyCloud is the cloud as one node meets it.
+type faultyCloud struct {
+	CloudService
+	w    *world
+	node string
+}
+
+func (f *faultyCloud) Rent(ctx context.Context, r protocol.RentRequest) ([]string, error) {
+	f.w.thaw(f.node)
+	defer f.w.thaw(f.node)
+	return f.CloudService.Rent(ctx, r)
+}
+
+func (f *faultyCloud) Return(ctx context.Context, names []string) error {
+	f.w.thaw(f.node)
+	defer f.w.thaw(f.node)
+	return f.CloudService.Return(ctx, names)
+}
+
 // faultyState is the state service as one node meets it.
 type faultyState struct {
 	w       *world
@@ -246,6 +291,7 @@
 }
 
 func (f *faultyState) meet(ctx context.Context) error {
+	f.w.thaw(f.node)
 	time.Sleep(f.w.between(time.Millisecond, 8*time.Millisecond))
 	f.w.mu.Lock()
 	outage, refused, cut := f.w.outage, f.w.noState[f.node], f.w.noNet[f.node]
@@ -264,6 +310,7 @@
 }
 
 func (f *faultyState) Get(ctx context.Context, key string) (storage.Item, error) {
+	defer f.w.thaw(f.node)
 	if err := f.meet(ctx); err != nil {
 		return storage.Item{}, err
 	}
@@ -271,6 +318,7 @@
 }
 
 func (f *faultyState) List(ctx context.Context, prefix string) ([]storage.Item, uint64, error) {
+	defer f.w.thaw(f.node)
 	if err := f.meet(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -278,6 +326,7 @@
 }
 
 func (f *faultyState) Txn(ctx context.Context, conds []storage.Cond, writes []storage.Write) (bool, uint64, []string, error) {
+	defer f.w.thaw(f.node)
 	if err := f.meet(ctx); err != nil {
 		if errors.Is(err, storage.ErrUnknown) && f.w.chance(&f.w.late) {
 			go func() { // held on its way, and applied long after
@@ -296,6 +345,7 @@
 }
 
 func (f *faultyState) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	defer f.w.thaw(f.node)
 	if err := f.meet(ctx); err != nil {
 		return 0, err
 	}
@@ -303,6 +353,7 @@
 }
 
 func (f *faultyState) Renew(ctx context.Context, id uint64) error {
+	defer f.w.thaw(f.node)
 	if err := f.meet(ctx); err != nil {
 		return err
 	}
@@ -310,6 +361,7 @@
 }
 
 func (f *faultyState) Watch(ctx context.Context, prefix string, since uint64, hold time.Duration) ([]storage.Item, uint64, error) {
+	defer f.w.thaw(f.node)
 	if err := f.meet(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -422,8 +474,15 @@
 			s.Shape, s.Priority, s.Tasks = protocol.Gang, "high", 1+w.plan.IntN(4)
 			s.OneZone = w.plan.IntN(2) == 0
 		}
+		if w.plan.IntN(6) == 0 {
+			s.Team = "guest" // without a guarantee
+		}
 		u := &user{w: w, spec: s}
-		if w.plan.IntN(4) == 0 || s.Shape == protocol.Service {
+		if w.plan.IntN(8) == 0 {
+			w.fleet.Mistaken(s.ID) // until its user cancels it
+			u.cancelAt = time.Duration(20+w.plan.IntN(90)) * time.Second
+		}
+		if u.cancelAt == 0 && (w.plan.IntN(4) == 0 || s.Shape == protocol.Service) {
 			u.cancelAt = time.Duration(10+w.plan.IntN(60)) * time.Second
 		}
 		us = append(us, u)
@@ -518,7 +577,11 @@
 	for range 8 {
 		name := w.names[w.plan.IntN(3)]
 		lasts := w.between(2*time.Second, 35*time.Second)
-		switch w.plan.IntN(7) {
+		switch w.plan.IntN(9) {
+		case 7:
+			w.freeze(name, lasts)
+		case 8: // while something else goes wrong
+			go w.freeze(name, lasts)
 		case 0:
 			w.crash(name)
 		case 1:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -199,6 +199,9 @@
 		return false
 	}
 	n.answerParked(m, now) // an earlier report's answer is not waited for any more
+	if m.session != 0 && r.Session > m.session {
+		n.log.Info("worker's lease ran out", "machine", m.name, "tasks", len(m.on), "silent_s", round(now.Sub(m.heard).Seconds()))
+	}
 	m.session, m.seq = r.Session, r.Seq
 	if r.Addr != "" && r.Addr != m.rec.Addr {
 		m.addr = r.Addr
@@ -381,9 +384,17 @@
 	return false
 }
 
-// parkTime is how long the answer to a report may wait for a start.
+// findTime is what a worker may take to find another node when its own falls
+// silent: it waits 4 s for an answer and 1 s more, and may be sent on once.
+const findTime = 6500 * time.Millisecond
+
+// parkTime is how long the answer to a report may wait for a start. A lease counts
+// from when the last answered report was sent: what the answer waits is missing when
+// the node falls silent before the next one.
 func (n *Node) parkTime(m *machine) time.Duration {
-	w := time.Duration(n.cfg.Params.Workers.ReportS * float64(time.Second))
+	p := n.cfg.Params.Workers
+	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	w := min(seconds(p.ReportS), max(0, seconds(p.LeaseS-1.25*p.ReportS)-findTime))
 	for k := range m.on {
 		if k.job.spec.Shape != protocol.Service {
 			// The end of a task is not reported before this report is answered.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -35,6 +35,7 @@
 	asked     map[string][]string
 	jobs      map[string]*protocol.JobSpec
 	cancelled map[string]time.Time
+	mistaken  map[string]bool
 	Started   int
 	Broken    []string
 }
@@ -67,7 +68,7 @@
 
 // NewFleet makes a fleet that lives until ctx ends.
 func NewFleet(ctx context.Context) *Fleet {
-	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}}
+	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}}
 }
 
 // Submitted tells the workers of a job, as users do.
@@ -77,6 +78,13 @@
 	f.jobs[s.ID] = s
 }
 
+// Mistaken makes a job fail on every machine.
+func (f *Fleet) Mistaken(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mistaken[id] = true
+}
+
 // Cancelled tells the checker that a user was told that a job is cancelled.
 func (f *Fleet) Cancelled(id string) {
 	f.mu.Lock()
@@ -392,6 +400,9 @@
 	if at, ok := f.cancelled[p.job.ID]; ok && time.Since(at).Seconds() > f.Workers.CancelS {
 		f.broken("ran_cancelled %s", id)
 	}
+	if f.mistaken[p.job.ID] {
+		p.state, p.cause = protocol.TaskExited, protocol.CauseError
+	}
 }
 
 // gangComplete says whether all tasks of p's attempt wait or run.
