--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -673,3 +673,27 @@
 		}
 	}
 }
+
+// In an outage of the state service the machines of a holder that stands still keep
+// their leases by the others, as long as no cancellation could be missed, and get no
+// starts. (Seen on a simulated day: 179 workers of a stalled controller lost them.)
+func TestLeasesOfAStalledHolderLiveThroughAnOutage(t *testing.T) {
+	b := newBench(t)
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 9})
+	b.job("job-1", false, onHost1)
+	reply := make(chan answer, 1)
+	ask := func(after time.Duration, token uint64) answer {
+		b.onReport(&protocol.Report{Machine: "host-1", Type: "g4", Zone: "a", Session: 1, Seq: 1, Token: token}, time.Now().Add(after), reply)
+		return <-reply
+	}
+	if a := ask(15*time.Second, 8); a.status != 200 || len(a.body.(protocol.Orders).Commands) != 0 || a.body.(protocol.Orders).Token != 8 {
+		t.Fatalf("15 s into an outage: %+v", a)
+	}
+	if a := ask(15*time.Second, 9); a.status != 503 {
+		t.Fatalf("somebody else has commanded it meanwhile: %+v", a)
+	}
+	w := b.cfg.Params.Workers
+	if a := ask(time.Duration((w.CancelS-w.LeaseS)*float64(time.Second)), 8); a.status != 503 {
+		t.Fatalf("a cancellation could be missed: %+v", a)
+	}
+}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -141,12 +141,15 @@
 // holds its share: the leases of the machines on this side go on. That is safe
 // under the holder's own token, since the holder takes a task for gone only by
 // a report of its own or when the machine is returned, never for a lease's end.
-// No starts are given, or the holder could not tell that one is on its way.
+// No starts are given, or the holder could not tell that one is on its way. It may be
+// that another node holds the share by now, and this one cannot know for want of the
+// state service: that one does not take a lease's end as proof either. Without this
+// all machines of a holder that stood still in an outage lost their leases.
 func (n *Node) standIn(m *machine, r *protocol.Report, now time.Time) (protocol.Orders, bool) {
 	s := n.shares[m.rec.Share]
 	token := n.token(m)
 	sib := n.siblings[s.holder.Node]
-	if s.holder.Token == 0 || n.reaches(s.holder.Node, now) && !sib.blind || !n.mayAnswer(now) || n.sinceContact(now) > time.Second || r.Token > token {
+	if s.holder.Token == 0 || n.reaches(s.holder.Node, now) && !sib.blind || !n.mayAnswer(now) || r.Token > token {
 		return protocol.Orders{}, false
 	}
 	o := protocol.Orders{Token: token, Commands: []protocol.Command{}}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -504,7 +504,7 @@
 		reply <- answer{status: 200, body: o}
 		return
 	}
-	if s.holder.Token == 0 || h == n.cfg.Node || n.sinceContact(now) > leaseLife {
+	if s.holder.Token == 0 || h == n.cfg.Node || n.sinceContact(now) > leaseLife && !n.hears(h, now) {
 		reply <- answer{status: 503}
 		return
 	}
