--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -200,7 +200,7 @@
 	}
 	n.answerParked(m, now) // an earlier report's answer is not waited for any more
 	if m.session != 0 && r.Session > m.session {
-		n.log.Info("worker's lease ran out", "machine", m.name, "tasks", len(m.on), "silent_s", round(now.Sub(m.heard).Seconds()))
+		n.log.Info("worker's lease ran out", "machine", m.name, "tasks", len(m.on), "silent_s", round(now.Sub(n.lastHeard(m)).Seconds()))
 	}
 	m.session, m.seq = r.Session, r.Seq
 	if r.Addr != "" && r.Addr != m.rec.Addr {
