--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -564,13 +564,10 @@
 		if v.rank <= j.rank && !lends {
 			continue
 		}
-		loss := now.Sub(t.since).Seconds()
+		loss := v.stopLoss(t, now)
 		if lends && v.rank <= j.rank && v.spec.CheckpointS == 0 && loss > v.spec.EstimateS/3 {
 			continue // it gives its place back soon by itself
 		}
-		if v.spec.CheckpointS > 0 {
-			loss = min(loss, v.spec.SaveS+2)
-		}
 		if n.harms(v, t, now) {
 			if cached {
 				continue // a late fetch is not worse than a late job
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -349,8 +350,14 @@
 			}
 		}
 	}
-	// Those that are being emptied already come first.
-	slices.SortStableFunc(guestOnly, func(a, b *bin) int { return a.tasks() - b.tasks() })
+	// Those on which the least is lost come first, and so do those that are being
+	// emptied already. (With the fewest tasks first a guest's single jobs, which save
+	// nothing, lost up to 130 s of work each.)
+	losses := map[*bin]float64{}
+	for _, b := range guestOnly {
+		losses[b] = emptyingLoss(b.machine, now)
+	}
+	slices.SortStableFunc(guestOnly, func(a, b *bin) int { return cmp.Compare(losses[a], losses[b]) })
 	donors := append(empty, guestOnly...)
 	for i := range n.shares {
 		if len(claims[i]) > 0 {
@@ -404,6 +411,26 @@
 	return true
 }
 
+// emptyingLoss is how many seconds of work are lost when all tasks of a machine are
+// stopped.
+func emptyingLoss(m *machine, now time.Time) float64 {
+	loss := 0.0
+	for k := range m.on {
+		loss += k.job.stopLoss(&k.job.tasks[k.task], now)
+	}
+	return loss
+}
+
+// stopLoss is how many seconds of work are lost when a task is stopped: all since its
+// start, or, if it saves, what saving takes.
+func (j *job) stopLoss(t *task, now time.Time) float64 {
+	ran := now.Sub(t.since).Seconds()
+	if j.spec.CheckpointS > 0 {
+		return min(ran, j.spec.SaveS+2)
+	}
+	return ran
+}
+
 // claimed says whether work with a guarantee waits for machines in a share.
 func (n *Node) claimed(share int, now time.Time) bool {
 	return slices.ContainsFunc(n.shares[share].jobs, func(j *job) bool { return !n.guest(j) && n.wants(j, now) > 0 })
