--- /dev/null
+++ b/internal/coordination/gateway/policy_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+)
+
+// TestRecordInvariants applies drawn changes in any order to one record.
+func TestRecordInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var rec wire.Record
+		exists := false
+		ends := 0
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			o := op{kind: opKind(rapid.IntRange(0, int(opCancel)).Draw(t, "kind")), site: rapid.IntRange(0, 3).Draw(t, "site"),
+				epoch: uint32(rapid.IntRange(0, 6).Draw(t, "epoch")), bar: rapid.Bool().Draw(t, "bar"), spec: []byte("{}")}
+			next, got := apply(rec, exists, o)
+			if got != changed {
+				if exists && (next.Epoch != rec.Epoch || next.Final != rec.Final || next.Holder != rec.Holder) {
+					t.Fatalf("%v changed a record without saying so", o.kind)
+				}
+				continue
+			}
+			if rec.Final != wire.Open {
+				t.Fatalf("a final record was changed by %v", o.kind)
+			}
+			switch {
+			case exists && o.kind == opClaim:
+				if next.Epoch != rec.Epoch+1 || o.epoch != rec.Epoch || next.Holder == rec.Holder {
+					t.Fatalf("claim of epoch %d made %+v of %+v", o.epoch, next, rec)
+				}
+				if forced := !rec.Stopped; forced != (next.Prev == rec.Holder) {
+					t.Fatalf("forced is %v, previous %d of holder %d", forced, next.Prev, rec.Holder)
+				}
+			case exists && next.Epoch != rec.Epoch:
+				t.Fatalf("%v changed the epoch", o.kind)
+			}
+			if next.Final != wire.Open {
+				ends++
+			}
+			rec, exists = next, true
+		}
+		if ends > 1 {
+			t.Fatalf("%d final answers", ends)
+		}
+	})
+}
+
+func drawSpec(t *rapid.T) *protocol.JobSpec {
+	s := &protocol.JobSpec{ID: "job-1", Team: rapid.SampledFrom([]string{"red", "blue", "nobody"}).Draw(t, "team"),
+		Shape: rapid.SampledFrom([]string{protocol.Array, protocol.Gang, protocol.Service}).Draw(t, "shape"),
+		Tasks: rapid.IntRange(1, 20).Draw(t, "tasks"), GPUs: float64(rapid.IntRange(0, 8).Draw(t, "gpus")), CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 4}
+	if rapid.Bool().Draw(t, "zoned") {
+		s.Zone = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+	}
+	return s
+}
+
+func drawSites(t *rapid.T) []SiteView {
+	var out []SiteView
+	for i := range rapid.IntRange(1, 4).Draw(t, "sites") {
+		v := SiteView{Site: i, Away: rapid.Bool().Draw(t, "away"), Barred: rapid.IntRange(0, 4).Draw(t, "barred") == 0,
+			AgeS: rapid.Float64Range(0, 30).Draw(t, "age"), Allowed: rapid.IntRange(0, 3).Draw(t, "allowed") > 0}
+		if rapid.IntRange(0, 4).Draw(t, "known") > 0 {
+			v.Hint = &wire.Hint{Drained: rapid.IntRange(0, 4).Draw(t, "drained") == 0, GPUs: 8, FreeGPUs: float64(rapid.IntRange(0, 8).Draw(t, "free")),
+				Waiting: rapid.IntRange(0, 50).Draw(t, "waiting"),
+				Types:   []wire.TypeHint{{Name: "g", CPUs: 24, GPUs: 4, MemoryGB: 100, Zones: []string{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "has")}}},
+				Teams:   []wire.TeamHint{{Name: "red", GPUsMax: 8}, {Name: "blue"}}}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// TestRouteChoosesOnlyWhatFits draws jobs and sites.
+func TestRouteChoosesOnlyWhatFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec, sites := drawSpec(t), drawSites(t)
+		to, v := Route(spec, sites, DefaultRoute())
+		if v != fits {
+			for _, s := range sites {
+				if v == neverFits && !s.Barred && (s.Hint == nil || CanRun(spec, s.Hint)) {
+					t.Fatalf("called impossible though site %d is unknown or could run it", s.Site)
+				}
+				if s.Hint != nil && !s.Barred && !s.Away && !s.Hint.Drained && s.Allowed && CanRun(spec, s.Hint) {
+					t.Fatalf("%v though site %d can take it", v, s.Site)
+				}
+			}
+			return
+		}
+		s := sites[to]
+		if s.Hint == nil || s.Barred || s.Away || s.Hint.Drained || !s.Allowed || !CanRun(spec, s.Hint) {
+			t.Fatalf("site %d was chosen: %+v", to, s)
+		}
+		// More work there never makes another choice worse for it: the choice is stable.
+		s.Hint.Waiting = 0
+		if again, v := Route(spec, sites, DefaultRoute()); v != fits || again != to {
+			t.Fatalf("less work at site %d moved the job to %d", to, again)
+		}
+	})
+}
+
+// TestSlowStart: a site that came back is given a twentieth at first, and its whole
+// rate after the ramp; it is never given more than the rate in a second.
+func TestSlowStart(t *testing.T) {
+	cfg := RouteConfig{PerSecond: 40, RampS: 60}
+	var b budget
+	b.back(0, true)
+	given := make([]int, 80)
+	for ms := 0; ms < 80_000; ms += 10 {
+		now := time.Duration(ms) * time.Millisecond
+		if b.allowed(now, cfg) {
+			b.take(now)
+			given[ms/1000]++
+		}
+	}
+	if given[0] > 4 || given[70] < 38 || given[70] > 41 {
+		t.Errorf("given in the first second %d, after the ramp %d", given[0], given[70])
+	}
+	for i := 10; i < 60; i++ {
+		if given[i] < given[i-8] {
+			t.Errorf("given fell from %d to %d in second %d", given[i-8], given[i], i)
+		}
+	}
+	b.back(80*time.Second, false)
+	b.back(90*time.Second, true)
+	if r := b.rate(90*time.Second, cfg); r > 2.1 {
+		t.Errorf("rate %v after it came back again", r)
+	}
+}
