--- /dev/null
+++ b/cmd/dapplestage/gateway.go
@@ -0,0 +1,368 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/spf13/cobra"
+
+	"dapplestage.example/dapplestage/internal/coordination/gateway"
+	"dapplestage.example/dapplestage/internal/protocol"
+	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+	"dapplestage.example/dapplestage/internal/storage"
+	"dapplestage.example/dapplestage/internal/storage/segments"
+	"dapplestage.example/dapplestage/internal/transport"
+	"dapplestage.example/dapplestage/internal/transport/keys"
+	"dapplestage.example/dapplestage/internal/transport/rpc"
+)
+
+// gatewayCommand runs and operates the members of a gateway.
+func gatewayCommand() *cobra.Command {
+	var config string
+	run := &cobra.Command{
+		Use: "gateway --config FILE", Short: "Run a member of a gateway between sites: a gateway, or a site's daemon", Args: usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if config == "" {
+				return report(fmt.Errorf("%w: --config FILE is needed", errUsage))
+			}
+			s, site, err := wire.ReadSettings(config)
+			if err != nil {
+				return report(err)
+			}
+			return report(serveMember(s, site))
+		},
+	}
+	run.Flags().StringVar(&config, "config", "", "the member's file, see docs/gateway-operations.md")
+	check := &cobra.Command{Use: "check FILE", Short: "Check a member's file and its keys", Args: usage(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, _, err := wire.ReadSettings(args[0])
+			if err != nil {
+				return report(err)
+			}
+			ring, err := keys.Open(keyFiles(s), s.Member, time.Now)
+			if err != nil {
+				return report(err)
+			}
+			left, err := ring.Left()
+			if err != nil {
+				return report(err)
+			}
+			c := memberConfig(s)
+			fmt.Fprintf(cmd.OutOrStdout(), "fine; a lost site's jobs are handed over within %.1f s; the certificate is valid for %d days\n",
+				gateway.HandoffBound(c).Seconds(), int(left.Hours()/24))
+			return nil
+		}}
+	run.AddCommand(check, gatewayAdmin()[0], gatewayAdmin()[1], gatewayAdmin()[2], gatewayAdmin()[3])
+	return run
+}
+
+func keyFiles(s *wire.Settings) keys.Files {
+	f := keys.Files{Member: s.Path(s.Keys.Member), Authority: s.Path(s.Keys.Authority), Revoked: s.Path(s.Keys.Revoked)}
+	if s.Keys.Dir != "" {
+		in := keys.In(s.Path(s.Keys.Dir), s.Member)
+		for _, p := range []struct{ to, from *string }{{&f.Member, &in.Member}, {&f.Authority, &in.Authority}, {&f.Revoked, &in.Revoked}} {
+			if *p.to == "" {
+				*p.to = *p.from
+			}
+		}
+	}
+	return f
+}
+
+func memberConfig(s *wire.Settings) gateway.Config {
+	second := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+	c := gateway.Config{Lease: second(s.LeaseS), Stop: gateway.StopBound(second(s.ControllersS), second(s.WorkersLeaseS)), InFlight: s.InFlight,
+		Route: gateway.RouteConfig{PerSecond: s.Route.PerSecond, RampS: s.Route.RampS, StaleS: s.Route.StaleS, MoveAfterS: s.Route.MoveAfterS}}
+	for i, m := range s.Members {
+		c.Members = append(c.Members, gateway.Member{Name: m.Name, Site: m.Site})
+		if m.Name == s.Member {
+			c.Self = i
+		}
+	}
+	return c
+}
+
+// serveMember runs a member until it is told to stop.
+func serveMember(s *wire.Settings, site *protocol.Settings) error {
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})).With("member", s.Member)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	ring, err := keys.Open(keyFiles(s), s.Member, time.Now)
+	if err != nil {
+		return err
+	}
+	cfg := memberConfig(s)
+	// What others connect to is opened first: a mistake shows before anything is read.
+	ln, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return err
+	}
+	api, err := net.Listen("tcp", s.API)
+	if err != nil {
+		return err
+	}
+	var store gateway.Store
+	var caller gateway.Site
+	var items []wire.Item
+	var start uint32
+	var local net.Listener
+	if s.IsSite() {
+		if local, err = net.Listen("tcp", s.Site.Local); err != nil {
+			return err
+		}
+		if store, items, start, err = openSite(ctx, s, site, log); err != nil {
+			return err
+		}
+		caller = gateway.NewControllers(s.Site.Controllers, log)
+	} else {
+		j, its, n, err := gateway.OpenJournal(s.Path(s.Journal.Path), s.Member)
+		if err != nil {
+			return err
+		}
+		defer j.Close()
+		store, items, start = gateway.JournalStore{Journal: j}, its, n
+	}
+	sum := s.Checksum()
+	index := map[string]int{}
+	peers := make([]*rpc.Peer, len(s.Members))
+	for i, m := range s.Members {
+		index[m.Name] = i
+		peers[i] = rpc.NewPeer(m.Name)
+	}
+	send := func(to int, e *wire.Envelope) {
+		e.Config = sum
+		peers[to].Send(wire.Encode(e))
+	}
+	h := fnv.New64a()
+	h.Write([]byte(s.Member))
+	d := gateway.NewDaemon(ctx, cfg, start, items, store, send, caller, h.Sum64()^uint64(time.Now().UnixNano()), log)
+	serve := func(f func() error) {
+		go func() {
+			if err := f(); err != nil {
+				fail(err)
+			}
+		}()
+	}
+	for i, m := range s.Members {
+		if i != cfg.Self {
+			serve(func() error { return peers[i].Run(ctx, m.Addr, ring, log) })
+		}
+	}
+	serve(func() error {
+		return rpc.Server(ctx, ln, ring, func(name string) bool { i, ok := index[name]; return ok && i != cfg.Self }, log, func(from string, data []byte) error {
+			if len(data) == 0 {
+				return nil
+			}
+			e, err := wire.Decode(data)
+			if err != nil {
+				return err
+			}
+			if e.Config != sum {
+				return fmt.Errorf("%s has other members or times in its file", from)
+			}
+			d.Take(index[from], e)
+			return nil
+		})
+	})
+	if local != nil {
+		serve(func() error {
+			return transport.Serve(ctx, local, d.LeaseHandler(time.Duration(s.ControllersS*float64(time.Second))))
+		})
+	}
+	serve(func() error { return transport.Serve(ctx, api, d.API(keyMetrics(ring, peers)...)) })
+	log.Info("serving", "api", s.API, "members", len(s.Members), "site", s.IsSite(), "registers", len(items), "start", start, "version", version)
+	return d.Run()
+}
+
+// openSite takes the site's log in its state service over; it waits for the service.
+func openSite(ctx context.Context, s *wire.Settings, site *protocol.Settings, log *slog.Logger) (gateway.Store, []wire.Item, uint32, error) {
+	p := site.Params
+	svc := storage.NewStore(site.External.State, p.State, 2*p.Nodes)
+	lim := segments.Limits{ValueKB: p.State.ValueKB, TxnOps: p.State.TxnOps, ChangesPerS: s.Site.Part * p.State.WriteRPS}
+	for {
+		l, entries, start, err := segments.Open(ctx, svc, s.Member, lim, log)
+		if err == nil {
+			items, err := gateway.DecodeSegments(entries)
+			if err != nil {
+				return nil, nil, 0, err
+			}
+			return gateway.SegmentStore{Log: l}, items, start, nil
+		}
+		if !errors.Is(err, storage.ErrUnknown) && !errors.Is(err, storage.ErrRefused) {
+			return nil, nil, 0, err
+		}
+		log.Warn("state service not reached", "why", err)
+		select {
+		case <-ctx.Done():
+			return nil, nil, 0, ctx.Err()
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func keyMetrics(ring *keys.Ring, peers []*rpc.Peer) []prometheus.Collector {
+	return []prometheus.Collector{
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dapplestage_gateway_certificates_refused_total", Help: "Certificates of others that were refused."},
+			func() float64 { return float64(ring.Refused()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dapplestage_gateway_certificate_left_seconds", Help: "How long this member's certificate is valid."},
+			func() float64 {
+				left, err := ring.Left()
+				if err != nil {
+					return -1
+				}
+				return left.Seconds()
+			}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dapplestage_gateway_messages_dropped_total", Help: "Messages to other members that were not sent."},
+			func() float64 {
+				n := int64(0)
+				for _, p := range peers {
+					n += p.Dropped()
+				}
+				return float64(n)
+			}),
+	}
+}
+
+// gatewayAdmin are the operators' commands on members.
+func gatewayAdmin() []*cobra.Command {
+	var addr string
+	var asJSON bool
+	make := func(use, short string, args cobra.PositionalArgs, f func(cmd *cobra.Command, args []string) error) *cobra.Command {
+		c := &cobra.Command{Use: use, Short: short, Args: usage(args), RunE: func(cmd *cobra.Command, args []string) error {
+			if addr == "" {
+				return report(fmt.Errorf("%w: --addr IP:PORT is needed", errUsage))
+			}
+			return report(f(cmd, args))
+		}}
+		c.Flags().StringVar(&addr, "addr", "", "a member's api_addr, as IP:PORT")
+		c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+		return c
+	}
+	show := func(cmd *cobra.Command, s gateway.Status) error {
+		if asJSON {
+			return printJSON(cmd.OutOrStdout(), s)
+		}
+		printMembers(cmd.OutOrStdout(), s)
+		return nil
+	}
+	drain := func(on bool) func(cmd *cobra.Command, _ []string) error {
+		return func(cmd *cobra.Command, _ []string) error {
+			var s gateway.Status
+			if err := call(cmd.Context(), addr, "PUT", "/admin/gateway/drained", gateway.DrainChange{On: &on}, &s); err != nil {
+				return err
+			}
+			return show(cmd, s)
+		}
+	}
+	return []*cobra.Command{
+		make("status --addr IP:PORT", "Show members, leases, jobs and what is not known", cobra.NoArgs, func(cmd *cobra.Command, _ []string) error {
+			var s gateway.Status
+			if err := call(cmd.Context(), addr, "GET", "/admin/gateway/status", nil, &s); err != nil {
+				return err
+			}
+			return show(cmd, s)
+		}),
+		make("job ID --addr IP:PORT", "Show which site holds a job", cobra.ExactArgs(1), func(cmd *cobra.Command, args []string) error {
+			if !protocol.ValidJobID(args[0]) {
+				return fmt.Errorf("%q is no job id: job- and digits", args[0])
+			}
+			var v gateway.JobView
+			if err := call(cmd.Context(), addr, "GET", "/admin/gateway/jobs/"+args[0], nil, &v); err != nil {
+				return err
+			}
+			if asJSON {
+				return printJSON(cmd.OutOrStdout(), v)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %s, held by %s under claim %d, agreed %v, stopped there %v\n", v.ID, v.Final, v.Holder, v.Epoch, v.Agreed, v.Stopped)
+			return nil
+		}),
+		make("drain --addr IP:PORT", "Hand the jobs of a site over and give it none (its own daemon's address)", cobra.NoArgs, drain(true)),
+		make("undrain --addr IP:PORT", "Take a site back into service", cobra.NoArgs, drain(false)),
+	}
+}
+
+func printMembers(out io.Writer, s gateway.Status) {
+	fmt.Fprintf(out, "%s: %d open jobs, %d ended; %d changes and %d handoffs under way, %d undecided\n", s.Member, s.Open, s.Final, s.UnderWay, s.Handoffs, s.Undecided)
+	if !s.Majority {
+		fmt.Fprintln(out, "TOO FEW MEMBERS ARE HEARD: nothing can be decided, users get 503")
+	}
+	if s.Store != "ok" {
+		fmt.Fprintln(out, "STORE:", s.Store)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "\nMEMBER\tSTATE\tSINCE\tHOLDS\tTO BE TOLD\tDRAINED\tWAITING\tFREE GPUS\tAS OF\tLEASE")
+	for _, m := range s.Members {
+		if !m.Site {
+			fmt.Fprintf(w, "%s\t%s\t%g s\t\t\t\t\t\t\t\n", m.Name, m.State, m.SinceS)
+			continue
+		}
+		load, age := "unknown\tunknown", "never"
+		if m.HintAge >= 0 {
+			age = fmt.Sprintf("%g s ago", m.HintAge)
+			if m.State != "unknown" {
+				load = fmt.Sprintf("%d\t%g", m.Waiting, m.FreeGPU)
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%g s\t%d\t%d\t%s\t%s\t%s\t%s\n", m.Name, m.State, m.SinceS, m.Holds, m.Left, m.Drained, load, age, m.Lease)
+	}
+}
+
+// keysCommand makes and shows the members' certificates.
+func keysCommand() *cobra.Command {
+	var dir string
+	var days int
+	root := &cobra.Command{Use: "keys", Short: "Make, show, renew and revoke the certificates of a gateway's members"}
+	add := func(use, short string, args cobra.PositionalArgs, f func(cmd *cobra.Command, args []string) error) {
+		c := &cobra.Command{Use: use, Short: short, Args: usage(args), RunE: func(cmd *cobra.Command, args []string) error {
+			if days < 1 || days > 36500 {
+				return report(fmt.Errorf("%w: --days %d is not within 1 to 36500", errUsage, days))
+			}
+			return report(f(cmd, args))
+		}}
+		root.AddCommand(c)
+	}
+	root.PersistentFlags().StringVar(&dir, "dir", "keys", "the directory of keys")
+	root.PersistentFlags().IntVar(&days, "days", keys.MemberDays, "validity of a member's certificate")
+	issue := func(cmd *cobra.Command, names []string) error {
+		for _, n := range names {
+			if err := keys.Issue(dir, n, time.Now(), days); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "made", keys.MemberFile(dir, n))
+		}
+		return nil
+	}
+	add("init MEMBER...", "Make an authority, and certificates for members", cobra.ArbitraryArgs, func(cmd *cobra.Command, args []string) error {
+		if err := keys.MakeAuthority(dir, time.Now(), keys.AuthorityDays); err != nil {
+			return err
+		}
+		return issue(cmd, args)
+	})
+	add("issue MEMBER...", "Make certificates for members, or new ones in their place", cobra.MinimumNArgs(1), issue)
+	add("renew MEMBER...", "The same as issue: members take renewed files up by themselves", cobra.MinimumNArgs(1), issue)
+	add("revoke MEMBER", "Refuse a member's present certificate from now on", cobra.ExactArgs(1), func(cmd *cobra.Command, args []string) error {
+		return keys.Revoke(dir, args[0], time.Now())
+	})
+	add("show", "Show the certificates", cobra.NoArgs, func(cmd *cobra.Command, _ []string) error {
+		lines, err := keys.Show(dir, time.Now())
+		for _, l := range lines {
+			fmt.Fprintln(cmd.OutOrStdout(), l)
+		}
+		return err
+	})
+	return root
+}
--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"log/slog"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -41,7 +42,7 @@
 }
 
 func command() *cobra.Command {
-	var config string
+	var config, daemon string
 	root := &cobra.Command{
 		Use:           "dapplestage --config FILE",
 		Short:         "A controller of the dapplestage cluster scheduler",
@@ -56,10 +57,11 @@
 			if err != nil {
 				return report(err)
 			}
-			return report(serve(cfg))
+			return report(serve(cfg, daemon))
 		},
 	}
 	root.Flags().StringVar(&config, "config", "", "the settings file that the platform hands over")
+	root.Flags().StringVar(&daemon, "site-daemon", "", "where the site's daemon tells how long jobs of a gateway may run, as IP:PORT")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return report(fmt.Errorf("%w: %v", errUsage, err))
 	})
@@ -77,6 +79,7 @@
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dapplestage", version) },
 	})
 	root.AddCommand(adminCommands()...)
+	root.AddCommand(gatewayCommand(), keysCommand())
 	return root
 }
 
@@ -108,7 +111,12 @@
 }
 
 // serve runs the node until it is told to stop.
-func serve(cfg *protocol.Settings) error {
+func serve(cfg *protocol.Settings, daemon string) error {
+	if daemon != "" {
+		if _, err := netip.ParseAddrPort(daemon); err != nil {
+			return fmt.Errorf("%w: --site-daemon: not an address and port: %q", errUsage, daemon)
+		}
+	}
 	planMachine(cfg.Params.Quota)
 	level := &slog.LevelVar{}
 	level.Set(logLevel())
@@ -132,6 +140,16 @@
 		level.Set(l)
 	}
 
+	if daemon != "" {
+		asks := transport.NewClient(daemon, 0)
+		go node.KeepGate(func(ctx context.Context) ([]byte, error) {
+			a, err := asks.Call(ctx, time.Second, "GET", "/site/lease", nil)
+			if err == nil && a.Status != 200 {
+				err = fmt.Errorf("the site's daemon answers %d", a.Status)
+			}
+			return a.Body, err
+		})
+	}
 	ln, err := net.Listen("tcp4", cfg.APIAddr)
 	if err != nil {
 		return err
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -23,6 +23,7 @@
 	r.POST("/v1/report", n.postReport)
 	r.GET("/ready", n.getReady)
 	n.routeAdmin(r)
+	n.routeSite(r)
 	return r
 }
 
--- /dev/null
+++ b/internal/coordination/gateway/api.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+)
+
+// API is a member's interface for users, as a site's, and for operators.
+func (d *Daemon) API(extra ...prometheus.Collector) http.Handler {
+	r := httprouter.New()
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	reg := prometheus.NewRegistry()
+	m := newMeters(reg, d)
+	reg.MustRegister(extra...)
+	r.POST("/api/jobs", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		data, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody+1))
+		var s *protocol.JobSpec
+		if err == nil {
+			s, err = protocol.ParseJob(data)
+		}
+		if err != nil {
+			reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
+			return
+		}
+		stored, err := json.Marshal(s)
+		if err != nil {
+			reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
+			return
+		}
+		d.serve(w, r, m, Request{Kind: Submit, ID: s.ID, Spec: s, Body: stored, NowMS: uint64(time.Now().UnixMilli())})
+	})
+	r.GET("/api/jobs/:id", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		d.serve(w, r, m, Request{Kind: Poll, ID: p.ByName("id")})
+	})
+	r.POST("/api/jobs/:id/cancel", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		io.Copy(io.Discard, io.LimitReader(r.Body, protocol.MaxBody))
+		d.serve(w, r, m, Request{Kind: Cancel, ID: p.ByName("id")})
+	})
+	r.GET("/ready", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		if s, ok := d.Status(r); ok && s.Majority && s.Store == "ok" {
+			reply(w, http.StatusOK, 0, struct{}{})
+			return
+		}
+		reply(w, http.StatusServiceUnavailable, 1, errorBody{"no majority of members is heard, or the store can't be written"})
+	})
+	r.GET("/admin/gateway/status", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		if s, ok := d.Status(r); ok {
+			reply(w, http.StatusOK, 0, s)
+		}
+	})
+	r.GET("/admin/gateway/jobs/:id", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		type found struct {
+			v  JobView
+			ok bool
+		}
+		f, ok := ask(d, r.Context(), func() found { v, ok := d.core.view(p.ByName("id")); return found{v, ok} })
+		switch {
+		case !ok:
+		case !f.ok:
+			reply(w, http.StatusNotFound, 0, errorBody{"this member knows no such job"})
+		default:
+			reply(w, http.StatusOK, 0, f.v)
+		}
+	})
+	r.PUT("/admin/gateway/drained", d.putDrained)
+	r.Handler("GET", "/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{DisableCompression: true, MaxRequestsInFlight: 2}))
+	return r
+}
+
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func reply(w http.ResponseWriter, status, retryS int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte("{}")
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if retryS > 0 {
+		h.Set("Retry-After", strconv.Itoa(retryS))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	w.Write(data)
+}
+
+// mostAnswer is how long a user is kept waiting; the core answers within
+// userPatience of when it sees the request.
+const mostAnswer = 4 * time.Second
+
+func (d *Daemon) serve(w http.ResponseWriter, r *http.Request, m *meters, q Request) {
+	if !protocol.ValidJobID(q.ID) {
+		reply(w, http.StatusNotFound, 0, errorBody{"no such job"})
+		return
+	}
+	came := time.Now()
+	late := time.NewTimer(mostAnswer)
+	defer late.Stop()
+	answers := make(chan Answer, 1)
+	d.post(func() {
+		d.token++
+		q.Token = d.token
+		d.asks[q.Token] = answers
+		d.run(d.core.Do(d.now(), q))
+	})
+	select {
+	case a := <-answers:
+		m.requests.WithLabelValues([]string{"submit", "poll", "cancel"}[q.Kind], strconv.Itoa(a.Code)).Inc()
+		m.took.WithLabelValues([]string{"submit", "poll", "cancel"}[q.Kind]).Observe(time.Since(came).Seconds())
+		if a.Why != "" {
+			reply(w, a.Code, a.RetryS, errorBody{a.Why})
+			return
+		}
+		reply(w, a.Code, a.RetryS, a.State)
+	case <-late.C:
+		reply(w, http.StatusServiceUnavailable, 1, errorBody{"overloaded"})
+	case <-r.Context().Done():
+	case <-d.ctx.Done():
+		reply(w, http.StatusServiceUnavailable, 2, errorBody{"ending"})
+	}
+}
+
+// Status is what the member knows.
+func (d *Daemon) Status(r *http.Request) (Status, bool) {
+	return ask(d, r.Context(), func() Status {
+		s := d.core.status()
+		s.Store = "ok"
+		if d.storeAt != nil {
+			s.Store = fmt.Sprintf("not written for %.0f s: %v", time.Since(d.late).Seconds(), d.storeAt)
+		}
+		return s
+	})
+}
+
+// DrainChange asks for a site to be drained, or taken back.
+type DrainChange struct {
+	On *bool `json:"on"`
+}
+
+func (d *Daemon) putDrained(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var c DrainChange
+	data, err := io.ReadAll(io.LimitReader(r.Body, 1024))
+	if err == nil {
+		err = json.Unmarshal(data, &c)
+	}
+	switch {
+	case err != nil || c.On == nil:
+		reply(w, http.StatusBadRequest, 0, errorBody{`need {"on":true} or {"on":false}`})
+		return
+	case d.site == nil:
+		reply(w, http.StatusBadRequest, 0, errorBody{"this member is no site's: ask the site's own daemon"})
+		return
+	}
+	if err := d.drained(r.Context(), *c.On); err != nil {
+		reply(w, http.StatusServiceUnavailable, 2, errorBody{"not stored: " + err.Error()})
+		return
+	}
+	if s, ok := d.Status(r); ok {
+		reply(w, http.StatusOK, 0, s)
+	}
+}
+
+// LeaseHandler answers the site's controllers.
+func (d *Daemon) LeaseHandler(most time.Duration) http.Handler {
+	r := httprouter.New()
+	r.GET("/site/lease", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		l, ok := d.Lease(r.Context(), most)
+		if !ok {
+			reply(w, http.StatusServiceUnavailable, 1, errorBody{"ending"})
+			return
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Write(wire.EncodeLease(&l))
+	})
+	return r
+}
+
+// meters are the member's figures for Prometheus. Labels are bounded: kinds of
+// requests, status codes and the members' names.
+type meters struct {
+	requests *prometheus.CounterVec
+	took     *prometheus.HistogramVec
+}
+
+func newMeters(reg *prometheus.Registry, d *Daemon) *meters {
+	m := &meters{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dapplestage_gateway_requests_total", Help: "Users' requests by kind and status."}, []string{"kind", "status"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "dapplestage_gateway_request_seconds", Help: "Time to answer a user.",
+			Buckets: []float64{.005, .01, .03, .1, .2, .5, 1, 2.5}}, []string{"kind"})}
+	reg.MustRegister(m.requests, m.took, &coreCollector{d})
+	return m
+}
+
+// coreCollector reads the core's figures when they are asked for.
+type coreCollector struct{ d *Daemon }
+
+var (
+	descOpen    = prometheus.NewDesc("dapplestage_gateway_open_jobs", "Jobs without a final answer, by the site that holds them.", []string{"site"}, nil)
+	descHeard   = prometheus.NewDesc("dapplestage_gateway_member_heard_seconds", "Since when a member was not heard.", []string{"member"}, nil)
+	descHanding = prometheus.NewDesc("dapplestage_gateway_handoffs_under_way", "Jobs being handed over.", nil, nil)
+	descEvents  = prometheus.NewDesc("dapplestage_gateway_events_total", "What happened, by kind.", []string{"kind"}, nil)
+	descStore   = prometheus.NewDesc("dapplestage_gateway_store_ok", "1 if the member's store can be written.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *coreCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descOpen, descHeard, descHanding, descEvents, descStore} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *coreCollector) Collect(ch chan<- prometheus.Metric) {
+	s, ok := ask(c.d, c.d.ctx, func() Status {
+		s := c.d.core.status()
+		if c.d.storeAt == nil {
+			s.Store = "ok"
+		}
+		return s
+	})
+	if !ok {
+		return
+	}
+	for _, m := range s.Members {
+		if m.Site {
+			ch <- prometheus.MustNewConstMetric(descOpen, prometheus.GaugeValue, float64(m.Holds), m.Name)
+		}
+		ch <- prometheus.MustNewConstMetric(descHeard, prometheus.GaugeValue, m.SinceS, m.Name)
+	}
+	ch <- prometheus.MustNewConstMetric(descHanding, prometheus.GaugeValue, float64(s.Handoffs))
+	store := 0.0
+	if s.Store == "ok" {
+		store = 1
+	}
+	ch <- prometheus.MustNewConstMetric(descStore, prometheus.GaugeValue, store)
+	n := s.Counts
+	for kind, v := range map[string]uint64{"accepted": n.Accepted, "finished": n.Finished, "cancelled": n.Cancelled, "taken_from_lost_site": n.Forced,
+		"handed_over": n.Moved, "ballot_refused": n.Nacks, "lease_denied": n.Denied, "turned_away": n.Refused, "stale_claim": n.Stale} {
+		ch <- prometheus.MustNewConstMetric(descEvents, prometheus.CounterValue, float64(v), kind)
+	}
+}
--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -50,6 +50,13 @@
 	return time.Duration(float64(controllers+workers)*(1+drift)) + 4*time.Second
 }
 
+// HandoffBound is how long after a lost site's last grant another site has claimed
+// its jobs at the latest, if members and their stores answer: the time granted, the
+// turn of the member that asks last, and its rounds.
+func HandoffBound(c Config) time.Duration {
+	return time.Duration(float64(c.Lease+c.Stop)*(1+drift)) + time.Duration(len(c.Members))*time.Second + 2*careEvery
+}
+
 // Times within which the core acts.
 const (
 	resend       = 400 * time.Millisecond // unanswered proposals are sent again
@@ -129,17 +136,19 @@
 
 	site *duty // nil at a gateway
 
-	out      Effects
-	local    []wire.Item // from this member to itself
-	dirty    map[string]struct{}
-	barrier  bool
-	seq      uint64 // last batch handed out
-	stored   uint64 // last batch known to be durable
-	held     []heldItem
-	lastCare time.Duration
-	lastHint time.Duration
-	careFrom string
-	counts   Counts
+	out     Effects
+	local   []wire.Item // from this member to itself
+	dirty   map[string]struct{}
+	barrier bool
+	// siteDirty: whether the site is drained is to be stored.
+	siteDirty bool
+	seq       uint64 // last batch handed out
+	stored    uint64 // last batch known to be durable
+	held      []heldItem
+	lastCare  time.Duration
+	lastHint  time.Duration
+	careFrom  string
+	counts    Counts
 }
 
 // Counts are what the metrics tell.
@@ -173,8 +182,13 @@
 			c.lenders[i] = newLender()
 		}
 	}
+	drained := false
 	for i := range restored {
 		it := &restored[i]
+		if it.Kind == wire.SiteState {
+			drained = it.Durable
+			continue
+		}
 		r := c.reg(it.ID)
 		r.promised, r.accepted, r.exists, r.committed, r.acked, r.rec = it.Ballot, it.Accepted, it.Exists, it.Committed, it.Acked, it.Record
 		c.topN = max(c.topN, r.promised.N, r.accepted.N)
@@ -182,6 +196,7 @@
 	}
 	if cfg.Members[cfg.Self].Site {
 		c.site = newDuty(c)
+		c.site.drained = drained
 		for _, id := range sortedKeys(c.open) {
 			if r := c.open[id]; r.committed {
 				c.site.learn(id, &r.rec)
@@ -245,7 +260,7 @@
 
 // flush hands out what is to be stored, and lets go what waits for nothing.
 func (c *Core) flush() {
-	if len(c.dirty) > 0 || c.barrier {
+	if len(c.dirty) > 0 || c.barrier || c.siteDirty {
 		c.seq++
 		b := Batch{Seq: c.seq}
 		ids := make([]string, 0, len(c.dirty))
@@ -256,8 +271,11 @@
 		for _, id := range ids {
 			b.Items = append(b.Items, c.regs[id].item(id))
 		}
+		if c.siteDirty {
+			b.Items = append(b.Items, wire.Item{Kind: wire.SiteState, Durable: c.site.drained})
+		}
 		clear(c.dirty)
-		c.barrier = false
+		c.barrier, c.siteDirty = false, false
 		c.out.Store = append(c.out.Store, b)
 	}
 	c.release()
@@ -294,7 +312,7 @@
 // be told what a crash could take back.
 func (c *Core) reply(to int, it wire.Item) {
 	seq := c.seq
-	if len(c.dirty) > 0 || c.barrier {
+	if len(c.dirty) > 0 || c.barrier || c.siteDirty {
 		seq++
 	}
 	c.held = append(c.held, heldItem{seq, to, it})
--- a/internal/coordination/gateway/duty.go
+++ b/internal/coordination/gateway/duty.go
@@ -33,6 +33,7 @@
 type work struct {
 	epoch uint32
 	spec  []byte
+	made  uint64 // when it was accepted
 	need  *protocol.JobSpec
 	since time.Duration
 
@@ -56,6 +57,8 @@
 	ID    string
 	Epoch uint32
 	Spec  []byte
+	// CreatedMS is when the job was accepted, by the time of day.
+	CreatedMS uint64
 }
 
 // Result is a call's end. Code Busy: nothing is known to have happened.
@@ -192,10 +195,10 @@
 			return
 		case d.dead[id] > rec.Epoch:
 			// Given up here, and nobody has it instead: released in order.
-			d.work[id] = &work{epoch: rec.Epoch, spec: rec.Spec, since: c.now, leave: true}
+			d.work[id] = &work{epoch: rec.Epoch, spec: rec.Spec, made: rec.CreatedMS, since: c.now, leave: true}
 			return
 		}
-		nw := &work{epoch: rec.Epoch, spec: rec.Spec, since: c.now}
+		nw := &work{epoch: rec.Epoch, spec: rec.Spec, made: rec.CreatedMS, since: c.now}
 		d.work[id] = nw
 		for m := range c.cfg.Members {
 			c.post(m, wire.Item{Kind: wire.Ack, ID: id, Ballot: wire.Ballot{Who: d.session}, Record: wire.Record{Epoch: rec.Epoch}})
@@ -239,7 +242,7 @@
 		if !d.valid() {
 			return
 		}
-		call.Kind, call.Spec = wire.Submit, w.spec
+		call.Kind, call.Spec, call.CreatedMS = wire.Submit, w.spec, w.made
 	}
 	w.calling, w.asked = true, c.now
 	d.calls++
@@ -453,13 +456,19 @@
 	return l
 }
 
-// SetDrained drains the site or takes it back into service.
-func (c *Core) SetDrained(now time.Duration, on bool) {
-	d := c.site
+// SetDrained drains the site or takes it back into service. It lasts once the batch
+// is durable.
+func (c *Core) SetDrained(now time.Duration, on bool) Effects {
+	return c.step(now, func() { c.site.drain(on) })
+}
+
+func (d *duty) drain(on bool) {
+	c := d.c
 	if d.drained == on {
 		return
 	}
 	d.drained = on
+	c.siteDirty = true
 	if h := c.hints[c.cfg.Self].hint; h != nil {
 		h.Drained = on
 	}
--- a/internal/coordination/gateway/sim_test.go
+++ b/internal/coordination/gateway/sim_test.go
@@ -187,7 +187,7 @@
 	cfg := Config{Members: names, Self: m.i, Lease: simLease, Stop: StopBound(simControllers, simWorkers), InFlight: 500, Route: DefaultRoute(), Faults: m.s.faults}
 	m.core = New(cfg, m.inc, items, uint64(m.inc)*31+uint64(m.i), log, m.clock())
 	if m.s.sites[m.i] != nil {
-		m.core.SetDrained(m.clock(), m.drained)
+		m.run(m.core.SetDrained(m.clock(), m.drained))
 	}
 	gen := m.gen
 	var tick func()
@@ -239,6 +239,9 @@
 				return // ended before it was written
 			}
 			for _, it := range b.Items {
+				if it.Kind == wire.SiteState {
+					continue // the sim drains again by itself
+				}
 				if old, ok := m.disk[it.ID]; !ok || m.gen == gen || !it.Accepted.Less(old.Accepted) && !it.Ballot.Less(old.Ballot) {
 					m.disk[it.ID] = it
 				}
@@ -343,6 +346,10 @@
 		switch {
 		case j != nil && j.claim == c.Epoch:
 			return Result{Code: wire.Held}
+		case j != nil && !j.stop && j.claim < c.Epoch:
+			x.rev++
+			j.claim = c.Epoch
+			return Result{Code: wire.Held, Rev: x.rev}
 		case j != nil:
 			return Result{Code: wire.Busy}
 		case dead && tomb >= c.Epoch:
@@ -609,7 +616,7 @@
 			m.drained = !m.drained
 			s.say("member %d drained %v", m.i, m.drained)
 			if m.up {
-				m.core.SetDrained(m.clock(), m.drained)
+				m.run(m.core.SetDrained(m.clock(), m.drained))
 			}
 		}
 	}
@@ -631,7 +638,7 @@
 	for _, m := range s.members {
 		m.stall, m.slow, m.drained = 0, 0, false
 		if s.sites[m.i] != nil && m.up {
-			m.core.SetDrained(m.clock(), false)
+			m.run(m.core.SetDrained(m.clock(), false))
 		}
 	}
 	for _, x := range s.sites {
--- /dev/null
+++ b/internal/coordination/gateway/status.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+)
+
+// Status is what an operator sees. What is not known is said to be unknown, and
+// since when; it is never shown as fine.
+type Status struct {
+	Member    string         `json:"member"`
+	Majority  bool           `json:"majority"` // enough members are heard to decide anything
+	Store     string         `json:"store"`
+	Open      int            `json:"open_jobs"`
+	Final     int            `json:"final_jobs"`
+	UnderWay  int            `json:"changes_under_way"`
+	Handoffs  int            `json:"handoffs_under_way"`
+	Undecided int            `json:"undecided"` // records not known to be agreed on
+	Members   []MemberStatus `json:"members"`
+	Counts    Counts         `json:"counts"`
+}
+
+// MemberStatus is one member as this one sees it.
+type MemberStatus struct {
+	Name    string  `json:"name"`
+	Site    bool    `json:"site"`
+	State   string  `json:"state"` // this member, heard, unknown
+	SinceS  float64 `json:"since_s"`
+	Lease   string  `json:"lease,omitempty"` // granted, over, unknown
+	Drained string  `json:"drained,omitempty"`
+	Holds   int     `json:"holds"`
+	Left    int     `json:"to_be_told"` // jobs it has to hear of before its next lease
+	Waiting int     `json:"waiting_tasks"`
+	FreeGPU float64 `json:"free_gpus"`
+	HintAge float64 `json:"hint_age_s"` // -1: nothing is known of its load
+}
+
+func tenths(d time.Duration) float64 { return float64(d/(100*time.Millisecond)) / 10 }
+
+func (c *Core) status() Status {
+	s := Status{Member: c.cfg.Members[c.cfg.Self].Name, Majority: c.reachable() >= c.majority(), Open: len(c.open), Final: c.nFinal,
+		UnderWay: len(c.rounds), Counts: c.counts}
+	holds := make([]int, len(c.cfg.Members))
+	for _, r := range c.open {
+		if r.rec.Holder > 0 {
+			holds[r.rec.Holder-1]++
+		}
+		if !r.committed {
+			s.Undecided++
+		}
+		if r.rec.Stopped {
+			s.Handoffs++
+		}
+	}
+	for _, r := range c.rounds {
+		for _, ch := range append(r.queue, r.now...) {
+			if ch.op.kind == opClaim {
+				s.Handoffs++
+				break
+			}
+		}
+	}
+	for i, m := range c.cfg.Members {
+		v := MemberStatus{Name: m.Name, Site: m.Site, State: "heard", SinceS: tenths(c.now - c.heard[i]), Holds: holds[i], HintAge: -1}
+		switch {
+		case i == c.cfg.Self:
+			v.State, v.SinceS = "this member", 0
+		case c.away(i):
+			v.State = "unknown"
+		}
+		if l := c.lenders[i]; l != nil {
+			v.Left = l.blocking
+			switch {
+			case c.now < l.until:
+				v.Lease = fmt.Sprintf("granted, tasks may run %.0f s more", (l.until - c.now).Seconds())
+			case c.now < c.booted+c.grantTime():
+				v.Lease = "unknown: this member started less than a lease ago"
+			case c.away(i):
+				v.Lease = "not granted here; unknown whether by others"
+			default:
+				v.Lease = "not granted"
+			}
+			v.Drained = "unknown"
+			if h := c.hints[i]; h.hint != nil {
+				v.HintAge = tenths(c.now - h.at)
+				if !c.away(i) {
+					v.Drained = fmt.Sprint(h.hint.Drained)
+					v.Waiting, v.FreeGPU = h.hint.Waiting, h.hint.FreeGPUs
+				}
+			}
+		}
+		s.Members = append(s.Members, v)
+	}
+	return s
+}
+
+// JobView is what the members' records say of one job, for operators.
+type JobView struct {
+	ID      string `json:"id"`
+	Holder  string `json:"holder"`
+	Epoch   uint32 `json:"epoch"`
+	Agreed  bool   `json:"agreed"`
+	Stopped bool   `json:"stopped"`
+	Final   string `json:"final"`
+	By      string `json:"by,omitempty"`
+}
+
+func (c *Core) name(n uint8) string {
+	if n == 0 || int(n) > len(c.cfg.Members) {
+		return ""
+	}
+	return c.cfg.Members[n-1].Name
+}
+
+func (c *Core) view(id string) (JobView, bool) {
+	r := c.regs[id]
+	if r == nil || !r.exists {
+		return JobView{ID: id}, false
+	}
+	v := JobView{ID: id, Holder: c.name(r.rec.Holder), Epoch: r.rec.Epoch, Agreed: r.committed, Stopped: r.rec.Stopped, By: c.name(r.rec.By), Final: "open"}
+	switch r.rec.Final {
+	case wire.Done:
+		v.Final = "done"
+	case wire.Cancelled:
+		v.Final = "withdrawn"
+	}
+	return v, true
+}
--- /dev/null
+++ b/internal/coordination/gateway/stores.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+	"dapplestage.example/dapplestage/internal/storage/journal"
+	"dapplestage.example/dapplestage/internal/storage/segments"
+)
+
+// siteStateKey is beside the registers' keys, which are job ids.
+const siteStateKey = "site"
+
+func storeKey(it *wire.Item) string {
+	if it.Kind == wire.SiteState {
+		return siteStateKey
+	}
+	return it.ID
+}
+
+func encodeEntry(it *wire.Item) []byte {
+	return wire.Encode(&wire.Envelope{Items: []wire.Item{*it}})
+}
+
+func decodeEntry(key string, data []byte) (wire.Item, error) {
+	e, err := wire.Decode(data)
+	if err == nil && len(e.Items) != 1 {
+		err = fmt.Errorf("%d items", len(e.Items))
+	}
+	if err != nil {
+		return wire.Item{}, fmt.Errorf("stored register %q: %w", key, err)
+	}
+	it := e.Items[0]
+	if it.Kind != wire.State && it.Kind != wire.SiteState || storeKey(&it) != key {
+		return wire.Item{}, fmt.Errorf("stored register %q: it is another's", key)
+	}
+	return it, nil
+}
+
+// JournalStore keeps a gateway's registers on disk.
+type JournalStore struct{ Journal *journal.Journal }
+
+// Write implements Store. The file belongs to one process, so no proof is needed.
+func (s JournalStore) Write(_ context.Context, items []wire.Item) error {
+	entries := make([]journal.Entry, len(items))
+	for i := range items {
+		entries[i] = journal.Entry{Key: storeKey(&items[i]), Value: encodeEntry(&items[i])}
+	}
+	return s.Journal.Write(entries)
+}
+
+// OpenJournal opens a gateway's journal.
+func OpenJournal(path, member string) (*journal.Journal, []wire.Item, uint32, error) {
+	j, entries, start, err := journal.Open(path, member)
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	items := make([]wire.Item, 0, len(entries))
+	for _, e := range entries {
+		it, err := decodeEntry(e.Key, e.Value)
+		if err != nil {
+			j.Close()
+			return nil, nil, 0, err
+		}
+		items = append(items, it)
+	}
+	return j, items, start, nil
+}
+
+// SegmentStore keeps a site's registers in its state service.
+type SegmentStore struct{ Log *segments.Log }
+
+// Write implements Store.
+func (s SegmentStore) Write(ctx context.Context, items []wire.Item) error {
+	entries := make([]segments.Entry, len(items))
+	for i := range items {
+		entries[i] = segments.Entry{Key: storeKey(&items[i]), Value: encodeEntry(&items[i])}
+	}
+	err := s.Log.Write(ctx, entries)
+	if errors.Is(err, segments.ErrReplaced) {
+		return fmt.Errorf("%w: %w", ErrFatal, err)
+	}
+	return err
+}
+
+// DecodeSegments reads what a site's log held.
+func DecodeSegments(entries []segments.Entry) ([]wire.Item, error) {
+	items := make([]wire.Item, 0, len(entries))
+	for _, e := range entries {
+		it, err := decodeEntry(e.Key, e.Value)
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, it)
+	}
+	return items, nil
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -71,6 +71,7 @@
 	need      Amounts
 	submitted time.Time
 	cancelled bool
+	claim     uint32 // of a job of the gateway; see sitejobs.go
 	next      uint64
 	tasks     []task
 	chunks    map[int]bool // stored chunks beyond the head
@@ -138,6 +139,10 @@
 			}
 		}
 	}
+	if r.Claim > j.claim {
+		j.claim = r.Claim
+		n.reclaimed(id, r.Claim)
+	}
 	if r.Cancelled && !j.cancelled {
 		j.cancelled = true
 		n.log.Info("job is cancelled", "job", id, "placed", j.nPlaced)
@@ -483,7 +488,7 @@
 
 // head builds a job's head as it is to be stored.
 func (j *job) head() protocol.JobRecord {
-	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Chunk: j.record(0)}
+	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim, Chunk: j.record(0)}
 }
 
 func mustJSON(v any) json.RawMessage {
@@ -525,7 +530,7 @@
 		if j.cancelled {
 			status = protocol.JobCancelled
 		}
-		op.Writes = finalWrites(j.id, status, len(j.tasks))
+		op.Writes = finalWrites(j.id, status, len(j.tasks), j.claim)
 	} else {
 		if len(touched) == 0 {
 			return
@@ -577,9 +582,9 @@
 	}
 }
 
-func finalWrites(id, status string, tasks int) []storage.Write {
+func finalWrites(id, status string, tasks int, claim uint32) []storage.Write {
 	return []storage.Write{
-		{Put: protocol.FinalKey(id), Value: mustJSON(protocol.FinalRecord{Status: status, Tasks: tasks})},
+		{Put: protocol.FinalKey(id), Value: mustJSON(protocol.FinalRecord{Status: status, Tasks: tasks, Claim: claim})},
 		{Delete: protocol.JobKey(id)},
 	}
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -106,6 +106,8 @@
 	blind       atomic.Bool // no worker is heard
 	probing     int         // workers being asked how they are
 	lastProbe   time.Time
+	gate        *gate  // of jobs of the gateway; nil: none may run
+	caught      uint64 // revision up to which the replica is complete
 	policy      Policy
 	metrics     *Metrics
 	endedJobs   []EndedJob
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -156,7 +156,7 @@
 	for i := range r.Tasks {
 		tr := &r.Tasks[i]
 		id, _, _ := protocol.ParseTaskID(tr.Task)
-		if j := n.jobs[id]; j != nil && j.cancelled && tr.State != protocol.TaskExited {
+		if j := n.jobs[id]; (j != nil && (j.cancelled || n.closed(j, now)) || j == nil && n.shut(now)) && tr.State != protocol.TaskExited {
 			o.Commands = append(o.Commands, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt})
 		}
 	}
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -64,6 +64,7 @@
 			n.apply(storage.Item{Key: key, Stamp: first})
 		}
 	}
+	n.caught = max(n.caught, first)
 	if !n.loaded {
 		n.loaded = true
 		now := time.Now()
@@ -81,6 +82,7 @@
 		n.apply(it)
 	}
 	atomic.StoreUint64(&n.followed, epoch)
+	n.caught = max(n.caught, epoch)
 	// Deletions older than what the watch has delivered cannot be contradicted
 	// by a late event any more.
 	for key := range n.tombs {
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -54,6 +54,10 @@
 			if j.nWaiting() == 0 || j.cancelled || j.abandon {
 				continue
 			}
+			if n.closed(j, now) {
+				j.why = "the site has no lease from the gateway's members"
+				continue
+			}
 			if !j.busy && !now.Before(j.notBefore) {
 				n.place(s, j, v, now)
 			}
--- /dev/null
+++ b/internal/coordination/sitejobs.go
@@ -0,0 +1,444 @@
+package coordination
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// Jobs of the gateway are ordinary jobs with a claim: the number under which the
+// site holds them. Three things are different, since another site takes such a job
+// over when this one is lost:
+//   - they run only while the site has its lease, which this node asks the site's
+//     daemon for; when it is over, every answer to a report stops them;
+//   - they are started in answers to reports alone, never directly;
+//   - the end of a claim leaves a record of its number, which a submission under it
+//     that was held on its way for minutes meets.
+// docs/gateway.md has the times and the proof.
+
+// gate is what this node knows of the site's lease.
+type gate struct {
+	until time.Time // by this node's steady clock
+	floor uint64    // a replica older than this revision knows too little
+	dead  map[string]bool
+}
+
+// GatePeriod is how often a controller asks for the lease.
+const GatePeriod = 500 * time.Millisecond
+
+// maxDrift bounds the difference of two steady clocks.
+const maxDrift = 0.001
+
+// maxLease bounds what a controller believes of a lease.
+const maxLease = time.Minute
+
+// KeepGate asks the site's daemon for the lease until the node ends. ask returns
+// its answer.
+func (n *Node) KeepGate(ask func(ctx context.Context) ([]byte, error)) {
+	for n.ctx.Err() == nil {
+		// What the answer says counts from before it was asked for, however long it
+		// took on its way.
+		asked := time.Now()
+		data, err := ask(n.ctx)
+		var l *wire.Lease
+		if err == nil {
+			l, err = wire.DecodeLease(data)
+		}
+		n.post(func() { n.onLease(l, err, asked) })
+		select {
+		case <-n.ctx.Done():
+		case <-time.After(GatePeriod):
+		}
+	}
+}
+
+func (n *Node) onLease(l *wire.Lease, err error, asked time.Time) {
+	now := time.Now()
+	was := !n.shut(now)
+	if err != nil {
+		n.log.Debug("lease not learned", "why", err)
+	} else {
+		left := min(time.Duration(l.LeftMS)*time.Millisecond, maxLease)
+		g := &gate{until: asked.Add(time.Duration(float64(left) * (1 - maxDrift))), floor: l.Floor, dead: map[string]bool{}}
+		if n.gate != nil {
+			g.floor = max(g.floor, n.gate.floor)
+			if left > 0 {
+				g.until = later(g.until, n.gate.until)
+			}
+		}
+		for _, id := range l.Dead {
+			g.dead[id] = true
+		}
+		n.gate = g
+	}
+	if open := !n.shut(now); open != was {
+		n.log.Info("jobs of the gateway", "may_run", open, "why", err)
+		n.replan = true
+	}
+}
+
+// shut says whether no job of the gateway may run here.
+func (n *Node) shut(now time.Time) bool {
+	return n.gate == nil || !now.Before(n.gate.until) || n.caught < n.gate.floor
+}
+
+// closed says whether a job may not run because it is the gateway's and the site
+// has no lease, or has lost it.
+func (n *Node) closed(j *job, now time.Time) bool {
+	return j.claim > 0 && (n.shut(now) || n.gate.dead[j.id])
+}
+
+// reclaimed: the site holds a job again that it had lost. What became of the
+// earlier claim says nothing any more.
+func (n *Node) reclaimed(id string, claim uint32) {
+	if f, ok := n.finals.byID[id]; ok && f.Claim > 0 && f.Claim < claim {
+		delete(n.finals.byID, id)
+	}
+}
+
+// endedElsewhere says whether only the gateway knows what became of a job.
+func (n *Node) endedElsewhere(id string) bool { return n.finals.byID[id].Claim > 0 }
+
+// askGateway answers users who ask a site about such a job.
+var askGateway = answer{status: 503, retryS: 5, body: errorBody{"this job came through the gateway: ask there"}}
+
+// routeSite adds the interface for the site's daemon.
+func (n *Node) routeSite(r *httprouter.Router) {
+	r.POST("/site/calls", n.postCalls)
+	r.GET("/site/hint", n.getHint)
+}
+
+// mostCalls bounds the calls of one request.
+const mostCalls = 512
+
+// maxCalls bounds a request: as many submissions of the longest kind.
+const maxCalls = mostCalls * (protocol.MaxBody / 16)
+
+func (n *Node) postCalls(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxCalls))
+	var e *wire.Envelope
+	if err == nil {
+		e, err = wire.Decode(data)
+	}
+	if err == nil && len(e.Items) > mostCalls {
+		err = errTooLong
+	}
+	if err != nil {
+		n.metrics.refused.WithLabelValues("malformed_calls").Inc()
+		write(w, answer{status: 400, body: errorBody{err.Error()}})
+		return
+	}
+	replies := make(chan wire.Item, len(e.Items))
+	n.post(func() {
+		for i := range e.Items {
+			n.onCall(&e.Items[i], func(res wire.Item) { replies <- res })
+		}
+	})
+	out := &wire.Envelope{}
+	wait := time.NewTimer(callPatience)
+	defer wait.Stop()
+	for len(out.Items) < len(e.Items) {
+		select {
+		case res := <-replies:
+			out.Items = append(out.Items, res)
+			continue
+		case <-wait.C: // the others are asked again
+		case <-r.Context().Done():
+			return
+		case <-n.ctx.Done():
+		}
+		break
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Write(wire.Encode(out))
+}
+
+// callPatience is how long calls of one request wait for one another.
+const callPatience = 2 * time.Second
+
+// onCall does what the site's daemon asks. Every change is one conditional write.
+func (n *Node) onCall(it *wire.Item, reply func(wire.Item)) {
+	c := &siteCall{n: n, it: it, reply: reply, tries: 3}
+	if !n.loaded || !protocol.ValidJobID(it.ID) || it.Record.Epoch == 0 {
+		c.answer(wire.Busy, "not ready, or malformed")
+		return
+	}
+	c.decide()
+}
+
+// siteCall is one call under way.
+type siteCall struct {
+	n     *Node
+	it    *wire.Item
+	reply func(wire.Item)
+	tries int
+	fresh bool // what is stored was just read
+	final storage.Item
+}
+
+func (c *siteCall) answer(code uint8, why string) { c.answerAt(code, 0, nil, why) }
+
+func (c *siteCall) answerAt(code uint8, rev uint64, j *job, why string) {
+	res := wire.Item{Kind: wire.Result, ID: c.it.ID, Why: code, Ballot: wire.Ballot{N: rev}, Record: wire.Record{Epoch: c.it.Record.Epoch, Spec: []byte(why)}}
+	if j != nil {
+		res.Record.Tasks, res.Running = uint32(j.nDone), uint32(j.nPlaced)
+	}
+	c.reply(res)
+}
+
+// decide answers from the replica where that is enough, and reads what is stored
+// where it is not: a job that is missing here may have ended or be new.
+func (c *siteCall) decide() {
+	n, id, epoch := c.n, c.it.ID, c.it.Record.Epoch
+	j := n.jobs[id]
+	f, ended := n.finals.byID[id]
+	switch {
+	case j != nil && j.claim == 0, j == nil && ended && f.Claim == 0:
+		c.answer(wire.Conflict, "the site has a job of its own under this id")
+	case j == nil && ended && f.Status == protocol.JobDone:
+		c.ended(f)
+	case c.it.Kind == wire.Stop:
+		c.stop(j, f, ended)
+	case j != nil && j.claim == epoch && j.cancelled:
+		c.answer(wire.Over, "")
+	case j != nil && j.claim == epoch:
+		c.answerAt(wire.Held, 0, j, "")
+	case j != nil && j.claim > epoch, j == nil && ended && f.Claim >= epoch:
+		c.answer(wire.Over, "")
+	case c.it.Kind == wire.Submit:
+		c.submit(j, f, ended)
+	case c.fresh && j == nil:
+		c.answer(wire.Missing, "")
+	case j == nil:
+		c.read()
+	default:
+		c.answer(wire.Busy, "held under an earlier claim")
+	}
+}
+
+func (c *siteCall) ended(f protocol.FinalRecord) {
+	c.reply(wire.Item{Kind: wire.Result, ID: c.it.ID, Why: wire.Ended, Record: wire.Record{Epoch: c.it.Record.Epoch, Tasks: uint32(f.Tasks)}})
+}
+
+// read takes in what is stored of the job, and decides again.
+func (c *siteCall) read() {
+	if c.tries--; c.tries < 0 {
+		c.answer(wire.Busy, "changed meanwhile")
+		return
+	}
+	c.n.resync([]string{protocol.JobKey(c.it.ID), protocol.FinalKey(c.it.ID)}, func(items []storage.Item, err error) {
+		if err != nil {
+			c.answer(wire.Busy, "state service")
+			return
+		}
+		c.fresh, c.final = true, items[1]
+		c.decide()
+	})
+}
+
+// finalCond is the condition that what is stored of the job's end is as it was
+// read; if it was not read, that there is nothing.
+func (c *siteCall) finalCond() storage.Cond {
+	cond := storage.Cond{Key: protocol.FinalKey(c.it.ID)}
+	if c.fresh && c.final.Value != nil {
+		cond.Stamp = c.final.Stamp
+	}
+	return cond
+}
+
+// change stores something; if a condition fails, what is stored is read and the
+// call decided again.
+func (c *siteCall) change(op *storage.Op, then func(storage.Result)) {
+	n := c.n
+	refuse := make(chan answer, 1)
+	n.forUser(op, refuse, func(r storage.Result) {
+		switch {
+		case r.OK:
+			for _, w := range op.Writes {
+				n.learn(w, r.Epoch)
+			}
+			then(r)
+		case r.Err != nil:
+			c.answer(wire.Busy, "state service")
+		default:
+			c.read()
+		}
+	})
+	select {
+	case <-refuse:
+		c.answer(wire.Busy, "the rate of changes is used up")
+	default:
+	}
+}
+
+// submit stores a job under its claim, as a user's submission is stored.
+func (c *siteCall) submit(j *job, f protocol.FinalRecord, ended bool) {
+	n, epoch := c.n, c.it.Record.Epoch
+	if j != nil {
+		c.raise(j)
+		return
+	}
+	if ended && !c.fresh {
+		c.read()
+		return
+	}
+	s, err := protocol.ParseJob(c.it.Record.Spec)
+	if err != nil || s.ID != c.it.ID {
+		c.answer(wire.Refused, "malformed submission")
+		return
+	}
+	why, decided := n.runnable(s)
+	switch {
+	case !decided:
+		c.answer(wire.Busy, "the machine types are not known yet")
+		return
+	case why != "":
+		c.answer(wire.Refused, why)
+		return
+	}
+	created := time.UnixMilli(int64(c.it.Record.CreatedMS))
+	if now := time.Now(); created.After(now) || c.it.Record.CreatedMS == 0 {
+		created = now
+	}
+	op := &storage.Op{
+		Conds:  []storage.Cond{{Key: protocol.JobKey(s.ID)}, c.finalCond()},
+		Writes: []storage.Write{{Put: protocol.JobKey(s.ID), Value: mustJSON(protocol.JobRecord{Spec: s, SubmittedMS: created.UnixMilli(), Next: 1, Claim: epoch})}}}
+	if op.Conds[1].Stamp != 0 {
+		op.Writes = append(op.Writes, storage.Write{Delete: protocol.FinalKey(s.ID)})
+	}
+	c.change(op, func(r storage.Result) {
+		n.reclaimed(s.ID, epoch)
+		n.log.Debug("job of the gateway taken", "job", s.ID, "claim", epoch)
+		c.answerAt(wire.Held, r.Epoch, n.jobs[s.ID], "")
+	})
+}
+
+// raise lets a job that is here under an earlier claim go on under a new one: the
+// site lost it and has it again, and was told of neither.
+func (c *siteCall) raise(j *job) {
+	n, epoch := c.n, c.it.Record.Epoch
+	if j.cancelled {
+		c.answer(wire.Busy, "an earlier claim is being ended")
+		return
+	}
+	rec := j.stored()
+	rec.Claim = epoch
+	op := &storage.Op{Conds: []storage.Cond{n.cond(protocol.JobKey(j.id))},
+		Writes: []storage.Write{{Put: protocol.JobKey(j.id), Value: mustJSON(rec)}}}
+	c.change(op, func(r storage.Result) { c.answerAt(wire.Held, r.Epoch, n.jobs[j.id], "") })
+}
+
+// stop ends the site's claims on a job up to one, and says when nothing of it
+// can run here any more.
+func (c *siteCall) stop(j *job, f protocol.FinalRecord, ended bool) {
+	n, id, epoch := c.n, c.it.ID, c.it.Record.Epoch
+	if j == nil {
+		switch {
+		case ended && f.Claim >= epoch && c.fresh:
+			c.answerAt(wire.Over, c.final.Stamp, nil, "")
+		case !c.fresh:
+			c.read()
+		default:
+			op := &storage.Op{Conds: []storage.Cond{{Key: protocol.JobKey(id)}, c.finalCond()},
+				Writes: []storage.Write{{Put: protocol.FinalKey(id), Value: mustJSON(protocol.FinalRecord{Status: protocol.JobCancelled, Claim: epoch})}}}
+			c.change(op, func(r storage.Result) { c.answerAt(wire.Over, r.Epoch, nil, "") })
+		}
+		return
+	}
+	switch {
+	case j.claim > epoch:
+		c.answer(wire.Over, "")
+	case j.cancelled && j.claim >= epoch:
+		c.answerAt(wire.Held, n.stamp(protocol.JobKey(id)), j, "")
+	default:
+		rec := j.stored()
+		rec.Cancelled, rec.Claim = true, epoch
+		op := &storage.Op{Conds: []storage.Cond{n.cond(protocol.JobKey(id))},
+			Writes: []storage.Write{{Put: protocol.JobKey(id), Value: mustJSON(rec)}}}
+		code := wire.Held
+		if len(rec.Placed) == 0 && len(j.chunks) == 0 {
+			op.Conds = append(op.Conds, storage.Cond{Key: protocol.FinalKey(id)})
+			op.Writes = finalWrites(id, protocol.JobCancelled, len(j.tasks), epoch)
+			code = wire.Over
+		}
+		c.change(op, func(r storage.Result) {
+			n.log.Info("claim on a job of the gateway ended", "job", id, "claim", epoch)
+			c.answerAt(code, r.Epoch, nil, "")
+		})
+	}
+}
+
+// getHint tells the site's daemon what it may tell the other members.
+func (n *Node) getHint(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	reply := make(chan *wire.Hint, 1)
+	n.post(func() { reply <- n.siteHint(time.Now()) })
+	select {
+	case h := <-reply:
+		if h == nil {
+			write(w, busy)
+			return
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Write(wire.Encode(&wire.Envelope{Hint: h}))
+	case <-r.Context().Done():
+	case <-n.ctx.Done():
+	}
+}
+
+// siteHint is a bounded summary of the site as far as this node knows it; nil while
+// it knows nothing. Free amounts are known of the shares that it holds; the daemon
+// adds up what the controllers say.
+func (n *Node) siteHint(now time.Time) *wire.Hint {
+	if !n.loaded || len(n.types) == 0 || n.sinceContact(now) > stateLost {
+		return nil
+	}
+	h := &wire.Hint{}
+	for _, t := range n.types {
+		if len(h.Types) < wire.MaxTypes {
+			h.Types = append(h.Types, wire.TypeHint{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, Zones: t.Zones})
+		}
+	}
+	images := map[string]bool{}
+	for _, m := range n.machines {
+		if !m.known || !n.mine(n.shares[m.rec.Share]) || !n.usable(m, now) {
+			continue
+		}
+		if t := n.types[m.rec.Type]; t != nil {
+			h.GPUs += t.GPUs
+			h.FreeGPUs += n.free(m).GPUs
+		}
+		for _, im := range m.images {
+			if len(images) < wire.MaxImages && !images[im.Name] {
+				images[im.Name] = true
+				h.Images = append(h.Images, im.Name)
+			}
+		}
+	}
+	waiting := make([]int, len(n.teams))
+	for _, s := range n.shares {
+		if !n.mine(s) {
+			continue
+		}
+		for _, j := range s.jobs {
+			if !j.cancelled && !n.closed(j, now) {
+				h.Waiting += j.nWaiting()
+				waiting[j.team] += j.nWaiting()
+			}
+		}
+	}
+	for i, t := range n.teams[:min(len(n.teams), wire.MaxTeams)] {
+		th := wire.TeamHint{Name: t.name, CPUsMax: t.limit.CPUs, GPUsMax: t.limit.GPUs, GPUs: t.guarantee.GPUs}
+		if n.mine(n.shares[t.share]) {
+			th.UsedGPU, th.Waiting = t.used.GPUs, waiting[i]
+		}
+		h.Teams = append(h.Teams, th)
+	}
+	return h
+}
--- a/internal/coordination/starts.go
+++ b/internal/coordination/starts.go
@@ -16,6 +16,9 @@
 //   - its answer comes, or
 //   - a fenced report lists the tasks: then the command was executed, or
 //   - the machine's token is raised and a report carries it: then it never will be.
+//
+// Jobs of the gateway are never started directly: when the site loses them there is
+// no time to wait for any of this (see sitejobs.go).
 
 // mostDirect is how many direct starts a node has under way at a time.
 const mostDirect = 16
@@ -35,7 +38,7 @@
 	var tasks []started
 	for k := range m.on {
 		j, t := k.job, &k.job.tasks[k.task]
-		if t.phase != placed || t.fact != noFact || t.seen != unseen || !t.sent.IsZero() || n.unwanted(j, t) || n.overLimit(j.team) ||
+		if t.phase != placed || t.fact != noFact || t.seen != unseen || !t.sent.IsZero() || n.unwanted(j, t) || n.overLimit(j.team) || j.claim > 0 ||
 			j.spec.Shape == protocol.Gang && j.nPlacedStored() < len(j.tasks) {
 			continue
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -242,6 +242,8 @@
 			reply <- busy
 		case !known:
 			reply <- answer{status: 404, body: errorBody{"no such job"}}
+		case n.endedElsewhere(id):
+			reply <- askGateway
 		default:
 			reply <- answer{status: 200, body: s}
 		}
@@ -292,6 +294,8 @@
 			switch {
 			case err != nil:
 				reply <- busy
+			case known && n.endedElsewhere(s.ID):
+				reply <- askGateway
 			case known:
 				reply <- answer{status: 200, body: st}
 			default:
@@ -346,6 +350,8 @@
 			reply <- busy
 		case !known:
 			reply <- answer{status: 404, body: errorBody{"no such job"}}
+		case n.endedElsewhere(id) || j != nil && j.claim > 0:
+			reply <- askGateway
 		case s.Status == protocol.JobDone || s.Status == protocol.JobCancelled:
 			reply <- answer{status: 200, body: protocol.JobStatus{ID: id, Status: s.Status}}
 		case j == nil:
@@ -363,7 +369,7 @@
 		Writes: []storage.Write{{Put: protocol.JobKey(j.id), Value: mustJSON(rec)}}}
 	if len(rec.Placed) == 0 && len(j.chunks) == 0 {
 		op.Conds = append(op.Conds, storage.Cond{Key: protocol.FinalKey(j.id)})
-		op.Writes = finalWrites(j.id, protocol.JobCancelled, len(j.tasks))
+		op.Writes = finalWrites(j.id, protocol.JobCancelled, len(j.tasks), j.claim)
 	}
 	n.forUser(op, reply, func(r storage.Result) {
 		switch {
@@ -389,7 +395,7 @@
 // stored is a job's head as it is stored now, without what is only proposed
 // or noted: whoever changes it must not store another's pending decisions.
 func (j *job) stored() protocol.JobRecord {
-	r := protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries}
+	r := protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim}
 	lo, hi := j.chunkRange(0)
 	for i := lo; i < hi; i++ {
 		switch t := &j.tasks[i]; t.phase {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -248,9 +248,9 @@
 		}
 		listed[taskKey{j, num}] = true
 		n.observe(m, j, num, tr, now)
-		if tr.State != protocol.TaskExited && n.unwanted(j, t) && (tr.State != protocol.TaskSaving || j.cancelled) {
+		if tr.State != protocol.TaskExited && n.unwanted(j, t) && (tr.State != protocol.TaskSaving || j.cancelled || n.closed(j, now)) {
 			grace := t.graceS
-			if j.cancelled {
+			if j.cancelled || n.closed(j, now) {
 				grace = 0
 			}
 			cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt, GraceS: grace})
@@ -297,7 +297,9 @@
 }
 
 // unwanted says whether a placed task is to leave its machine.
-func (n *Node) unwanted(j *job, t *task) bool { return j.cancelled || j.abandon || t.stop }
+func (n *Node) unwanted(j *job, t *task) bool {
+	return j.cancelled || j.abandon || t.stop || j.claim > 0 && n.closed(j, time.Now())
+}
 
 // observe learns from one listed task of ours.
 func (n *Node) observe(m *machine, j *job, i int, tr *protocol.TaskReport, now time.Time) {
--- a/internal/protocol/gateway/gateway.go
+++ b/internal/protocol/gateway/gateway.go
@@ -48,6 +48,9 @@
 	Stop   // the claim Record.Epoch and all before are over
 	Poll   // tell how it is
 	Result // the answer; Why is a code
+
+	// Stored by a site beside its registers.
+	SiteState // Durable: it is drained
 	kinds
 )
 
@@ -120,6 +123,8 @@
 type Envelope struct {
 	Items []Item
 	Hint  *Hint
+	// Config is what the sender was set up with, as a checksum.
+	Config uint64
 }
 
 // Hint is what a site tells of itself.
@@ -181,6 +186,7 @@
 	gatewayfb.EnvelopeStart(b)
 	gatewayfb.EnvelopeAddVersion(b, Version)
 	gatewayfb.EnvelopeAddItems(b, items)
+	gatewayfb.EnvelopeAddConfig(b, e.Config)
 	if hint != 0 {
 		gatewayfb.EnvelopeAddHint(b, hint)
 	}
@@ -243,7 +249,7 @@
 	if n > maxItems {
 		return nil, fmt.Errorf("malformed gateway message: %d items, at most %d", n, maxItems)
 	}
-	e = &Envelope{Items: make([]Item, n)}
+	e = &Envelope{Items: make([]Item, n), Config: f.Config()}
 	if h := f.Hint(nil); h != nil {
 		if e.Hint, err = decodeHint(h); err != nil {
 			return nil, err
@@ -275,7 +281,7 @@
 	switch {
 	case it.Kind >= kinds:
 		return it, fmt.Errorf("malformed gateway message: kind %d", it.Kind)
-	case it.Kind != Renew && it.Kind != Grant && it.Kind != Deny && !protocol.ValidJobID(it.ID):
+	case it.Kind != SiteState && it.Kind != Renew && it.Kind != Grant && it.Kind != Deny && !protocol.ValidJobID(it.ID):
 		return it, errors.New("malformed gateway message: id")
 	case rec.Holder > MaxMembers || rec.Prev > MaxMembers || rec.By > MaxMembers || rec.Final > Cancelled:
 		return it, errors.New("malformed gateway message: record")
--- a/internal/protocol/gateway/gatewayfb/Envelope.go
+++ b/internal/protocol/gateway/gatewayfb/Envelope.go
@@ -78,8 +78,20 @@
 	return nil
 }
 
+func (rcv *Envelope) Config() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Envelope) MutateConfig(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(10, n)
+}
+
 func EnvelopeStart(builder *flatbuffers.Builder) {
-	builder.StartObject(3)
+	builder.StartObject(4)
 }
 func EnvelopeAddVersion(builder *flatbuffers.Builder, version byte) {
 	builder.PrependByteSlot(0, version, 0)
@@ -93,6 +105,9 @@
 func EnvelopeAddHint(builder *flatbuffers.Builder, hint flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(hint), 0)
 }
+func EnvelopeAddConfig(builder *flatbuffers.Builder, config uint64) {
+	builder.PrependUint64Slot(3, config, 0)
+}
 func EnvelopeEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -65,6 +65,7 @@
 	Cancelled   bool     `json:"x,omitempty"`
 	Next        uint64   `json:"n"`
 	Tries       int      `json:"e,omitempty"` // of a job that fails on every machine
+	Claim       uint32   `json:"g,omitempty"` // of a job that came through the gateway: the site's claim on it
 	Chunk
 }
 
@@ -72,6 +73,9 @@
 type FinalRecord struct {
 	Status string `json:"s"`
 	Tasks  int    `json:"n"`
+	// Claim is not 0 for a job of the gateway: then this says what became of the
+	// site's claims up to it, and the gateway knows what became of the job.
+	Claim uint32 `json:"g,omitempty"`
 }
 
 // HolderRecord names the holder of a share. It is attached to the node's
--- /dev/null
+++ b/internal/storage/segments/segments_test.go
@@ -0,0 +1,147 @@
+package segments
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+
+	"dapplestage.example/dapplestage/internal/standin"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// shaky is a state service that refuses, and executes without answering.
+type shaky struct {
+	*standin.State
+	rng  *rand.Rand
+	most int // bytes of a value
+	t    testing.TB
+}
+
+func (s *shaky) Txn(ctx context.Context, conds []storage.Cond, writes []storage.Write) (bool, uint64, []string, error) {
+	total := 0
+	for _, w := range writes {
+		total += len(w.Value)
+		if len(w.Value) > s.most {
+			s.t.Errorf("value of %d bytes, at most %d", len(w.Value), s.most)
+		}
+	}
+	if len(writes) > 12 || len(conds) > 48 || total > 60<<10 {
+		s.t.Errorf("transaction of %d writes, %d conditions, %d bytes", len(writes), len(conds), total)
+	}
+	switch s.rng.IntN(8) {
+	case 0:
+		return false, 0, nil, storage.ErrRefused
+	case 1:
+		s.State.Txn(ctx, conds, writes)
+		return false, 0, nil, storage.ErrUnknown
+	}
+	return s.State.Txn(ctx, conds, writes)
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+var limits = Limits{ValueKB: 8, TxnOps: 12, ChangesPerS: 1000}
+
+// TestLogKeepsTheLatest draws writes, reopenings and a service in trouble: what is
+// read is the latest of each key, transactions keep their limits, and the log stays
+// bounded by what is alive.
+func TestLogKeepsTheLatest(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			ctx := t.Context()
+			rng := rand.New(rand.NewPCG(seed, 1))
+			s := &shaky{State: standin.NewState(), rng: rng, most: 8 << 10, t: t}
+			want := map[string]string{}
+			last := uint32(0)
+			for range 1 + rng.IntN(4) {
+				l, got, start, err := Open(ctx, s, "quito", limits, quiet)
+				for err != nil {
+					l, got, start, err = Open(ctx, s, "quito", limits, quiet)
+				}
+				if start <= last {
+					t.Fatalf("start %d after %d", start, last)
+				}
+				last = start
+				if len(got) != len(want) {
+					t.Fatalf("%d entries, want %d", len(got), len(want))
+				}
+				for _, e := range got {
+					if want[e.Key] != string(e.Value) {
+						t.Fatalf("%s is %.20q, want %.20q", e.Key, e.Value, want[e.Key])
+					}
+				}
+				for range rng.IntN(60) {
+					var es []Entry
+					for range 1 + rng.IntN(30) {
+						e := Entry{fmt.Sprintf("job-%d", rng.IntN(80)), make([]byte, rng.IntN(2800))}
+						es = append(es, e)
+						want[e.Key] = string(e.Value)
+					}
+					if err := l.Write(ctx, es); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if segs, live, _ := l.Stats(); segs > 8+3*live+12 {
+					t.Errorf("%d segments for %d entries", segs, live)
+				}
+			}
+		})
+	})
+}
+
+// TestReplacedDaemonWritesNothing: a daemon that stood still finds that another has
+// taken over, on a write as on a proof that it may answer.
+func TestReplacedDaemonWritesNothing(t *testing.T) {
+	ctx := t.Context()
+	s := standin.NewState()
+	old, _, _, err := Open(ctx, s, "quito", limits, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := old.Write(ctx, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, _, err := Open(ctx, s, "quito", limits, quiet); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.Write(ctx, nil); !errors.Is(err, ErrReplaced) {
+		t.Errorf("proof: %v", err)
+	}
+	if err := old.Write(ctx, []Entry{{"job-1", []byte("x")}}); !errors.Is(err, ErrReplaced) {
+		t.Errorf("write: %v", err)
+	}
+	if items, _, _ := s.List(ctx, segments); len(items) != 0 {
+		t.Error("something was written")
+	}
+	if _, _, _, err := Open(ctx, s, "xela", limits, quiet); err == nil {
+		t.Error("another member took the log")
+	}
+}
+
+// TestGrowth: 20,000 small final records take a bounded number of segments.
+func TestGrowth(t *testing.T) {
+	ctx := t.Context()
+	l, _, _, err := Open(ctx, standin.NewState(), "quito", Limits{ValueKB: 8, TxnOps: 12, ChangesPerS: 1e6}, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2000 {
+		for _, n := range []int{600, 600, 120} { // promise, record, end
+			if err := l.Write(ctx, []Entry{{fmt.Sprintf("job-%d", i), make([]byte, n)}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	segs, entries, _ := l.Stats()
+	if need := entries * 210 / (8 << 10); segs > 3*need+12 {
+		t.Errorf("%d segments for %d entries, which need %d", segs, entries, need)
+	}
+}
--- /dev/null
+++ b/internal/transport/rpc/rpc.go
@@ -0,0 +1,255 @@
+// Package rpc carries messages between the members of a gateway: gRPC streams with
+// bytes that the callers have encoded (FlatBuffers), over TLS with certificates on
+// both sides. A message may be lost, and may come late; nothing is promised but that
+// it comes from the member that it says it comes from.
+package rpc
+
+import (
+	"context"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"dapplestage.example/dapplestage/internal/transport/keys"
+)
+
+// maxMessage bounds a message.
+const maxMessage = 8 << 20
+
+// Quiet is after how long a connection on which nothing is confirmed is made anew.
+const Quiet = 4 * time.Second
+
+// recheck is how often the certificate of an open connection is looked at again.
+const recheck = 2 * time.Second
+
+// codec passes on bytes that are encoded already.
+type codec struct{}
+
+func (codec) Name() string { return "flatbuffers" }
+
+func (codec) Marshal(v any) ([]byte, error) {
+	b, ok := v.(*[]byte)
+	if !ok {
+		return nil, fmt.Errorf("message of type %T", v)
+	}
+	return *b, nil
+}
+
+func (codec) Unmarshal(data []byte, v any) error {
+	b, ok := v.(*[]byte)
+	if !ok {
+		return fmt.Errorf("message of type %T", v)
+	}
+	*b = append([]byte(nil), data...)
+	return nil
+}
+
+const method = "/dapplestage.Gateway/Talk"
+
+var talk = grpc.StreamDesc{StreamName: "Talk", ServerStreams: true, ClientStreams: true}
+
+// taken confirms a message.
+var taken = []byte{1}
+
+// Server takes messages of other members on ln until ctx ends. take is called with
+// the sender's name; an error of it ends the stream.
+func Server(ctx context.Context, ln net.Listener, ring *keys.Ring, known func(string) bool, log *slog.Logger, take func(from string, data []byte) error) error {
+	handler := func(_ any, s grpc.ServerStream) error {
+		from, cert, err := sender(s.Context())
+		if err != nil {
+			return err
+		}
+		log.Info("member connected", "member", from)
+		checked := time.Now()
+		for {
+			var data []byte
+			if err := s.RecvMsg(&data); err != nil {
+				return nil
+			}
+			if now := time.Now(); now.Sub(checked) > recheck {
+				checked = now
+				if err := ring.Check(cert, from); err != nil {
+					log.Warn("member refused", "member", from, "why", err)
+					return status.Error(codes.Unauthenticated, err.Error())
+				}
+			}
+			if err := take(from, data); err != nil {
+				log.Warn("message refused", "member", from, "why", err)
+				return status.Error(codes.InvalidArgument, err.Error())
+			}
+			if err := s.SendMsg(&taken); err != nil {
+				return nil
+			}
+		}
+	}
+	desc := talk
+	desc.Handler = handler
+	srv := grpc.NewServer(grpc.Creds(credentials.NewTLS(ring.Server(known, func(err error) { log.Warn("member refused", "why", err) }))),
+		grpc.ForceServerCodec(codec{}), grpc.MaxRecvMsgSize(maxMessage), grpc.ConnectionTimeout(10*time.Second), grpc.MaxConcurrentStreams(4))
+	srv.RegisterService(&grpc.ServiceDesc{ServiceName: "dapplestage.Gateway", HandlerType: (*any)(nil), Streams: []grpc.StreamDesc{desc}}, struct{}{})
+	stop := context.AfterFunc(ctx, srv.Stop)
+	defer stop()
+	if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// sender is the member at the other end.
+func sender(ctx context.Context) (string, *x509.Certificate, error) {
+	p, ok := peer.FromContext(ctx)
+	if !ok {
+		return "", nil, status.Error(codes.Unauthenticated, "no peer")
+	}
+	info, ok := p.AuthInfo.(credentials.TLSInfo)
+	if !ok || len(info.State.PeerCertificates) == 0 {
+		return "", nil, status.Error(codes.Unauthenticated, "no certificate")
+	}
+	c := info.State.PeerCertificates[0]
+	return keys.Name(c), c, nil
+}
+
+// Peer sends messages to one member.
+type Peer struct {
+	name    string
+	out     chan []byte
+	dropped atomic.Int64
+}
+
+// NewPeer makes the sending side of a connection; Run serves it.
+func NewPeer(name string) *Peer { return &Peer{name: name, out: make(chan []byte, 1024)} }
+
+// Send queues a message. What can't be sent soon is dropped: it would only be late.
+func (p *Peer) Send(data []byte) {
+	select {
+	case p.out <- data:
+	default:
+		p.dropped.Add(1)
+	}
+}
+
+// Dropped counts the messages that were not sent.
+func (p *Peer) Dropped() int64 { return p.dropped.Load() }
+
+var errQuiet = errors.New("nothing is confirmed")
+
+// Run keeps a stream to addr until ctx ends.
+func (p *Peer) Run(ctx context.Context, addr string, ring *keys.Ring, log *slog.Logger) error {
+	var told string
+	refuse := func(err error) {
+		if told != err.Error() {
+			told = err.Error()
+			log.Warn("member refused", "member", p.name, "why", err)
+		}
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(credentials.NewTLS(ring.Client(p.name, refuse))),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 2 * time.Second}),
+		grpc.WithNoProxy())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	up := false
+	for ctx.Err() == nil {
+		err := p.stream(ctx, conn, func() {
+			if !up {
+				up = true
+				log.Info("connected to member", "member", p.name)
+			}
+		})
+		if up && ctx.Err() == nil {
+			log.Info("connection to member lost", "member", p.name, "why", err)
+		}
+		up = false
+		if conn.GetState() == connectivity.TransientFailure {
+			conn.ResetConnectBackoff()
+		}
+		p.drain()
+		select {
+		case <-ctx.Done():
+		case <-time.After(250 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// drain forgets what waits: it was meant for a connection that is gone.
+func (p *Peer) drain() {
+	for {
+		select {
+		case <-p.out:
+			p.dropped.Add(1)
+		default:
+			return
+		}
+	}
+}
+
+// stream sends until something fails. A connection on which nothing is confirmed
+// is given up: what is written to one that the network has cut is lost, or comes
+// minutes late.
+func (p *Peer) stream(ctx context.Context, conn *grpc.ClientConn, ready func()) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var asked, got atomic.Int64 // when something unconfirmed was first sent, confirmations
+	quiet := time.NewTicker(Quiet / 8)
+	defer quiet.Stop()
+	begun := time.Now()
+	asked.Store(int64(time.Since(begun)) + 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-quiet.C:
+				if at := asked.Load(); at != 0 && time.Since(begun)-time.Duration(at) > Quiet {
+					cancel(errQuiet)
+					return
+				}
+			}
+		}
+	}()
+	s, err := conn.NewStream(ctx, &talk, method)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			var data []byte
+			if err := s.RecvMsg(&data); err != nil {
+				cancel(err)
+				return
+			}
+			if got.Add(1) == 1 {
+				ready()
+			}
+			asked.Store(0)
+		}
+	}()
+	// An empty message opens the stream and shows that the other side takes it.
+	data := []byte{}
+	for {
+		if err := s.SendMsg(&data); err != nil {
+			return context.Cause(ctx)
+		}
+		asked.CompareAndSwap(0, int64(time.Since(begun))+1)
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case data = <-p.out:
+		}
+	}
+}
