Lab: two sites and a gateway as real processes, killed, stopped and cut from a seed

Need: proof that no job is lost, doubled or left without an answer when a side dies.

cmd/lab starts state services, clouds with workers (stand-ins), controllers, daemons and a gateway on loopback, with links that can be cut one way, and compares three copies of the truth: what users were told, what machines logged, what the members' stores hold.

Found by its first runs and mended: submissions stored without their false fields were refused by the sites; a stop that changed only what the watch does not tell of kept controllers waiting for a revision that never came.

--- /dev/null
+++ b/cmd/lab/proof.go
@@ -0,0 +1,722 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"dapplestage.example/dapplestage/internal/coordination/gateway"
+	"dapplestage.example/dapplestage/internal/protocol"
+	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+	"dapplestage.example/dapplestage/internal/storage"
+	"dapplestage.example/dapplestage/internal/storage/segments"
+)
+
+// outcomeOf is what one run showed.
+type runResult struct {
+	accepted, refusals      int
+	lost, doubled, ranTwice []string
+	unanswered, untrue      []string
+	lateCancels             []string
+	stores                  []string
+	handoffs, drains        []time.Duration
+	moved                   int
+	err                     error
+}
+
+func (r *runResult) broken() []string {
+	return slices.Concat(r.lost, r.doubled, r.ranTwice, r.unanswered, r.untrue, r.lateCancels, r.stores)
+}
+
+func gatewayProof() *cobra.Command {
+	var runs, parallel, jobs int
+	var seed uint64
+	var keep, asJSON bool
+	c := &cobra.Command{Use: "gateway", Short: "Kill, stop and cut sides of two sites and a gateway at random, and check every job", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := between("runs", runs, 1, 10000); err != nil {
+				return err
+			}
+			if err := between("parallel", parallel, 1, 16); err != nil {
+				return err
+			}
+			if err := between("jobs", jobs, 1, 500); err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return proveGateway(ctx, cmd.OutOrStdout(), runs, parallel, jobs, seed, keep, asJSON)
+		}}
+	c.Flags().IntVar(&runs, "runs", 10, "how many runs")
+	c.Flags().IntVar(&parallel, "parallel", 10, "runs at a time")
+	c.Flags().IntVar(&jobs, "jobs", 24, "jobs of a run")
+	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's seed; the next ones follow")
+	c.Flags().BoolVar(&keep, "keep", false, "keep the files of all runs, not only of broken ones")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the last line only")
+	return c
+}
+
+func proveGateway(ctx context.Context, out io.Writer, runs, parallel, jobs int, seed uint64, keep, asJSON bool) error {
+	bin, err := os.MkdirTemp("", "lab-bin-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(bin)
+	if err := build(ctx, bin); err != nil {
+		return err
+	}
+	say := func(format string, a ...any) {
+		if !asJSON {
+			fmt.Fprintf(out, format+"\n", a...)
+		}
+	}
+	results := make([]*runResult, runs)
+	slots := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i := range runs {
+		if ctx.Err() != nil {
+			break
+		}
+		slots <- struct{}{}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			r, dir := oneRun(ctx, bin, seed+uint64(i), jobs)
+			mu.Lock()
+			defer mu.Unlock()
+			results[i] = r
+			bad := r.broken()
+			switch {
+			case r.err != nil:
+				say("run %d, seed %d: %v (files in %s)", i+1, seed+uint64(i), r.err, dir)
+			case len(bad) > 0:
+				say("run %d, seed %d: BROKEN %s (files in %s)", i+1, seed+uint64(i), strings.Join(bad, "; "), dir)
+			default:
+				say("run %d, seed %d: %d jobs accepted, %d moved to the other site, %d handoffs of a lost site, %d of a drained one", i+1, seed+uint64(i), r.accepted, r.moved, len(r.handoffs), len(r.drains))
+				if !keep {
+					os.RemoveAll(dir)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	c := memberTimes(quick)
+	hist, drains := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
+	sum := struct {
+		Runs       int     `json:"runs"`
+		Broken     int     `json:"broken"`
+		Seed       uint64  `json:"seed"`
+		Failed     int     `json:"failed_to_run"`
+		Accepted   int     `json:"accepted"`
+		Lost       int     `json:"lost"`
+		Doubled    int     `json:"doubled"`
+		RanTwice   int     `json:"ran_at_both"`
+		Unanswered int     `json:"unanswered"`
+		Untrue     int     `json:"untrue_done"`
+		Late       int     `json:"late_cancels"`
+		Stores     int     `json:"stores_differ"`
+		Moved      int     `json:"moved"`
+		Handoffs   int64   `json:"handoffs"`
+		Median     float64 `json:"handoff_median_s"`
+		P99        float64 `json:"handoff_p99_s"`
+		Max        float64 `json:"handoff_max_s"`
+		Bound      float64 `json:"handoff_bound_s"`
+		Drains     int64   `json:"drain_handoffs"`
+		DrainMed   float64 `json:"drain_median_s"`
+		DrainP99   float64 `json:"drain_p99_s"`
+	}{Runs: runs, Seed: seed, Bound: gateway.HandoffBound(c).Seconds()}
+	for _, r := range results {
+		if r == nil || r.err != nil {
+			sum.Failed++
+			continue
+		}
+		if len(r.broken()) > 0 {
+			sum.Broken++
+		}
+		sum.Accepted += r.accepted
+		sum.Lost += len(r.lost)
+		sum.Doubled += len(r.doubled)
+		sum.RanTwice += len(r.ranTwice)
+		sum.Unanswered += len(r.unanswered)
+		sum.Untrue += len(r.untrue)
+		sum.Late += len(r.lateCancels)
+		sum.Stores += len(r.stores)
+		sum.Moved += r.moved
+		for _, d := range r.handoffs {
+			hist.RecordValue(max(1, d.Milliseconds()))
+		}
+		for _, d := range r.drains {
+			drains.RecordValue(max(1, d.Milliseconds()))
+		}
+	}
+	sum.Handoffs, sum.Drains = hist.TotalCount(), drains.TotalCount()
+	sum.Median, sum.P99, sum.Max = float64(hist.ValueAtQuantile(50))/1000, float64(hist.ValueAtQuantile(99))/1000, float64(hist.Max())/1000
+	sum.DrainMed, sum.DrainP99 = float64(drains.ValueAtQuantile(50))/1000, float64(drains.ValueAtQuantile(99))/1000
+	if err := figures(out, sum); err != nil {
+		return err
+	}
+	if sum.Broken+sum.Failed > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func memberTimes(t times) gateway.Config {
+	second := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+	return gateway.Config{Members: make([]gateway.Member, 3), Lease: second(t.lease), Stop: gateway.StopBound(second(t.controllers), second(t.workersLease))}
+}
+
+// told is one answer that a user got.
+type told struct {
+	at, asked time.Time
+	kind      string
+	code      int
+	state     string
+	from      string
+}
+
+// user is one job's user and its own log.
+type user struct {
+	id       string
+	body     []byte
+	tasks    int
+	cancelAt time.Duration
+	mu       sync.Mutex
+	log      []told
+	over     atomic.Bool
+}
+
+// oneRun plays one seed.
+func oneRun(ctx context.Context, bin string, seed uint64, jobs int) (*runResult, string) {
+	r := &runResult{}
+	dir, err := os.MkdirTemp("", fmt.Sprintf("lab-gateway-%d-", seed))
+	if err != nil {
+		r.err = err
+		return r, dir
+	}
+	w, err := launch(ctx, bin, dir, quick, 12)
+	if err != nil {
+		r.err = err
+		return r, dir
+	}
+	defer w.end()
+	rng := rand.New(rand.NewPCG(seed, 5))
+	var users []*user
+	var wg sync.WaitGroup
+	usersCtx, stopUsers := context.WithCancel(ctx)
+	defer stopUsers()
+	begun := time.Now()
+	for i := range jobs {
+		u := &user{id: fmt.Sprintf("job-%d%04d", seed, i), tasks: 1 + rng.IntN(3)}
+		u.body = submission(u.id, []string{"red", "blue"}[rng.IntN(2)], u.tasks, 0.5+rng.Float64()*5)
+		if rng.IntN(5) == 0 {
+			u.cancelAt = span(rng, 500*time.Millisecond, 10*time.Second)
+		}
+		users = append(users, u)
+		wait, useed := span(rng, 0, 16*time.Second), rng.Uint64()
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			w.live(usersCtx, u, wait, rand.New(rand.NewPCG(useed, 3)))
+		}()
+	}
+	faults := w.troubles(ctx, rng, begun)
+	deadline := time.Now().Add(60 * time.Second)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		left := 0
+		for _, u := range users {
+			if !u.over.Load() {
+				left++
+			}
+		}
+		if left == 0 {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	// Every user asks every member once more.
+	for _, u := range users {
+		for _, m := range w.members {
+			u.ask(usersCtx, w, "poll", m)
+		}
+	}
+	stopUsers()
+	wg.Wait()
+	if ctx.Err() != nil {
+		r.err = ctx.Err()
+		return r, dir
+	}
+	runs := w.readEvents()
+	w.checkUsers(r, users, runs)
+	w.checkRuns(r, users, runs)
+	w.checkHandoffs(r, faults)
+	w.checkStores(ctx, r, users)
+	if f, err := os.Create(filepath.Join(dir, "users.log")); err == nil {
+		for _, u := range users {
+			for _, t := range u.log {
+				fmt.Fprintf(f, "%s %s %s at %s: %d %s\n", t.at.Format("15:04:05.000"), u.id, t.kind, t.from, t.code, t.state)
+			}
+		}
+		for _, x := range faults {
+			fmt.Fprintf(f, "%s fault %s of %s for %v\n", x.at.Format("15:04:05.000"), x.kind, x.where, x.long)
+		}
+		f.Close()
+	}
+	return r, dir
+}
+
+// ask makes one request and logs what the user was told.
+func (u *user) ask(ctx context.Context, w *world, kind, member string) told {
+	t := told{asked: time.Now(), kind: kind, from: member}
+	method, path, body := "GET", "/api/jobs/"+u.id, []byte(nil)
+	switch kind {
+	case "submit":
+		method, path, body = "POST", "/api/jobs", u.body
+	case "cancel":
+		method, path = "POST", path+"/cancel"
+	}
+	code, data, _, err := w.call(ctx, method, w.apiOf[member], path, body)
+	t.at = time.Now()
+	if err != nil {
+		return t
+	}
+	var s protocol.JobStatus
+	json.Unmarshal(data, &s)
+	t.code, t.state = code, s.Status
+	u.mu.Lock()
+	u.log = append(u.log, t)
+	u.mu.Unlock()
+	return t
+}
+
+// live is a user: it uploads the job's files, submits until the job is accepted,
+// and asks until it is over, each time at any member.
+func (w *world) live(ctx context.Context, u *user, wait time.Duration, rng *rand.Rand) {
+	pause := func(d time.Duration) bool {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	if !pause(wait) {
+		return
+	}
+	for _, s := range w.sites {
+		for code := 0; code != 200; {
+			var err error
+			if code, _, _, err = w.call(ctx, "POST", s.cloudAddr, "/upload", u.body); err != nil && !pause(500*time.Millisecond) {
+				return
+			}
+		}
+	}
+	any := func() string { return w.members[rng.IntN(len(w.members))] }
+	begun := time.Now()
+	for {
+		if t := u.ask(ctx, w, "submit", any()); t.code == 200 || t.code == 201 {
+			break
+		}
+		if !pause(span(rng, 500*time.Millisecond, 1500*time.Millisecond)) {
+			return
+		}
+		if time.Since(begun) > 60*time.Second {
+			u.over.Store(true) // turned away for good; nothing was promised
+			return
+		}
+	}
+	accepted := time.Now()
+	for {
+		kind := "poll"
+		if u.cancelAt > 0 && time.Since(accepted) > u.cancelAt {
+			kind = "cancel"
+		}
+		if t := u.ask(ctx, w, kind, any()); t.code == 200 && (t.state == protocol.JobDone || t.state == protocol.JobCancelled) {
+			u.over.Store(true)
+			if !pause(span(rng, 2*time.Second, 4*time.Second)) {
+				return
+			}
+			continue
+		}
+		if !pause(span(rng, 300*time.Millisecond, 900*time.Millisecond)) {
+			return
+		}
+	}
+}
+
+// fault is one thing done to the world.
+type fault struct {
+	kind, where string
+	at          time.Time
+	long        time.Duration
+	loses       string // the site that is lost by it, if it is for long enough
+	drained     string
+}
+
+// troubles does bad things for some 20 s, the second often in the middle of the
+// handoff that the first caused, and heals everything.
+func (w *world) troubles(ctx context.Context, rng *rand.Rand, begun time.Time) []fault {
+	var out []fault
+	var wg sync.WaitGroup
+	later := func(d time.Duration, f func()) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			select {
+			case <-time.After(d):
+			case <-ctx.Done():
+			}
+			f()
+		}()
+	}
+	sleep := func(d time.Duration) {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+	}
+	sleep(span(rng, 2*time.Second, 6*time.Second))
+	for range 2 + rng.IntN(2) {
+		s := w.sites[rng.IntN(2)]
+		f := fault{at: time.Now(), where: s.name, long: span(rng, 2*time.Second, 18*time.Second)}
+		switch rng.IntN(9) {
+		case 0:
+			f.kind, f.where = "gateway killed", "gate"
+			w.gateway.kill()
+			later(f.long, func() { w.gateway.start() })
+		case 1:
+			f.kind, f.loses = "daemon killed", s.name
+			s.daemon.kill()
+			later(f.long, func() { s.daemon.start() })
+		case 2:
+			f.kind = "controllers killed"
+			for _, c := range s.controllers {
+				c.kill()
+			}
+			later(f.long, func() {
+				for _, c := range s.controllers {
+					c.start()
+				}
+			})
+		case 3:
+			f.kind = "state service stands still"
+			s.state.signal(syscall.SIGSTOP)
+			later(f.long, func() { s.state.signal(syscall.SIGCONT) })
+		case 4:
+			f.kind, f.loses = "daemon stands still", s.name
+			s.daemon.signal(syscall.SIGSTOP)
+			later(f.long, func() { s.daemon.signal(syscall.SIGCONT) })
+		case 5:
+			a, b := w.members[rng.IntN(3)], w.members[rng.IntN(3)]
+			if a == b {
+				b = w.members[(slices.Index(w.members, a)+1)%3]
+			}
+			both, reset := rng.IntN(2) == 0, rng.IntN(2) == 0
+			f.kind, f.where = fmt.Sprintf("link cut (both ways %v)", both), a+" to "+b
+			cut := []*link{w.links[[2]string{a, b}]}
+			if both {
+				cut = append(cut, w.links[[2]string{b, a}])
+			}
+			for _, l := range cut {
+				l.set(true, false)
+			}
+			later(f.long, func() {
+				for _, l := range cut {
+					l.set(false, reset)
+				}
+			})
+		case 6:
+			f.kind, f.loses = "site cut off", s.name
+			var cut []*link
+			for k, l := range w.links {
+				if k[0] == s.name || k[1] == s.name {
+					cut = append(cut, l)
+					l.set(true, false)
+				}
+			}
+			later(f.long, func() {
+				for _, l := range cut {
+					l.set(false, false)
+				}
+			})
+		case 7:
+			f.kind, f.loses = "whole site stands still", s.name
+			all := append([]*process{s.state, s.cloud, s.daemon}, s.controllers...)
+			for _, p := range all {
+				p.signal(syscall.SIGSTOP)
+			}
+			later(f.long, func() {
+				for _, p := range all {
+					p.signal(syscall.SIGCONT)
+				}
+			})
+		case 8:
+			f.kind, f.drained = "site drained", s.name
+			w.call(ctx, "PUT", s.api, "/admin/gateway/drained", []byte(`{"on":true}`))
+			later(f.long, func() {
+				for range 40 {
+					if code, _, _, _ := w.call(ctx, "PUT", s.api, "/admin/gateway/drained", []byte(`{"on":false}`)); code == 200 || ctx.Err() != nil {
+						return
+					}
+					time.Sleep(300 * time.Millisecond)
+				}
+			})
+		}
+		out = append(out, f)
+		sleep(span(rng, 1*time.Second, 11*time.Second))
+	}
+	wg.Wait()
+	return out
+}
+
+// ran is one time that a task was on a machine.
+type ran struct {
+	site, task, machine string
+	from, to            time.Time // to zero: it still is
+	done                bool
+}
+
+// readEvents reads what the machines of both sites logged.
+func (w *world) readEvents() []ran {
+	var out []ran
+	for _, s := range w.sites {
+		f, err := os.Open(s.events)
+		if err != nil {
+			continue
+		}
+		on := map[string]int{}
+		for sc := bufio.NewScanner(f); sc.Scan(); {
+			var e struct {
+				At                   int64
+				Event, Task, Machine string
+			}
+			if json.Unmarshal(sc.Bytes(), &e) != nil {
+				continue
+			}
+			at, key := time.Unix(0, e.At), e.Task+" "+e.Machine
+			if e.Event == "start" {
+				on[key] = len(out)
+				out = append(out, ran{site: s.name, task: e.Task, machine: e.Machine, from: at})
+			} else if i, ok := on[key]; ok {
+				delete(on, key)
+				out[i].to, out[i].done = at, e.Event == "done"
+			}
+		}
+		f.Close()
+	}
+	return out
+}
+
+func jobOf(task string) string { id, _, _ := strings.Cut(task, "/"); return id }
+
+// checkUsers holds what each user was told against all it had been told before it
+// asked, and against what machines completed.
+func (w *world) checkUsers(r *runResult, users []*user, runs []ran) {
+	done := map[string]map[string]time.Time{} // tasks completed, by job
+	for _, x := range runs {
+		if x.done {
+			if done[jobOf(x.task)] == nil {
+				done[jobOf(x.task)] = map[string]time.Time{}
+			}
+			if at, ok := done[jobOf(x.task)][x.task]; !ok || x.to.Before(at) {
+				done[jobOf(x.task)][x.task] = x.to
+			}
+		}
+	}
+	for _, u := range users {
+		var accepted, asked time.Time
+		final := ""
+		var finalAt time.Time
+		for _, t := range u.log {
+			ok := t.code == 200 || t.code == 201
+			if ok && (accepted.IsZero() || t.at.Before(accepted)) {
+				accepted = t.at
+			}
+			if t.kind == "cancel" && (asked.IsZero() || t.asked.Before(asked)) {
+				asked = t.asked
+			}
+		}
+		if accepted.IsZero() {
+			r.refusals++
+			continue
+		}
+		r.accepted++
+		for _, t := range u.log {
+			switch {
+			case t.code == 404 && t.asked.After(accepted):
+				r.lost = append(r.lost, u.id+" was accepted and is unknown at "+t.from)
+			case (t.code == 400 || t.code == 422) && t.asked.After(accepted):
+				r.lost = append(r.lost, fmt.Sprintf("%s was accepted and gets %d at %s", u.id, t.code, t.from))
+			case t.code != 200:
+				continue
+			}
+			is := t.state == protocol.JobDone || t.state == protocol.JobCancelled
+			switch {
+			case final != "" && is && t.state != final, final != "" && !is && t.asked.After(finalAt):
+				r.doubled = append(r.doubled, fmt.Sprintf("%s was called %s and is called %s at %s", u.id, final, t.state, t.from))
+			case final == "" && is:
+				final, finalAt = t.state, t.at
+			}
+		}
+		switch {
+		case final == "":
+			r.unanswered = append(r.unanswered, u.id+" has no final answer")
+		case final == protocol.JobCancelled && (asked.IsZero() || asked.After(finalAt)):
+			r.untrue = append(r.untrue, u.id+" is cancelled and nobody asked")
+		case final == protocol.JobDone:
+			if len(done[u.id]) < u.tasks {
+				r.untrue = append(r.untrue, fmt.Sprintf("%s is called done and %d of %d tasks were", u.id, len(done[u.id]), u.tasks))
+			}
+			for task, at := range done[u.id] {
+				if at.After(finalAt) {
+					r.untrue = append(r.untrue, fmt.Sprintf("%s was called done before %s was", u.id, task))
+				}
+			}
+		case final == protocol.JobCancelled:
+			most := finalAt.Add(time.Duration(quick.cancel * float64(time.Second)))
+			for _, x := range runs {
+				if jobOf(x.task) == u.id && (x.from.After(most) || !x.to.IsZero() && x.to.After(most)) {
+					r.lateCancels = append(r.lateCancels, fmt.Sprintf("%s ran at %s after it was called cancelled", x.task, x.site))
+				}
+			}
+		}
+	}
+}
+
+// checkRuns finds tasks that were on two machines at once.
+func (w *world) checkRuns(r *runResult, users []*user, runs []ran) {
+	byTask := map[string][]ran{}
+	for _, x := range runs {
+		byTask[x.task] = append(byTask[x.task], x)
+	}
+	moved := map[string]bool{}
+	for task, xs := range byTask {
+		slices.SortFunc(xs, func(a, b ran) int { return a.from.Compare(b.from) })
+		for i := 1; i < len(xs); i++ {
+			a, b := xs[i-1], xs[i]
+			if a.to.IsZero() || a.to.After(b.from) {
+				r.ranTwice = append(r.ranTwice, fmt.Sprintf("%s is on %s of %s and starts on %s of %s", task, a.machine, a.site, b.machine, b.site))
+			}
+			if a.site != b.site {
+				moved[jobOf(task)] = true
+			}
+		}
+	}
+	r.moved = len(moved)
+}
+
+var handedOver = regexp.MustCompile(`time=(\S+) .*msg="job handed over".* from=(\S+) to=\S+ epoch=\d+ proved=(\S+)`)
+
+// checkHandoffs measures how long after a site was lost, or asked to be drained, its
+// jobs had another one.
+func (w *world) checkHandoffs(r *runResult, faults []fault) {
+	for _, m := range w.members {
+		data, err := os.ReadFile(w.member(m).log)
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			g := handedOver.FindStringSubmatch(line)
+			if g == nil {
+				continue
+			}
+			at, err := time.Parse(time.RFC3339Nano, g[1])
+			if err != nil {
+				continue
+			}
+			proved, _ := strconv.ParseBool(g[3])
+			// The first of the faults that together kept the site away until then.
+			var since time.Time
+			for i := len(faults) - 1; i >= 0; i-- {
+				f := faults[i]
+				if f.at.Before(at) && (proved && f.drained == g[2] || !proved && f.loses == g[2]) && (since.IsZero() || f.at.Add(f.long).After(since)) {
+					since = f.at
+				}
+			}
+			switch {
+			case since.IsZero():
+			case proved:
+				r.drains = append(r.drains, at.Sub(since))
+			default:
+				r.handoffs = append(r.handoffs, at.Sub(since))
+			}
+		}
+	}
+}
+
+// checkStores ends the members and compares what their stores hold with what users
+// were told: of each final answer a majority must hold the same.
+func (w *world) checkStores(ctx context.Context, r *runResult, users []*user) {
+	stores := make([]map[string]wire.Item, 0, 3)
+	w.gateway.kill()
+	take := func(items []wire.Item) {
+		m := map[string]wire.Item{}
+		for _, it := range items {
+			m[it.ID] = it
+		}
+		stores = append(stores, m)
+	}
+	j, items, _, err := gateway.OpenJournal(filepath.Join(w.dir, "gate.journal"), "gate")
+	if err != nil {
+		r.stores = append(r.stores, err.Error())
+		return
+	}
+	j.Close()
+	take(items)
+	for _, s := range w.sites {
+		s.daemon.kill()
+		svc := storage.NewStore(s.stateAddr, protocol.StateSettings{RPS: 1000, WriteRPS: 1000, ValueKB: 8, TxnOps: 12}, 1)
+		_, entries, _, err := segments.Open(ctx, svc, s.name, segments.Limits{ValueKB: 8, TxnOps: 12, ChangesPerS: 100}, slog.New(slog.DiscardHandler))
+		if err == nil {
+			items, err = gateway.DecodeSegments(entries)
+		}
+		if err != nil {
+			r.stores = append(r.stores, err.Error())
+			return
+		}
+		take(items)
+	}
+	for _, u := range users {
+		want := uint8(wire.Open)
+		for _, t := range u.log {
+			switch {
+			case t.code == 200 && t.state == protocol.JobDone:
+				want = wire.Done
+			case t.code == 200 && t.state == protocol.JobCancelled:
+				want = wire.Cancelled
+			}
+		}
+		if want == wire.Open {
+			continue
+		}
+		has := 0
+		for _, s := range stores {
+			if it, ok := s[u.id]; ok && it.Record.Final == want {
+				has++
+			}
+		}
+		if has < 2 {
+			r.stores = append(r.stores, fmt.Sprintf("the end of %s is stored by %d of 3 members", u.id, has))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/lab/world.go
@@ -0,0 +1,483 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/transport/keys"
+)
+
+// A world is two sites and a gateway as real processes: for each site a state
+// service, a cloud with its workers (stand-ins), two controllers and the site's
+// daemon. Members reach one another through proxies that can be cut one way.
+
+// build makes the programs once.
+func build(ctx context.Context, dir string) error {
+	for _, p := range []string{"dapplestage", "standin"} {
+		cmd := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(dir, p), "./cmd/"+p)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return fmt.Errorf("building %s: %v\n%s", p, err, out)
+		}
+	}
+	return nil
+}
+
+// process is one program that can be killed, stopped and started again.
+type process struct {
+	name string
+	bin  string
+	args []string
+	log  string
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	gone chan struct{}
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.bin, p.args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// It ends with the lab, whatever happens to the lab.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	gone := make(chan struct{})
+	p.cmd, p.gone = cmd, gone
+	go func() {
+		cmd.Wait()
+		out.Close()
+		close(gone)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that this lab started, if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		p.cmd.Process.Signal(s)
+	}
+}
+
+func (p *process) kill() {
+	p.mu.Lock()
+	cmd, gone := p.cmd, p.gone
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd != nil {
+		cmd.Process.Kill()
+		<-gone
+	}
+}
+
+// link is a proxy for one direction of two members: who connects through it sends.
+type link struct {
+	ln    net.Listener
+	to    string
+	mu    sync.Mutex
+	cut   bool
+	wake  chan struct{}
+	conns map[net.Conn]struct{}
+}
+
+func newLink(to string) (*link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &link{ln: ln, to: to, wake: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go l.carry(c)
+		}
+	}()
+	return l, nil
+}
+
+// passable waits while the link is cut.
+func (l *link) passable() {
+	for {
+		l.mu.Lock()
+		cut, wake := l.cut, l.wake
+		l.mu.Unlock()
+		if !cut {
+			return
+		}
+		<-wake
+	}
+}
+
+// set cuts the link, so that what is sent is held, or heals it. With reset the held
+// bytes are dropped with their connections.
+func (l *link) set(cut, reset bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+	close(l.wake)
+	l.wake = make(chan struct{})
+	if reset {
+		for c := range l.conns {
+			c.Close()
+		}
+	}
+}
+
+func (l *link) carry(c net.Conn) {
+	defer c.Close()
+	l.passable()
+	d, err := net.DialTimeout("tcp", l.to, 2*time.Second)
+	if err != nil {
+		return
+	}
+	defer d.Close()
+	l.mu.Lock()
+	l.conns[c], l.conns[d] = struct{}{}, struct{}{}
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.conns, c)
+		delete(l.conns, d)
+		l.mu.Unlock()
+	}()
+	go func() {
+		io.Copy(c, d)
+		c.Close()
+	}()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := c.Read(buf)
+		if n > 0 {
+			l.passable()
+			if _, err := d.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// site is one site's processes and addresses.
+type site struct {
+	name               string
+	state, cloud       *process
+	controllers        []*process
+	daemon             *process
+	stateAddr          string
+	cloudAddr          string
+	apis               []string // of the controllers
+	local, api, listen string
+	events             string
+}
+
+type world struct {
+	dir     string
+	bin     string
+	sites   []*site
+	gateway *process
+	gateAPI string
+	links   map[[2]string]*link
+	members []string          // gate, quito, xela
+	apiOf   map[string]string // by member
+	all     []*process
+	http    *http.Client
+}
+
+// times of a world: shorter than a real deployment's, so that a handoff takes seconds.
+type times struct {
+	lease, controllers, workersLease, report, cancel float64
+	writeRPS                                         float64
+	inFlight                                         int
+}
+
+var quick = times{lease: 2, controllers: 1, workersLease: 2.5, report: 0.5, cancel: 14, writeRPS: 40, inFlight: 500}
+
+// ports finds free ports; another program may take one before it is used, which
+// shows as a world that does not start.
+func ports(n int) ([]string, error) {
+	var lns []net.Listener
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		lns = append(lns, ln)
+		out = append(out, ln.Addr().String())
+	}
+	for _, ln := range lns {
+		ln.Close()
+	}
+	return out, nil
+}
+
+// launch makes and starts a world; if it does not start, since another program took
+// one of its ports, it tries others.
+func launch(ctx context.Context, bin, dir string, t times, machines int) (*world, error) {
+	for try := 1; ; try++ {
+		sub := filepath.Join(dir, fmt.Sprint("world-", try))
+		if err := os.Mkdir(sub, 0o755); err != nil {
+			return nil, err
+		}
+		w, err := newWorld(bin, sub, t, machines)
+		if err != nil {
+			return nil, err
+		}
+		if err = w.start(ctx); err == nil {
+			return w, nil
+		}
+		w.end()
+		if try == 3 || ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+func newWorld(bin, dir string, t times, machines int) (*world, error) {
+	w := &world{dir: dir, bin: bin, links: map[[2]string]*link{}, members: []string{"gate", "quito", "xela"}, apiOf: map[string]string{},
+		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	keyDir := filepath.Join(dir, "keys")
+	if err := keys.MakeAuthority(keyDir, time.Now(), 10); err != nil {
+		return nil, err
+	}
+	for _, m := range w.members {
+		if err := keys.Issue(keyDir, m, time.Now(), 2); err != nil {
+			return nil, err
+		}
+	}
+	addrs, err := ports(4 + 2*10)
+	if err != nil {
+		return nil, err
+	}
+	next := func() string { a := addrs[0]; addrs = addrs[1:]; return a }
+	listen := map[string]string{}
+	for _, m := range w.members {
+		listen[m] = next()
+		w.apiOf[m] = next()
+	}
+	w.gateAPI = w.apiOf["gate"]
+	for _, a := range w.members {
+		for _, b := range w.members {
+			if a != b {
+				if w.links[[2]string{a, b}], err = newLink(listen[b]); err != nil {
+					return nil, err
+				}
+			}
+		}
+	}
+	member := func(name, extra string) (string, error) {
+		var b strings.Builder
+		fmt.Fprintf(&b, "member = %q\nlisten = %q\napi_addr = %q\nlease_s = %g\ncontrollers_s = %g\nworkers_lease_s = %g\ncancel_s = %g\nin_flight = %d\n",
+			name, listen[name], w.apiOf[name], t.lease, t.controllers, t.workersLease, t.cancel, t.inFlight)
+		fmt.Fprintf(&b, "[keys]\ndir = %q\n[route]\nramp_s = 5.0\nmove_after_s = 20.0\nper_second = 2000.0\n%s", keyDir, extra)
+		for _, m := range w.members {
+			addr := listen[m]
+			if m != name {
+				addr = w.links[[2]string{name, m}].ln.Addr().String()
+			}
+			fmt.Fprintf(&b, "[[members]]\nname = %q\naddr = %q\nsite = %v\n", m, addr, m != "gate")
+		}
+		path := filepath.Join(dir, name+".toml")
+		return path, os.WriteFile(path, []byte(b.String()), 0o644)
+	}
+	proc := func(name, bin string, args ...string) *process {
+		p := &process{name: name, bin: filepath.Join(w.bin, bin), args: args, log: filepath.Join(dir, name+".log")}
+		w.all = append(w.all, p)
+		return p
+	}
+	path, err := member("gate", "[journal]\npath = \"gate.journal\"\n")
+	if err != nil {
+		return nil, err
+	}
+	w.gateway = proc("gate", "dapplestage", "gateway", "--config", path)
+	for _, name := range w.members[1:] {
+		s := &site{name: name, stateAddr: next(), cloudAddr: next(), local: next(), api: w.apiOf[name], events: filepath.Join(dir, name+".events")}
+		nodes := []string{"n-0", "n-1"}
+		s.apis = []string{next(), next()}
+		peers := []string{next(), next()}
+		s.state = proc(name+"-state", "standin", "-state", s.stateAddr, "-cloud", "", "-nodes", "n-0="+s.apis[0])
+		s.cloud = proc(name+"-cloud", "standin", "-state", "", "-cloud", s.cloudAddr, "-nodes", "n-0="+s.apis[0]+",n-1="+s.apis[1],
+			"-boot", "500ms", "-fetch", "200ms", "-lease", fmt.Sprint(t.workersLease), "-report", fmt.Sprint(t.report), "-zone", name, "-machines", fmt.Sprint(machines), "-events", s.events)
+		var settings string
+		for i, n := range nodes {
+			o := 1 - i
+			text := fmt.Sprintf(`node = %q
+location = %q
+api_addr = %q
+cluster_listen = %q
+[[siblings]]
+node = %q
+location = %q
+peer_addr = %q
+[external]
+cloud = %q
+state = %q
+[params]
+initial_size = 2
+zones = [%q]
+skew_ms = 100.0
+[[params.teams]]
+name = "red"
+gpus = 4.0
+gpus_max = 400.0
+[[params.teams]]
+name = "blue"
+gpus = 4.0
+gpus_max = 400.0
+[params.workers]
+report_s = %g
+lease_s = %g
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = %g
+[params.state]
+rps = 400.0
+write_rps = %g
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 10.0
+list_lag_s = 1.0
+[params.quota]
+cores = 2.0
+memory_mb = 400.0
+fd_limit = 1000
+`, n, name, s.apis[i], peers[i], nodes[o], name, peers[o], s.cloudAddr, s.stateAddr, name, t.report, t.workersLease, t.cancel, t.writeRPS)
+			settings = filepath.Join(dir, name+"-"+n+".toml")
+			if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
+				return nil, err
+			}
+			s.controllers = append(s.controllers, proc(name+"-"+n, "dapplestage", "--site-daemon", s.local, "--config", settings))
+		}
+		path, err := member(name, fmt.Sprintf("[site]\nsettings = %q\nlocal = %q\ncontrollers = [%q, %q]\n", settings, s.local, s.apis[0], s.apis[1]))
+		if err != nil {
+			return nil, err
+		}
+		s.daemon = proc(name, "dapplestage", "gateway", "--config", path)
+		w.sites = append(w.sites, s)
+	}
+	return w, nil
+}
+
+func (w *world) site(name string) *site {
+	for _, s := range w.sites {
+		if s.name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+func (w *world) member(name string) *process {
+	if s := w.site(name); s != nil {
+		return s.daemon
+	}
+	return w.gateway
+}
+
+// start starts everything, and waits until the gateway knows both sites.
+func (w *world) start(ctx context.Context) error {
+	for _, p := range w.all {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	var status struct {
+		Majority bool
+		Members  []struct {
+			Site    bool
+			HintAge float64 `json:"hint_age_s"`
+			Lease   string
+		}
+	}
+	for deadline := time.Now().Add(10 * time.Second); ; {
+		ready := w.get(ctx, w.gateAPI, "/admin/gateway/status", &status) == nil && status.Majority
+		for _, m := range status.Members {
+			ready = ready && (!m.Site || m.HintAge >= 0 && m.HintAge < 5 && strings.HasPrefix(m.Lease, "granted"))
+		}
+		if ready {
+			return nil
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return fmt.Errorf("the world in %s did not start", w.dir)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// end ends everything that was started.
+func (w *world) end() {
+	for _, p := range w.all {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	}
+	for _, l := range w.links {
+		l.set(false, true)
+		l.ln.Close()
+	}
+}
+
+func (w *world) get(ctx context.Context, addr, path string, into any) error {
+	status, data, _, err := w.call(ctx, "GET", addr, path, nil)
+	if err != nil {
+		return err
+	}
+	if status != 200 {
+		return fmt.Errorf("%s answers %d", addr, status)
+	}
+	return json.Unmarshal(data, into)
+}
+
+// call makes one request.
+func (w *world) call(ctx context.Context, method, addr, path string, body []byte) (int, []byte, http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	resp, err := w.http.Do(req)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	return resp.StatusCode, data, resp.Header, err
+}
+
+// submission is a job that runs for some seconds.
+func submission(id, team string, tasks int, seconds float64) []byte {
+	return fmt.Appendf(nil, `{"id":%q,"lot":"proof","crew":%q,"shape":"sweep","urgency":"standard","pieces":%d,"vcpus":2.0,"cards":1.0,"memGb":8.0,"bundle":"img-1","sizeGb":1.0,"builds":null,"region":null,"together":false,"scatter":false,"loaners":true,"expectS":%g,"snapshotS":0.0,"storeS":0.0,"dueS":null}`, id, team, tasks, seconds)
+}
+
+// between draws a time.
+func span(rng *rand.Rand, a, b time.Duration) time.Duration {
+	return a + time.Duration(rng.Int64N(int64(b-a)))
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -26,10 +26,16 @@
 )
 
 func main() {
-	stateAddr := flag.String("state", "127.0.0.1:2379", "address of the state service")
-	cloudAddr := flag.String("cloud", "127.0.0.1:8443", "address of the cloud")
+	stateAddr := flag.String("state", "127.0.0.1:2379", "address of the state service; empty: none")
+	cloudAddr := flag.String("cloud", "127.0.0.1:8443", "address of the cloud; empty: none")
 	nodes := flag.String("nodes", "n-0=127.0.0.1:8080", "the controllers, as name=address,...")
 	boot := flag.Duration("boot", 3*time.Second, "boot time of a machine")
+	fetch := flag.Duration("fetch", 2*time.Second, "time to fetch an image")
+	lease := flag.Float64("lease", 10, "a worker's lease in seconds")
+	report := flag.Float64("report", 1, "seconds between a worker's reports")
+	zone := flag.String("zone", "a", "the zone of all machines")
+	most := flag.Int("machines", 8, "machines to give")
+	events := flag.String("events", "", "file for what runs, a JSON line a start and an end")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -45,16 +51,30 @@
 		f.Nodes = append(f.Nodes, name)
 	}
 	f.Types = []protocol.MachineType{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 192, CacheGB: 100, FetchGBPerS: 0.5,
-		Price: 10, SpotPrice: 4, BootS: boot.Seconds(), Zones: []string{"a"}}}
-	f.Workers = protocol.WorkerSettings{ReportS: 1, LeaseS: 10, GangWaitS: 30, GangPeerS: 5, CancelS: 40}
-	f.Most, f.Boot = 8, *boot
+		Price: 10, SpotPrice: 4, BootS: boot.Seconds(), Zones: []string{*zone}}}
+	f.Workers = protocol.WorkerSettings{ReportS: *report, LeaseS: *lease, GangWaitS: 30, GangPeerS: 5, CancelS: 40}
+	f.Most, f.Boot, f.Fetch = *most, *boot, *fetch
+	if *events != "" {
+		file, err := os.OpenFile(*events, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			log.Fatal(err)
+		}
+		f.Log = func(event, task, machine string, at time.Time) {
+			line, _ := json.Marshal(map[string]any{"at": at.UnixNano(), "event": event, "task": task, "machine": machine})
+			file.Write(append(line, '\n')) // one write: whole lines
+		}
+	}
 	f.Link = reporter(addrs)
 
 	serve := func(addr string, h http.Handler) {
 		go func() { log.Fatal(http.ListenAndServe(addr, h)) }()
 	}
-	serve(*stateAddr, stateAPI(standin.NewState()))
-	serve(*cloudAddr, cloudAPI(f))
+	if *stateAddr != "" {
+		serve(*stateAddr, stateAPI(standin.NewState()))
+	}
+	if *cloudAddr != "" {
+		serve(*cloudAddr, cloudAPI(f))
+	}
 	log.Printf("state service on %s, cloud on %s, workers report to %s", *stateAddr, *cloudAddr, *nodes)
 	<-ctx.Done()
 	for _, b := range f.Broken {
--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -54,7 +54,7 @@
 // its jobs at the latest, if members and their stores answer: the time granted, the
 // turn of the member that asks last, and its rounds.
 func HandoffBound(c Config) time.Duration {
-	return time.Duration(float64(c.Lease+c.Stop)*(1+drift)) + time.Duration(len(c.Members))*time.Second + 2*careEvery
+	return time.Duration(float64(c.Lease+c.Stop)*(1+drift)) + grantSpread + time.Duration(len(c.Members))*time.Second + 2*careEvery
 }
 
 // Times within which the core acts.
@@ -64,6 +64,7 @@
 	dutyPatience = 4 * time.Second
 	silence      = 3 * time.Second // a member not heard for so long counts as away
 	careEvery    = 500 * time.Millisecond
+	grantSpread  = 500 * time.Millisecond // by how much the members' last grants differ
 	hintEvery    = time.Second
 	mostNotices  = 128 // in one answer to a renewal
 	mostCare     = 64  // takeovers and look-ups under way
@@ -81,9 +82,12 @@
 
 // lender is what this member granted one site, and what that site must know.
 type lender struct {
-	until   time.Duration // the site may run jobs until then
-	hold    time.Duration // others grant it: take nothing from it before
-	session uint64
+	until time.Duration // the site may run jobs until then
+	hold  time.Duration // others grant it: take nothing from it before
+	// contested: others granted it when this member last tried to take a job from it.
+	// One job a time shows whether they still do.
+	contested bool
+	session   uint64
 	// pending is what the site has to know; true: it has said so, but may forget.
 	pending  map[string]bool
 	blocking int // of pending, those that block its lease and are false
@@ -668,9 +672,16 @@
 	rank := time.Duration(c.cfg.Self) * time.Second
 	ids := c.careIDs()
 	n := 0
+	probed := make([]bool, len(c.cfg.Members))
 	for _, id := range ids {
 		r := c.open[id]
-		if r == nil || c.rounds[id] != nil {
+		if r == nil {
+			continue
+		}
+		if c.rounds[id] != nil {
+			if r.rec.Holder > 0 {
+				probed[r.rec.Holder-1] = true
+			}
 			continue
 		}
 		if n >= mostCare || len(c.rounds) >= c.cfg.InFlight {
@@ -686,10 +697,16 @@
 		case r.rec.Holder == 0:
 		default:
 			site := int(r.rec.Holder) - 1
-			if r.rec.Stopped && c.now-r.touched > rank || !c.leased(site) && c.now > c.lenders[site].until+rank && c.now >= c.lenders[site].hold {
-				if c.reclaim(id, r) {
-					n++
-				}
+			l := c.lenders[site]
+			switch {
+			case r.rec.Stopped && c.now-r.touched > rank:
+			case !r.rec.Stopped && !c.leased(site) && c.now > l.until+grantSpread+rank && c.now >= l.hold && !(l.contested && probed[site]):
+				probed[site] = true
+			default:
+				continue
+			}
+			if c.reclaim(id, r) {
+				n++
 			}
 		}
 	}
@@ -727,6 +744,7 @@
 			c.counts.Moved++
 		} else {
 			c.counts.Forced++
+			c.lenders[from].contested = false
 		}
 		c.log.Info("job handed over", "job", id, "from", c.cfg.Members[from].Name, "to", c.cfg.Members[to].Name, "epoch", rec.Epoch, "proved", stopped)
 	})
--- a/internal/coordination/gateway/round.go
+++ b/internal/coordination/gateway/round.go
@@ -101,7 +101,8 @@
 			// member a stored promise a job.
 			for _, ch := range append(r.queue, r.now...) {
 				if f := ch.op.from; f != 0 && c.lenders[f-1] != nil {
-					c.lenders[f-1].hold = c.now + c.cfg.Lease
+					l := c.lenders[f-1]
+					l.hold, l.contested = c.now+time.Second, true
 				}
 			}
 		}
--- a/internal/coordination/sitejobs.go
+++ b/internal/coordination/sitejobs.go
@@ -289,7 +289,7 @@
 		c.read()
 		return
 	}
-	s, err := protocol.ParseJob(c.it.Record.Spec)
+	s, err := protocol.ParseStoredJob(c.it.Record.Spec)
 	if err != nil || s.ID != c.it.ID {
 		c.answer(wire.Refused, "malformed submission")
 		return
@@ -342,13 +342,16 @@
 	if j == nil {
 		switch {
 		case ended && f.Claim >= epoch && c.fresh:
-			c.answerAt(wire.Over, c.final.Stamp, nil, "")
+			c.answer(wire.Over, "")
 		case !c.fresh:
 			c.read()
 		default:
 			op := &storage.Op{Conds: []storage.Cond{{Key: protocol.JobKey(id)}, c.finalCond()},
 				Writes: []storage.Write{{Put: protocol.FinalKey(id), Value: mustJSON(protocol.FinalRecord{Status: protocol.JobCancelled, Claim: epoch})}}}
-			c.change(op, func(r storage.Result) { c.answerAt(wire.Over, r.Epoch, nil, "") })
+			// Nothing was placed when the job ended or there was none: a replica that
+			// does not know it yet can start nothing, since its change would fail. And
+			// the watch does not tell of this key, so no replica could be asked for it.
+			c.change(op, func(storage.Result) { c.answer(wire.Over, "") })
 		}
 		return
 	}
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -132,6 +132,16 @@
 	return s, nil
 }
 
+// ParseStoredJob reads a submission as this package writes it, where what is false
+// or empty is left out.
+func ParseStoredJob(data []byte) (*JobSpec, error) {
+	s := &JobSpec{}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
 func (s *JobSpec) check() error {
 	if !ValidJobID(s.ID) {
 		return errors.New("field id is invalid")
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -27,6 +27,11 @@
 	Link    Link
 	// Slow, if set, delays what a request to the cloud does.
 	Slow func() time.Duration
+	// Fetch is what an image takes; 0: fetchTime.
+	Fetch time.Duration
+	// Log, if set, is told what runs: "start" when a task has its image, then "done"
+	// or "end". It must not block.
+	Log func(event, task, machine string, at time.Time)
 
 	mu        sync.Mutex
 	ctx       context.Context
@@ -153,7 +158,7 @@
 func (f *Fleet) kill(name string) {
 	if m := f.machines[name]; m != nil {
 		m.gone = true
-		m.tasks = map[string]*proc{}
+		m.forget(time.Now())
 		m.stop()
 		delete(f.machines, name)
 	}
@@ -238,11 +243,27 @@
 	if time.Since(m.answers).Seconds() > m.f.Workers.LeaseS {
 		m.session++
 		m.seq = 0
-		m.tasks = map[string]*proc{}
+		// They ended with the lease, also if this machine stood still then.
+		m.forget(m.answers.Add(time.Duration(m.f.Workers.LeaseS * float64(time.Second))))
 		m.answers = time.Now()
 	}
 }
 
+// forget ends all tasks.
+func (m *Machine) forget(at time.Time) {
+	for id, p := range m.tasks {
+		m.ended("end", id, p, at)
+	}
+	m.tasks = map[string]*proc{}
+}
+
+// ended logs the end of a task that was on its machine.
+func (m *Machine) ended(event, id string, p *proc, at time.Time) {
+	if m.f.Log != nil && (p.state == protocol.TaskRunning || p.state == protocol.TaskWaiting) {
+		m.f.Log(event, id, m.info.ID, at)
+	}
+}
+
 func (m *Machine) report() protocol.Report {
 	m.seq++
 	r := protocol.Report{Machine: m.info.ID, Addr: m.info.Addr, Type: m.info.Type, Zone: m.info.Zone, Spot: m.info.Spot,
@@ -262,6 +283,13 @@
 // fetchTime is what an image takes here.
 const fetchTime = 2 * time.Second
 
+func (f *Fleet) fetch() time.Duration {
+	if f.Fetch > 0 {
+		return f.Fetch
+	}
+	return fetchTime
+}
+
 // run boots the machine and reports until it is gone.
 func (m *Machine) run(ctx context.Context) {
 	sleep := func(d time.Duration) bool {
@@ -340,7 +368,7 @@
 		for id, p := range m.tasks {
 			switch p.state {
 			case protocol.TaskFetching:
-				if time.Since(p.since) >= fetchTime {
+				if time.Since(p.since) >= m.f.fetch() {
 					m.begin(id, p)
 				}
 			case protocol.TaskWaiting:
@@ -354,6 +382,7 @@
 					m.f.broken("ran_cancelled %s", id)
 				}
 				if p.job.Shape != protocol.Service && p.ran.Seconds() >= p.job.EstimateS {
+					m.ended("done", id, p, time.Now())
 					p.state, p.cause = protocol.TaskExited, protocol.CauseDone
 					m.changed()
 				}
@@ -372,6 +401,9 @@
 		p.state = protocol.TaskWaiting
 	}
 	m.changed()
+	if f.Log != nil {
+		f.Log("start", id, m.info.ID, time.Now())
+	}
 	zones := map[string]int{m.info.Zone: 1}
 	used := p.job.GPUs
 	for _, o := range f.machines {
@@ -401,6 +433,7 @@
 		f.broken("ran_cancelled %s", id)
 	}
 	if f.mistaken[p.job.ID] {
+		m.ended("end", id, p, time.Now())
 		p.state, p.cause = protocol.TaskExited, protocol.CauseError
 	}
 }
@@ -436,6 +469,7 @@
 			}
 		case protocol.OpStop:
 			if p != nil && p.attempt == c.Attempt && p.state != protocol.TaskExited {
+				m.ended("end", c.Task, p, time.Now())
 				p.state, p.cause = protocol.TaskExited, protocol.CauseStopped
 				m.changed()
 			}
