Gateway: tests of claims at a site, of the stop bound amid troubles, of certificates

Need: the bound after which another site may start a job is only as good as the controllers' part of it.

Certificates: unknown, another authority's, another name, expired or revoked under way, renewed without a restart.

--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -39,6 +39,9 @@
 	lossy   float64              // part of store answers, reports and answers lost
 	late    float64              // part of unanswered transactions applied much later
 	frozen  map[string]time.Time // until when a node stands still
+
+	// lease, if set, is the site's daemon as the nodes ask it.
+	lease func(ctx context.Context, node string) ([]byte, error)
 }
 
 func settingsFor(names []string, i int) *protocol.Settings {
@@ -120,6 +123,17 @@
 	w.set(func() { w.nodes[name], w.stop[name] = n, cancel })
 	go n.Run()
 	go w.hint(ctx, n)
+	go n.KeepGate(func(ctx context.Context) ([]byte, error) {
+		w.mu.Lock()
+		ask := w.lease
+		w.mu.Unlock()
+		if ask == nil {
+			return nil, errNoAnswer
+		}
+		w.thaw(name)
+		defer w.thaw(name)
+		return ask(ctx, name)
+	})
 }
 
 // hint tells the other nodes every second how a node is, if both are reached.
--- /dev/null
+++ b/internal/coordination/sitejobs_test.go
@@ -0,0 +1,357 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+)
+
+// open lets jobs of the gateway run on a bench.
+func (b *bench) open() {
+	b.onLease(&wire.Lease{LeftMS: 3000}, nil, time.Now())
+}
+
+// claimed stores a job of the gateway, placed on host-1.
+func (b *bench) claimed(id string, placed ...protocol.Placement) *job {
+	spec := &protocol.JobSpec{ID: id, Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1}
+	b.put(protocol.JobKey(id), protocol.JobRecord{Spec: spec, Next: 2, Claim: 1, Chunk: protocol.Chunk{Placed: placed}})
+	return b.jobs[id]
+}
+
+func verbs(a *answer) string {
+	if a == nil {
+		return "parked"
+	}
+	s := ""
+	for _, c := range a.body.(protocol.Orders).Commands {
+		s += c.Op + " "
+	}
+	return s
+}
+
+// Without the lease nothing of a gateway's job starts, and what runs is stopped with
+// the next answer; jobs of the site's own go on.
+func TestClosedGateStopsOnlyTheGatewaysJobs(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		lease         *wire.Lease
+		started, runs string
+	}{
+		{"open", &wire.Lease{LeftMS: 3000}, "run ", "parked"},
+		{"over", &wire.Lease{}, "", "halt "},
+		{"a stop not seen yet", &wire.Lease{LeftMS: 3000, Floor: 1 << 40}, "", "halt "},
+		{"the job is dead", &wire.Lease{LeftMS: 3000, Dead: []string{"job-1"}}, "", "halt "},
+		{"never asked", nil, "", "halt "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, running := range []bool{false, true} {
+				b := newBench(t)
+				b.claimed("job-1", onHost1)
+				if c.lease != nil {
+					b.onLease(c.lease, nil, time.Now())
+				}
+				if !running {
+					if got := verbs(b.report(7, 1)); got != c.started && !(c.started == "" && got == "parked") {
+						t.Errorf("not started: orders %q, want %q", got, c.started)
+					}
+					continue
+				}
+				got := verbs(b.report(7, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning}))
+				if got != c.runs && !(c.runs == "parked" && got == "") {
+					t.Errorf("running: orders %q, want %q", got, c.runs)
+				}
+			}
+		})
+	}
+	b := newBench(t)
+	b.job("job-2", false, onHost1)
+	if got := verbs(b.report(7, 1, protocol.TaskReport{Task: "job-2/0", Attempt: 1, State: protocol.TaskRunning})); got != "" && got != "parked" {
+		t.Errorf("the site's own job got %q", got)
+	}
+}
+
+// A lease counts from when it was asked for: an answer that was held on its way for
+// minutes opens nothing.
+func TestLateLeaseOpensNothing(t *testing.T) {
+	b := newBench(t)
+	j := b.claimed("job-1")
+	b.onLease(&wire.Lease{LeftMS: 3000}, nil, time.Now().Add(-3*time.Second))
+	if !b.closed(j, time.Now()) {
+		t.Error("a lease of 3 s asked for 3 s ago is taken for valid")
+	}
+	b.open()
+	if b.closed(j, time.Now()) {
+		t.Error("a fresh lease opens nothing")
+	}
+	if !b.closed(j, time.Now().Add(3*time.Second)) {
+		t.Error("the lease does not end by itself")
+	}
+}
+
+// A direct command may be executed minutes late, when the site has lost the job.
+func TestGatewaysJobsAreNotStartedDirectly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.open()
+		b.claimed("job-1", onHost1)
+		m := b.machines["host-1"]
+		m.addr, m.fenced, m.heard, m.session = "host-1:9000", true, time.Now(), 1
+		m.reported = time.Now()
+		b.cfg.Params.Workers.ReportS = 6
+		b.startNow(m, time.Now())
+		if b.direct != 0 {
+			t.Error("a job of the gateway was started directly")
+		}
+	})
+}
+
+// Who answers for a holder that can't be reached keeps workers' leases alive: it stops
+// what may not run any more, and, with no lease, also what it does not know. (A
+// replica that is behind does not know the newest jobs.)
+func TestStandInStopsTheGatewaysJobs(t *testing.T) {
+	b := newBench(t)
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 9})
+	b.claimed("job-1", onHost1)
+	b.job("job-2", false)
+	ask := func() string {
+		reply := make(chan answer, 1)
+		b.onReport(&protocol.Report{Machine: "host-1", Type: "g4", Zone: "a", Session: 1, Seq: 1, Token: 8, Tasks: []protocol.TaskReport{
+			{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning}, {Task: "job-2/0", Attempt: 1, State: protocol.TaskRunning},
+			{Task: "job-3/0", Attempt: 1, State: protocol.TaskRunning}}}, time.Now().Add(15*time.Second), reply)
+		a := <-reply
+		s := ""
+		if o, ok := a.body.(protocol.Orders); ok {
+			for _, c := range o.Commands {
+				s += c.Op + " " + c.Task + " "
+			}
+		}
+		return s
+	}
+	if got := ask(); got != "halt job-1/0 halt job-3/0 " {
+		t.Errorf("without a lease: %q", got)
+	}
+	b.onLease(&wire.Lease{LeftMS: 30000}, nil, time.Now())
+	if got := ask(); got != "" {
+		t.Errorf("with a lease: %q", got)
+	}
+}
+
+// caller runs one node whose actor is alive, to be called as the daemon does.
+type caller struct {
+	t *testing.T
+	n *Node
+	b *bench
+}
+
+func (c *caller) call(kind wire.Kind, id string, epoch uint32) wire.Item {
+	c.t.Helper()
+	spec := mustJSON(&protocol.JobSpec{ID: id, Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1})
+	reply := make(chan wire.Item, 1)
+	c.n.post(func() {
+		c.n.onCall(&wire.Item{Kind: kind, ID: id, Record: wire.Record{Epoch: epoch, Spec: spec}}, func(r wire.Item) { reply <- r })
+	})
+	select {
+	case r := <-reply:
+		return r
+	case <-time.After(20 * time.Second):
+		c.t.Fatalf("no answer to call %d for %s", kind, id)
+	}
+	return wire.Item{}
+}
+
+// TestClaimsAtASite walks one node through what the daemon may ask, in the orders
+// that delays make of it.
+func TestClaimsAtASite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w := newWorld(t, ctx, 1, asTheyAre)
+		w.set(func() {
+			w.lease = func(context.Context, string) ([]byte, error) {
+				return wire.EncodeLease(&wire.Lease{LeftMS: 3000}), nil
+			}
+		})
+		time.Sleep(6 * time.Second)
+		c := &caller{t: t, n: w.node("n-0")}
+		other := &caller{t: t, n: w.node("n-1")}
+		want := func(what string, got wire.Item, codes ...uint8) {
+			t.Helper()
+			for _, k := range codes {
+				if got.Why == k {
+					return
+				}
+			}
+			t.Errorf("%s: code %d (%s), want %v", what, got.Why, got.Record.Spec, codes)
+		}
+		want("poll of what was never given", c.call(wire.Poll, "job-1", 1), wire.Missing)
+		want("submission", c.call(wire.Submit, "job-1", 1), wire.Held)
+		want("its repeat at another node", other.call(wire.Submit, "job-1", 1), wire.Held)
+		want("stop", other.call(wire.Stop, "job-1", 1), wire.Over, wire.Held)
+		time.Sleep(time.Minute)
+		want("stop again", c.call(wire.Stop, "job-1", 1), wire.Over)
+		want("the submission, held on its way until now", c.call(wire.Submit, "job-1", 1), wire.Over)
+		want("a later claim", other.call(wire.Submit, "job-1", 3), wire.Held)
+		time.Sleep(time.Second)
+		want("poll of the later claim", c.call(wire.Poll, "job-1", 3), wire.Held)
+		want("a late stop of the earlier claim", c.call(wire.Stop, "job-1", 1), wire.Over)
+		want("the later claim is untouched", c.call(wire.Poll, "job-1", 3), wire.Held)
+
+		want("stop before the submission comes", c.call(wire.Stop, "job-2", 2), wire.Over)
+		want("the submission", other.call(wire.Submit, "job-2", 2), wire.Over)
+		want("a claim while an earlier one runs here", c.call(wire.Submit, "job-3", 1), wire.Held)
+		time.Sleep(time.Second)
+		want("the same job under a later claim", other.call(wire.Submit, "job-3", 4), wire.Held)
+
+		own := &protocol.JobSpec{ID: "job-4", Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1}
+		if a, err := w.ask(ctx, "n-1", func(n *Node, reply chan<- answer) { n.onSubmit(own, time.Now(), reply) }); err != nil || a.status != 201 {
+			t.Fatalf("own job: %v %v", a.status, err)
+		}
+		time.Sleep(time.Second)
+		want("a job of the site's own under the same id", c.call(wire.Submit, "job-4", 1), wire.Conflict)
+		want("its stop", c.call(wire.Stop, "job-4", 1), wire.Conflict)
+
+		// Users who ask the site: what became of a claim is not what became of the job.
+		for id, status := range map[string]int{"job-2": 503, "job-1": 200, "job-4": 200} {
+			a, err := w.ask(ctx, "n-0", func(n *Node, reply chan<- answer) { n.onPoll(id, reply) })
+			if err != nil || a.status != status {
+				t.Errorf("poll of %s: %d %v, want %d", id, a.status, err, status)
+			}
+		}
+		if a, err := w.ask(ctx, "n-0", func(n *Node, reply chan<- answer) { n.onCancel("job-1", 5, reply) }); err != nil || a.status != 503 {
+			t.Errorf("cancellation at the site: %d %v, want 503", a.status, err)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestNothingRunsAfterTheBound: the lease ends at some moment amid every trouble of
+// controllers, network and state service; StopBound later nothing of the gateway's
+// runs, whatever else goes wrong. Then the lease is back, and every job is done.
+func TestNothingRunsAfterTheBound(t *testing.T) {
+	const controllers = 3 * time.Second
+	for seed := range uint64(16) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				direct := seed%2 == 1
+				w := newWorld(t, ctx, 500+seed, func(p *protocol.WorkerSettings) {
+					if direct { // workers report rarely, so that the site's own jobs start directly
+						p.ReportS, p.LeaseS, p.CancelS = 6, 36, 56
+					}
+				})
+				lease := time.Duration(w.fleet.Workers.LeaseS * float64(time.Second))
+				bound := time.Duration(float64(controllers+lease)*(1+maxDrift)) + 4*time.Second
+				on := map[string]int{}
+				end := time.Now().Add(time.Hour) // of the daemon's lease
+				w.set(func() {
+					w.fleet.Log = func(event, task, machine string, at time.Time) {
+						id, _, _ := protocol.ParseTaskID(task)
+						w.mu.Lock()
+						defer w.mu.Unlock()
+						if event != "start" {
+							on[id]--
+							return
+						}
+						on[id]++
+						if time.Now().After(end.Add(bound)) && id < "job-100" {
+							t.Errorf("%s started %v after the lease", task, time.Since(end))
+						}
+					}
+					w.lease = func(ctx context.Context, node string) ([]byte, error) {
+						time.Sleep(w.between(time.Millisecond, 300*time.Millisecond))
+						w.mu.Lock()
+						left := max(0, min(controllers, time.Until(end)))
+						w.mu.Unlock()
+						data := wire.EncodeLease(&wire.Lease{LeftMS: uint32(left.Milliseconds())})
+						time.Sleep(w.between(time.Millisecond, 300*time.Millisecond))
+						if w.chance(&w.lossy) {
+							return nil, errNoAnswer
+						}
+						return data, nil
+					}
+				})
+				var ids []string
+				for i := range 10 {
+					id := fmt.Sprintf("job-00%d", i)
+					ids = append(ids, id)
+					spec := &protocol.JobSpec{ID: id, Team: []string{"red", "blue", "green"}[i%3], Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1 + i%3,
+						CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "i", ImageGB: 1, EstimateS: 60, Spot: true}
+					w.fleet.Submitted(spec)
+					go func() {
+						data := mustJSON(spec)
+						for w.ctx.Err() == nil {
+							got := make(chan wire.Item, 1)
+							if n := w.node(w.names[i%3]); n != nil {
+								n.post(func() {
+									n.onCall(&wire.Item{Kind: wire.Submit, ID: id, Record: wire.Record{Epoch: 1, Spec: data}}, func(r wire.Item) { got <- r })
+								})
+								select {
+								case r := <-got:
+									if r.Why == wire.Held || r.Why == wire.Ended {
+										return
+									}
+								case <-time.After(2 * time.Second):
+								}
+							}
+							time.Sleep(time.Second)
+						}
+					}()
+				}
+				time.Sleep(w.between(10*time.Second, 30*time.Second))
+				go troubles(w)
+				time.Sleep(w.between(0, 60*time.Second))
+				w.set(func() { end = time.Now().Add(controllers) })
+				time.Sleep(controllers + bound + time.Second)
+				ran := false
+				for range 60 {
+					for _, id := range ids {
+						w.set(func() {
+							if on[id] > 0 {
+								t.Errorf("%d tasks of %s run %v after the lease, bound %v", on[id], id, time.Since(end), bound)
+							}
+						})
+					}
+					ran = ran || w.fleet.Started > 0
+					time.Sleep(500 * time.Millisecond)
+				}
+				time.Sleep(3 * time.Minute) // the troubles are over
+				w.set(func() {
+					w.outage, w.lossy, w.late = false, 0, 0
+					clear(w.noState)
+					clear(w.noNet)
+					clear(w.deaf)
+					end = time.Now().Add(time.Hour)
+				})
+				time.Sleep(6 * time.Minute)
+				for _, id := range ids {
+					it, err := w.state.Get(ctx, protocol.FinalKey(id))
+					if err != nil || it.Value == nil {
+						j, _ := w.state.Get(ctx, protocol.JobKey(id))
+						t.Errorf("%s is not done: %s", id, j.Value)
+					}
+				}
+				for _, b := range w.fleet.Broken {
+					t.Errorf("rule broken: %s", b)
+				}
+				if !ran {
+					t.Error("nothing ran")
+				}
+				for _, stop := range w.stop {
+					stop()
+				}
+				cancel()
+				time.Sleep(2 * time.Minute)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
--- /dev/null
+++ b/internal/transport/rpc/rpc_test.go
@@ -0,0 +1,268 @@
+package rpc
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/transport/keys"
+)
+
+// logged keeps what is logged.
+type logged struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logged) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logged) has(s string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.b.String(), s)
+}
+
+// eventually waits for something that other routines bring about.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+// pair is quito, who listens, and gate, who sends; the clock is the test's.
+type pair struct {
+	dir               string
+	now               atomic.Int64
+	got               chan string
+	server, client    *keys.Ring
+	serverLog, cliLog *logged
+	peer              *Peer
+	addr              string
+}
+
+func (p *pair) clock() time.Time { return time.Unix(p.now.Load(), 0) }
+
+func newPair(t *testing.T) *pair {
+	p := &pair{dir: t.TempDir(), got: make(chan string, 100), serverLog: &logged{}, cliLog: &logged{}}
+	p.now.Store(time.Now().Unix())
+	if err := keys.MakeAuthority(p.dir, p.clock(), 1000); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range []string{"gate", "quito", "xela", "stranger"} {
+		if err := keys.Issue(p.dir, m, p.clock(), 10); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return p
+}
+
+// run lets quito listen with its own keys, and somebody send with some files.
+func (p *pair) run(t *testing.T, sender string, files keys.Files, to string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	var err error
+	if p.server, err = keys.Open(keys.In(p.dir, "quito"), "quito", p.clock); err != nil {
+		t.Fatal(err)
+	}
+	if p.client, err = keys.Open(files, sender, p.clock); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.addr = ln.Addr().String()
+	p.peer = NewPeer(to)
+	known := func(name string) bool { return name == "gate" || name == "xela" }
+	wg.Add(2)
+	go func() {
+		defer wg.Done()
+		Server(ctx, ln, p.server, known, slog.New(slog.NewTextHandler(p.serverLog, nil)), func(from string, data []byte) error {
+			if len(data) > 0 {
+				select {
+				case p.got <- from + ":" + string(data):
+				default:
+				}
+			}
+			return nil
+		})
+	}()
+	go func() {
+		defer wg.Done()
+		p.peer.Run(ctx, p.addr, p.client, slog.New(slog.NewTextHandler(p.cliLog, nil)))
+	}()
+}
+
+func (p *pair) sendUntilTaken(t *testing.T) string {
+	t.Helper()
+	var v string
+	eventually(t, "a message is taken", func() bool {
+		p.peer.Send([]byte("x"))
+		select {
+		case v = <-p.got:
+			return true
+		default:
+			return false
+		}
+	})
+	return v
+}
+
+func TestMessagesCarryTheSendersName(t *testing.T) {
+	p := newPair(t)
+	p.run(t, "gate", keys.In(p.dir, "gate"), "quito")
+	if v := p.sendUntilTaken(t); v != "gate:x" {
+		t.Errorf("got %q", v)
+	}
+}
+
+// TestWrongCertificatesAreRefused: each refusal is one clear line and is counted, on
+// the side that refuses.
+func TestWrongCertificatesAreRefused(t *testing.T) {
+	other := t.TempDir()
+	if err := keys.MakeAuthority(other, time.Now(), 1000); err != nil {
+		t.Fatal(err)
+	}
+	if err := keys.Issue(other, "gate", time.Now(), 10); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name, sender, to string
+		files            func(p *pair) keys.Files
+		server           string // what the listening side says, or the sending one
+		client           string
+	}{
+		{"no member", "stranger", "quito", func(p *pair) keys.Files { return keys.In(p.dir, "stranger") }, `certificate of \"stranger\", who is no member`, ""},
+		{"another authority", "gate", "quito", func(p *pair) keys.Files { return keys.In(other, "gate") }, "is not from our authority", "is not from our authority"},
+		{"the sender takes quito for xela", "gate", "xela", func(p *pair) keys.Files { return keys.In(p.dir, "gate") }, "", `certificate is made out to \"quito\", not to \"xela\"`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPair(t)
+			p.run(t, c.sender, c.files(p), c.to)
+			eventually(t, "refused", func() bool {
+				p.peer.Send([]byte("x"))
+				return (c.server == "" || p.serverLog.has(c.server) || c.client != "" && p.cliLog.has(c.client)) && (c.server != "" || p.cliLog.has(c.client))
+			})
+			if len(p.got) > 0 {
+				t.Error("a message was taken")
+			}
+			if p.server.Refused()+p.client.Refused() == 0 {
+				t.Error("not counted")
+			}
+		})
+	}
+}
+
+// TestCertificatesUnderWay: one that expires or is revoked while its connection is
+// open ends it; a renewed one is taken up without a restart of either side.
+func TestCertificatesUnderWay(t *testing.T) {
+	for _, c := range []struct {
+		name, says string
+		spoil      func(p *pair)
+	}{
+		{"expires", "has expired", func(p *pair) { p.now.Add(11 * 24 * 3600) }},
+		{"is revoked", "is revoked", func(p *pair) { keys.Revoke(p.dir, "gate", p.clock()) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPair(t)
+			p.run(t, "gate", keys.In(p.dir, "gate"), "quito")
+			p.sendUntilTaken(t)
+			c.spoil(p)
+			eventually(t, "refused", func() bool { p.peer.Send([]byte("y")); return p.serverLog.has(c.says) })
+			for _, m := range []string{"gate", "quito"} {
+				if err := keys.Issue(p.dir, m, p.clock(), 10); err != nil {
+					t.Fatal(err)
+				}
+			}
+			eventually(t, "taken after renewal", func() bool {
+				p.peer.Send([]byte("renewed"))
+				select {
+				case v := <-p.got:
+					return v == "gate:renewed"
+				default:
+					return false
+				}
+			})
+		})
+	}
+}
+
+// TestDeadConnectionIsMadeAnew: a connection that the network swallows is noticed
+// though nothing fails on it.
+func TestDeadConnectionIsMadeAnew(t *testing.T) {
+	p := newPair(t)
+	p.run(t, "gate", keys.In(p.dir, "gate"), "quito")
+	p.sendUntilTaken(t)
+	// A listener that takes the connection and says nothing.
+	hole, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hole.Close()
+	var tries atomic.Int64
+	go func() {
+		for {
+			c, err := hole.Accept()
+			if err != nil {
+				return
+			}
+			tries.Add(1)
+			go io.Copy(io.Discard, c)
+		}
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	q := NewPeer("quito")
+	go q.Run(ctx, hole.Addr().String(), p.client, slog.New(slog.DiscardHandler))
+	q.Send([]byte("x"))
+	eventually(t, "a second try", func() bool { return tries.Load() >= 2 })
+}
+
+func TestKeysNameFieldAndBound(t *testing.T) {
+	dir := t.TempDir()
+	now := time.Now()
+	if err := keys.Issue(dir, "gate", now, 10); err == nil {
+		t.Error("a certificate without an authority")
+	}
+	if err := keys.MakeAuthority(dir, now, 10); err != nil {
+		t.Fatal(err)
+	}
+	if err := keys.MakeAuthority(dir, now, 10); err == nil || !strings.Contains(err.Error(), "has an authority already") {
+		t.Errorf("a second authority: %v", err)
+	}
+	if err := keys.Issue(dir, "../gate", now, 10); err == nil || !strings.Contains(err.Error(), `member name "../gate": 1 to 40 of`) {
+		t.Errorf("a name that is a path: %v", err)
+	}
+	if err := keys.Issue(dir, "gate", now, 10000); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := keys.ReadCert(filepath.Join(dir, "gate.pem")); err != nil || c.NotAfter.After(now.Add(11*24*time.Hour)) {
+		t.Errorf("certificate outlives its authority: %v %v", c.NotAfter, err)
+	}
+	if _, err := keys.Open(keys.In(dir, "gate"), "quito", time.Now); err == nil || !strings.Contains(err.Error(), `made out to "gate", not to "quito"`) {
+		t.Errorf("another member's own certificate: %v", err)
+	}
+	if err := keys.Revoke(dir, "gate", now); err != nil {
+		t.Fatal(err)
+	}
+	lines, err := keys.Show(dir, now)
+	if err != nil || len(lines) != 2 || !strings.Contains(lines[1], "REVOKED") {
+		t.Errorf("shown: %q %v", lines, err)
+	}
+}
