--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -142,6 +143,17 @@
 
 	if daemon != "" {
 		asks := transport.NewClient(daemon, 0)
+		node.Known = func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error) {
+			a, err := asks.Call(ctx, time.Second, "GET", "/site/jobs/"+id, nil)
+			switch {
+			case err != nil:
+			case a.Status == 200:
+				err = json.Unmarshal(a.Body, &s)
+			case a.Status != 404:
+				err = fmt.Errorf("the site's daemon answers %d", a.Status)
+			}
+			return s, a.Status == 200 || a.Status == 409, err
+		}
 		go node.KeepGate(func(ctx context.Context) ([]byte, error) {
 			a, err := asks.Call(ctx, time.Second, "GET", "/site/lease", nil)
 			if err == nil && a.Status != 200 {
--- a/internal/coordination/gateway/api.go
+++ b/internal/coordination/gateway/api.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -107,8 +108,25 @@
 		return
 	}
 	came := time.Now()
-	late := time.NewTimer(mostAnswer)
-	defer late.Stop()
+	a, ok := d.do(r.Context(), q)
+	if !ok {
+		reply(w, http.StatusServiceUnavailable, 1, errorBody{"overloaded, or ending"})
+		return
+	}
+	kind := []string{"submit", "poll", "cancel"}[q.Kind]
+	m.requests.WithLabelValues(kind, strconv.Itoa(a.Code)).Inc()
+	m.took.WithLabelValues(kind).Observe(time.Since(came).Seconds())
+	if a.Why != "" {
+		reply(w, a.Code, a.RetryS, errorBody{a.Why})
+		return
+	}
+	reply(w, a.Code, a.RetryS, a.State)
+}
+
+// do asks the core for a user and waits for its answer.
+func (d *Daemon) do(ctx context.Context, q Request) (Answer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, mostAnswer)
+	defer cancel()
 	answers := make(chan Answer, 1)
 	d.post(func() {
 		d.token++
@@ -118,19 +136,11 @@
 	})
 	select {
 	case a := <-answers:
-		m.requests.WithLabelValues([]string{"submit", "poll", "cancel"}[q.Kind], strconv.Itoa(a.Code)).Inc()
-		m.took.WithLabelValues([]string{"submit", "poll", "cancel"}[q.Kind]).Observe(time.Since(came).Seconds())
-		if a.Why != "" {
-			reply(w, a.Code, a.RetryS, errorBody{a.Why})
-			return
-		}
-		reply(w, a.Code, a.RetryS, a.State)
-	case <-late.C:
-		reply(w, http.StatusServiceUnavailable, 1, errorBody{"overloaded"})
-	case <-r.Context().Done():
+		return a, true
+	case <-ctx.Done():
 	case <-d.ctx.Done():
-		reply(w, http.StatusServiceUnavailable, 2, errorBody{"ending"})
 	}
+	return Answer{}, false
 }
 
 // Status is what the member knows.
@@ -176,6 +186,22 @@
 // LeaseHandler answers the site's controllers.
 func (d *Daemon) LeaseHandler(most time.Duration) http.Handler {
 	r := httprouter.New()
+	r.GET("/site/jobs/:id", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		// Whether a submission straight at the site repeats one of the gateway: 404 if
+		// this member knows of none. If it does, a majority is asked how the job is,
+		// since nobody may be told less than before; 409 says that it can't be.
+		id := p.ByName("id")
+		known, ok := ask(d, r.Context(), func() bool { reg := d.core.regs[id]; return reg != nil && reg.exists })
+		if ok && !known {
+			reply(w, http.StatusNotFound, 0, errorBody{"no job of the gateway"})
+			return
+		}
+		if a, ok := d.do(r.Context(), Request{Kind: Poll, ID: id}); ok && a.Code == http.StatusOK {
+			reply(w, http.StatusOK, 0, a.State)
+			return
+		}
+		reply(w, http.StatusConflict, 1, errorBody{"a job of the gateway; how it is can't be told now"})
+	})
 	r.GET("/site/lease", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		l, ok := d.Lease(r.Context(), most)
 		if !ok {
--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -263,6 +263,12 @@
 		})
 		return
 	}
+	if s.best.Exists && rec.Final != wire.Open {
+		// Agreed on, and it never changes: from now on it is told without asking.
+		if own := c.reg(it.ID); !own.exists || own.accepted.Less(s.best.Accepted) {
+			c.adopt(it.ID, own, s.best.Accepted, &rec, true)
+		}
+	}
 	for _, q := range s.reqs {
 		q.then(&rec, s.best.Exists, true)
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -38,6 +38,8 @@
 	cloud   CloudService
 	workers Workers
 	// SetLevel, if set, is told the log level that operators chose, if any.
+	// Known, if set, asks the site's daemon whether a job is the gateway's, and how it is.
+	Known    func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error)
 	SetLevel func(l slog.Level, chosen bool)
 	users    *storage.Committer // changes that a user waits for
 	books    *storage.Committer // everything else
--- a/internal/coordination/sitejobs.go
+++ b/internal/coordination/sitejobs.go
@@ -103,12 +103,43 @@
 	}
 }
 
-// endedElsewhere says whether only the gateway knows what became of a job.
-func (n *Node) endedElsewhere(id string) bool { return n.finals.byID[id].Claim > 0 }
+// gateways says whether a job is the gateway's: then only its members tell users how
+// it is. Here it may be stopped because it goes to another site, or run on for a
+// moment after its user was told that it is cancelled.
+func (n *Node) gateways(id string) bool {
+	j := n.jobs[id]
+	return j != nil && j.claim > 0 || n.finals.byID[id].Claim > 0
+}
 
 // askGateway answers users who ask a site about such a job.
 var askGateway = answer{status: 503, retryS: 5, body: errorBody{"this job came through the gateway: ask there"}}
 
+// unlessGateways goes on with a submission unless the job came through the gateway:
+// a user who repeats a submission straight at another site must not get a second job.
+// If the daemon does not answer, the job is the site's own, as without a gateway.
+func (n *Node) unlessGateways(id string, reply chan<- answer, goOn func()) {
+	if n.Known == nil {
+		goOn()
+		return
+	}
+	n.spawn(func(ctx context.Context) {
+		s, known, err := n.Known(ctx, id)
+		n.post(func() {
+			switch {
+			case known && err != nil:
+				reply <- busy
+			case known:
+				reply <- answer{status: 200, body: s}
+			default:
+				if err != nil {
+					n.log.Debug("daemon does not say whether a job is the gateway's", "job", id, "why", err)
+				}
+				goOn()
+			}
+		})
+	})
+}
+
 // routeSite adds the interface for the site's daemon.
 func (n *Node) routeSite(r *httprouter.Router) {
 	r.POST("/site/calls", n.postCalls)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -242,7 +242,7 @@
 			reply <- busy
 		case !known:
 			reply <- answer{status: 404, body: errorBody{"no such job"}}
-		case n.endedElsewhere(id):
+		case n.gateways(id):
 			reply <- askGateway
 		default:
 			reply <- answer{status: 200, body: s}
@@ -294,8 +294,8 @@
 			switch {
 			case err != nil:
 				reply <- busy
-			case known && n.endedElsewhere(s.ID):
-				reply <- askGateway
+			case known && n.gateways(s.ID):
+				n.unlessGateways(s.ID, reply, func() { reply <- askGateway })
 			case known:
 				reply <- answer{status: 200, body: st}
 			default:
@@ -318,6 +318,11 @@
 		repeat(func() { reply <- answer{status: 422, body: errorBody{why}} })
 		return
 	}
+	n.unlessGateways(s.ID, reply, func() { n.accept(s, now, reply, repeat) })
+}
+
+// accept stores a new job.
+func (n *Node) accept(s *protocol.JobSpec, now time.Time, reply chan<- answer, repeat func(ifNew func())) {
 	rec := protocol.JobRecord{Spec: s, SubmittedMS: now.UnixMilli(), Next: 1}
 	op := &storage.Op{
 		Conds:  []storage.Cond{{Key: protocol.JobKey(s.ID)}, {Key: protocol.FinalKey(s.ID)}},
@@ -350,7 +355,7 @@
 			reply <- busy
 		case !known:
 			reply <- answer{status: 404, body: errorBody{"no such job"}}
-		case n.endedElsewhere(id) || j != nil && j.claim > 0:
+		case n.gateways(id):
 			reply <- askGateway
 		case s.Status == protocol.JobDone || s.Status == protocol.JobCancelled:
 			reply <- answer{status: 200, body: protocol.JobStatus{ID: id, Status: s.Status}}
