Gateway: no promises for unknown jobs, calls again with jitter, an end at every step

Need: a cancellation of a job that nobody submitted left a promise at every member for ever; a site in trouble was called every second for every job; a job that waits in vain could go to and fro.

Unknown jobs are looked up before anything is proposed. Calls that bring nothing are repeated later and later with jitter; with each claim a job waits longer before it is moved.

--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -196,6 +196,9 @@
 		r := c.reg(it.ID)
 		r.promised, r.accepted, r.exists, r.committed, r.acked, r.rec = it.Ballot, it.Accepted, it.Exists, it.Committed, it.Acked, it.Record
 		c.topN = max(c.topN, r.promised.N, r.accepted.N)
+		if r.exists && r.rec.Final != wire.Open {
+			c.nFinal++
+		}
 		c.index(it.ID, r)
 	}
 	if cfg.Members[cfg.Self].Site {
@@ -490,7 +493,6 @@
 	r.committed = true
 	if r.rec.Final != wire.Open {
 		c.dirty[id] = struct{}{} // so that it need not be found out again
-		c.nFinal++
 	}
 	if c.site != nil {
 		c.site.learn(id, &r.rec)
@@ -511,6 +513,13 @@
 			r.acked &^= bit(int(rec.Prev) - 1)
 		}
 	}
+	was, is := r.exists && r.rec.Final != wire.Open, rec.Final != wire.Open
+	switch {
+	case is && !was:
+		c.nFinal++
+	case was && !is: // it was never agreed on
+		c.nFinal--
+	}
 	r.accepted, r.exists, r.rec, r.touched = accepted, true, *rec, c.now
 	r.committed = false
 	c.dirty[id] = struct{}{}
--- a/internal/coordination/gateway/daemon_test.go
+++ b/internal/coordination/gateway/daemon_test.go
@@ -68,7 +68,9 @@
 	away   [3]bool
 }
 
-func newTrio(t *testing.T) *trio {
+func newTrio(t *testing.T) *trio { return newTrioMoving(t, 0) }
+
+func newTrioMoving(t *testing.T, moveAfter float64) *trio {
 	x := &trio{t: t}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -76,6 +78,7 @@
 	for i := range 3 {
 		cfg := Config{Members: twoSites, Self: i, Lease: 2 * time.Second, Stop: time.Second, InFlight: 100, Route: DefaultRoute()}
 		cfg.Route.RampS = 0
+		cfg.Route.MoveAfterS = moveAfter
 		st := &memStore{m: map[string]wire.Item{}}
 		var site Site
 		if i > 0 {
@@ -145,6 +148,17 @@
 	x.until(id+" accepted", func() bool { code, _, _ := x.ask(m, "POST", "/api/jobs", job(id)); return code == 201 || code == 200 })
 }
 
+// holder is the site that the members agree holds job-1.
+func (x *trio) holder() string {
+	_, body, _ := x.ask(0, "GET", "/admin/gateway/jobs/job-1", "")
+	for _, m := range []string{"quito", "xela"} {
+		if strings.Contains(body, `"holder":"`+m+`"`) && strings.Contains(body, `"agreed":true`) {
+			return m
+		}
+	}
+	return ""
+}
+
 // TestAnyOneMemberMayBeAway: the other two accept, tell and cancel; with two away
 // the third answers 503 at once, with a time to come back.
 func TestAnyOneMemberMayBeAway(t *testing.T) {
@@ -239,15 +253,7 @@
 func TestDrainHandsOver(t *testing.T) {
 	x := newTrio(t)
 	x.submit(0, "job-1")
-	holder := func() string {
-		_, body, _ := x.ask(0, "GET", "/admin/gateway/jobs/job-1", "")
-		for _, m := range []string{"quito", "xela"} {
-			if strings.Contains(body, `"holder":"`+m+`"`) && strings.Contains(body, `"agreed":true`) {
-				return m
-			}
-		}
-		return ""
-	}
+	holder := x.holder
 	x.until("held", func() bool { return holder() != "" })
 	first := holder()
 	at := map[string]int{"quito": 1, "xela": 2}[first]
@@ -263,3 +269,13 @@
 	}
 	x.stores[at].mu.Unlock()
 }
+
+// TestJobThatWaitsInVainIsMoved: a site that starts nothing of a job for the stated
+// time, while another has room, hands it over in order.
+func TestJobThatWaitsInVainIsMoved(t *testing.T) {
+	x := newTrioMoving(t, 0.5)
+	x.submit(0, "job-1")
+	x.until("held", func() bool { return x.holder() != "" })
+	first := x.holder()
+	x.until("moved", func() bool { h := x.holder(); return h != "" && h != first })
+}
--- a/internal/coordination/gateway/duty.go
+++ b/internal/coordination/gateway/duty.go
@@ -49,6 +49,7 @@
 	began   bool // some task was placed
 	told    progress
 	ending  bool // a change of its record is under way
+	tries   int  // calls in a row that brought nothing
 }
 
 // Call is something asked of the site's controllers, and its result.
@@ -270,7 +271,12 @@
 		return
 	}
 	w.calling = false
-	w.next = c.now + callAgain
+	if r.Code == wire.Busy {
+		w.tries++
+	} else {
+		w.tries = 0
+	}
+	w.next = c.now + c.again(w.tries, w.stop)
 	if r.Call.Epoch != w.epoch {
 		w.next = c.now
 		return // of an earlier claim
@@ -305,6 +311,17 @@
 	}
 }
 
+// again is when a call that brought nothing is made again: later and later, not all
+// at once, so that a site in trouble is asked less. What keeps the site from its
+// lease is asked for again soon.
+func (c *Core) again(tries int, urgent bool) time.Duration {
+	wait := callAgain << min(max(tries-1, 0), 4)
+	if urgent {
+		wait = min(wait, 2*callAgain)
+	}
+	return wait*3/4 + time.Duration(c.rng.Int64N(int64(wait/2)))
+}
+
 // show tells the other members how far a job is, and lets go of it if it waits in
 // vain here while there is room elsewhere.
 func (d *duty) show(id string, w *work, r *Result) {
@@ -320,7 +337,8 @@
 		}
 	}
 	w.began = w.began || r.Running > 0 || r.Done > 0
-	if after := c.cfg.Route.MoveAfterS; !w.began && after > 0 && (c.now-w.since).Seconds() > after && d.roomElsewhere(w) {
+	// With each claim it waits longer, so that it is not sent to and fro.
+	if after := c.cfg.Route.MoveAfterS * float64(min(w.epoch, 20)); !w.began && after > 0 && (c.now-w.since).Seconds() > after && d.roomElsewhere(w) {
 		c.log.Info("job waits in vain and is handed over", "job", id, "waited_s", (c.now - w.since).Seconds())
 		w.leave, w.next = true, c.now
 	}
--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -103,54 +103,81 @@
 			}
 		})
 	case Cancel:
-		c.propose(q.ID, op{kind: opCancel}, userPatience, func(rec wire.Record, exists bool, o outcome) {
-			switch {
-			case o == unknown:
-				c.turnAway(q, 1, "no majority answered in time")
-			case !exists:
-				c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusNotFound, Why: "no such job"})
-			default:
-				if o == changed {
-					c.counts.Cancelled++
+		if r := c.regs[q.ID]; r == nil || !r.exists {
+			// A proposal would leave a promise at every member, for a job that perhaps
+			// nobody has submitted.
+			c.read(q.ID, func(_ *wire.Record, exists, ok bool) {
+				switch {
+				case !ok:
+					c.turnAway(q, 1, "no majority answered in time")
+				case !exists:
+					c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusNotFound, Why: "no such job"})
+				default:
+					c.cancel(q)
 				}
-				c.answer(q, http.StatusOK, &rec)
-			}
-		})
+			})
+			return
+		}
+		c.cancel(q)
 	}
 }
 
+func (c *Core) cancel(q *Request) {
+	c.propose(q.ID, op{kind: opCancel}, userPatience, func(rec wire.Record, exists bool, o outcome) {
+		switch {
+		case o == unknown:
+			c.turnAway(q, 1, "no majority answered in time")
+		case !exists:
+			c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusNotFound, Why: "no such job"})
+		default:
+			if o == changed {
+				c.counts.Cancelled++
+			}
+			c.answer(q, http.StatusOK, &rec)
+		}
+	})
+}
+
 func (c *Core) submit(q *Request) {
 	if c.inFlight >= c.cfg.InFlight {
 		c.turnAway(q, 1+c.rng.IntN(3), "too many submissions under way")
 		return
 	}
 	to, why := c.route(q.Spec, 0, -1)
-	o := op{kind: opCreate, spec: q.Body, site: to, tasks: uint32(q.Spec.Tasks), nowMS: q.NowMS}
+	c.inFlight++
 	if why != fits {
-		o = op{kind: opLearn} // a repeat is judged by what was accepted
+		// A repeat is judged by what was accepted.
+		c.read(q.ID, func(rec *wire.Record, exists, ok bool) {
+			c.inFlight--
+			switch {
+			case !ok:
+				c.turnAway(q, 1, "no majority answered in time")
+			case exists:
+				c.answer(q, http.StatusOK, rec)
+			case why == neverFits:
+				c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusUnprocessableEntity, Why: "it can run at no site: unknown team, above the team's limit, or a task fits no allowed machine type"})
+			case why == full:
+				c.turnAway(q, 2+c.rng.IntN(4), "all sites have as much under way as they may")
+			default:
+				c.turnAway(q, 2+c.rng.IntN(4), "no site is known to be able to take it")
+			}
+		})
+		return
 	}
-	c.inFlight++
+	o := op{kind: opCreate, spec: q.Body, site: to, tasks: uint32(q.Spec.Tasks), nowMS: q.NowMS}
+	c.claimed(to)
 	c.propose(q.ID, o, userPatience, func(rec wire.Record, exists bool, got outcome) {
 		c.inFlight--
-		switch {
-		case got == unknown:
+		switch got {
+		case unknown:
 			c.turnAway(q, 1, "no majority answered in time")
-		case got == changed:
+		case changed:
 			c.counts.Accepted++
 			c.answer(q, http.StatusCreated, &rec)
-		case exists:
-			c.answer(q, http.StatusOK, &rec)
-		case why == neverFits:
-			c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusUnprocessableEntity, Why: "it can run at no site: unknown team, above the team's limit, or a task fits no allowed machine type"})
-		case why == full:
-			c.turnAway(q, 2+c.rng.IntN(4), "all sites have as much under way as they may")
 		default:
-			c.turnAway(q, 2+c.rng.IntN(4), "no site is known to be able to take it")
+			c.answer(q, http.StatusOK, &rec)
 		}
 	})
-	if o.kind == opCreate {
-		c.claimed(to)
-	}
 }
 
 // onProgress takes in how far a job is, for display.
@@ -238,13 +265,7 @@
 		return
 	}
 	s.votes |= bit(from)
-	switch {
-	case it.Exists && (!s.best.Exists || s.best.Accepted.Less(it.Accepted)):
-		s.best, s.same = *it, 1
-	case it.Exists && it.Accepted == s.best.Accepted:
-		s.same++
-		s.best.Committed = s.best.Committed || it.Committed
-	}
+	highest(&s.best, &s.same, it)
 	if ones(s.votes) < c.majority() {
 		return
 	}
--- a/internal/coordination/gateway/round.go
+++ b/internal/coordination/gateway/round.go
@@ -111,13 +111,7 @@
 		}
 	case it.Kind == wire.Promise && r.phase == preparing && r.votes&bit(from) == 0:
 		r.votes |= bit(from)
-		switch {
-		case it.Exists && (!r.best.Exists || r.best.Accepted.Less(it.Accepted)):
-			r.best, r.same = *it, 1
-		case it.Exists && it.Accepted == r.best.Accepted:
-			r.same++
-			r.best.Committed = r.best.Committed || it.Committed
-		}
+		highest(&r.best, &r.same, it)
 		if ones(r.votes) >= c.majority() {
 			c.decide(r)
 		}
@@ -129,6 +123,18 @@
 	}
 }
 
+// highest keeps, of what members say they accepted, what has the highest ballot, and
+// counts how many say the same.
+func highest(best *wire.Item, same *int, it *wire.Item) {
+	switch {
+	case it.Exists && (!best.Exists || best.Accepted.Less(it.Accepted)):
+		*best, *same = *it, 1
+	case it.Exists && it.Accepted == best.Accepted:
+		*same++
+		best.Committed = best.Committed || it.Committed
+	}
+}
+
 // decide applies the changes that wait to the record that a majority's promises
 // show, and proposes the result.
 func (c *Core) decide(r *round) {
--- a/internal/coordination/gateway/sim_test.go
+++ b/internal/coordination/gateway/sim_test.go
@@ -66,6 +66,9 @@
 	faults  Faults
 	handed  []time.Duration
 	calm    bool
+	// before, if set, is asked before a member's effects are carried out; 0: all of
+	// them, 1: none, 2: only what is to be stored.
+	before func(m *simMember, e *Effects) int
 }
 
 type simMember struct {
@@ -224,6 +227,14 @@
 
 func (m *simMember) run(e Effects) {
 	s := m.s
+	if s.before != nil {
+		switch s.before(m, &e) {
+		case 1:
+			return
+		case 2:
+			e = Effects{Store: e.Store}
+		}
+	}
 	for to := range s.members {
 		items := e.Send[to]
 		if to == m.i || len(items) == 0 && e.Hint == nil {
@@ -770,3 +781,74 @@
 		t.Error("two runs of one seed differ")
 	}
 }
+
+// TestGatewayEndsAtEveryStep loses a site, and ends the gateway at each step of the
+// handoff that follows: before the step's effects, or after it has stored and before
+// it has sent anything. The other site or the gateway's next start finishes it.
+func TestGatewayEndsAtEveryStep(t *testing.T) {
+	for _, only := range []int{1, 2} {
+		t.Run(map[int]string{1: "before anything", 2: "after storing"}[only], func(t *testing.T) {
+			t.Parallel()
+			reached := 0
+			for step := range 60 {
+				s := newSim(uint64(step), Faults{}, twoSites)
+				taking, steps, ended := false, 0, false
+				s.before = func(m *simMember, e *Effects) int {
+					if m.i != 0 || ended || s.now < 10*time.Second {
+						return 0
+					}
+					for _, id := range sortedKeys(m.core.rounds) {
+						for _, ch := range append(m.core.rounds[id].queue, m.core.rounds[id].now...) {
+							taking = taking || ch.op.kind == opClaim
+						}
+					}
+					if !taking {
+						return 0
+					}
+					if steps++; steps <= step {
+						return 0
+					}
+					ended = true
+					m.up = false
+					m.gen++
+					s.after(30*time.Second, func() { m.boot(twoSites) })
+					if only == 2 {
+						m.gen-- // what is handed to the store is written
+						s.after(0, func() { m.gen++ })
+					}
+					return only
+				}
+				for i := range 3 {
+					j := &simJob{id: fmt.Sprintf("job-%06d", i), work: 25 * time.Second}
+					s.jobs = append(s.jobs, j)
+					s.after(4*time.Second+time.Duration(i)*100*time.Millisecond, func() { s.user(j) })
+				}
+				// quito is lost with its controllers, and comes back with its claims.
+				s.after(9*time.Second, func() {
+					quito := s.members[1]
+					quito.up = false
+					quito.gen++
+					s.after(70*time.Second, func() { quito.boot(twoSites) })
+				})
+				s.run(300 * time.Second)
+				for _, j := range s.jobs {
+					if !j.accepted || j.toldFinal == "" {
+						s.breaks("%s: accepted %v, final answer %q", j.id, j.accepted, j.toldFinal)
+					}
+					s.checkStores(j)
+				}
+				if len(s.broken) > 0 {
+					report(t, uint64(step), s)
+					return
+				}
+				if ended {
+					reached++
+				}
+			}
+			if reached < 20 {
+				t.Errorf("the gateway ended in %d runs only", reached)
+			}
+			t.Logf("ended at %d steps", reached)
+		})
+	}
+}
