Gateway: one member at a time looks after a job without a holder

The first member that is there looks after such a job; the next ones take a turn each a second later, none again before all had theirs, and what nobody waits for is given up after two refusals. Rounds back off exponentially.

--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -54,7 +54,7 @@
 // its jobs at the latest, if members and their stores answer: the time granted, the
 // turn of the member that asks last, and its rounds.
 func HandoffBound(c Config) time.Duration {
-	return time.Duration(float64(c.Lease+c.Stop)*(1+drift)) + grantSpread + time.Duration(len(c.Members))*time.Second + 2*careEvery
+	return time.Duration(float64(c.Lease+c.Stop)*(1+drift)) + grantSpread + time.Duration(len(c.Members))*careTurn + 2*careEvery
 }
 
 // Times within which the core acts.
@@ -64,6 +64,7 @@
 	dutyPatience = 4 * time.Second
 	silence      = 3 * time.Second // a member not heard for so long counts as away
 	careEvery    = 500 * time.Millisecond
+	careTurn     = time.Second            // how long one member is left to look after a job
 	grantSpread  = 500 * time.Millisecond // by how much the members' last grants differ
 	hintEvery    = time.Second
 	mostNotices  = 128 // in one answer to a renewal
@@ -77,6 +78,7 @@
 	committed          bool
 	acked              uint32
 	touched            time.Duration // when it was last accepted
+	careAt             time.Duration // when this member may look after it again
 	rec                wire.Record
 }
 
@@ -678,7 +680,17 @@
 	if c.reachable() < c.majority() {
 		return
 	}
-	rank := time.Duration(c.cfg.Self) * time.Second
+	// The first member that is there does it; the next ones only if it does not for
+	// some seconds. (Found with real processes: three members that all tried twice a
+	// second, with stores that take a tenth of a second, kept one another from a
+	// majority for more than a minute.)
+	before := 0
+	for i := range c.cfg.Self {
+		if !c.away(i) {
+			before++
+		}
+	}
+	rank := time.Duration(before) * careTurn
 	ids := c.careIDs()
 	n := 0
 	probed := make([]bool, len(c.cfg.Members))
@@ -687,6 +699,9 @@
 		if r == nil {
 			continue
 		}
+		if c.now < r.careAt {
+			continue
+		}
 		if c.rounds[id] != nil {
 			if r.rec.Holder > 0 {
 				probed[r.rec.Holder-1] = true
@@ -700,7 +715,8 @@
 		switch {
 		case !r.committed:
 			if c.now-r.touched > silence+rank {
-				c.propose(id, op{kind: opLearn}, dutyPatience, nil)
+				c.cared(r, rank)
+				c.propose(id, op{kind: opLearn, care: true}, dutyPatience, nil)
 				n++
 			}
 		case r.rec.Holder == 0:
@@ -714,6 +730,7 @@
 			default:
 				continue
 			}
+			c.cared(r, rank)
 			if c.reclaim(id, r) {
 				n++
 			}
@@ -722,6 +739,12 @@
 	c.careFrom = ""
 }
 
+// cared notes that this member has looked after a job: the others get their turn
+// before it does so again.
+func (c *Core) cared(r *register, rank time.Duration) {
+	r.careAt = c.now + careTurn + rank + time.Duration(c.rng.Int64N(int64(careTurn)))
+}
+
 // careIDs lists the open jobs, starting where the last look had to end.
 func (c *Core) careIDs() []string {
 	ids := make([]string, 0, len(c.open))
@@ -741,7 +764,7 @@
 	}
 	from, epoch, stopped := int(r.rec.Holder)-1, r.rec.Epoch, r.rec.Stopped
 	c.claimed(to)
-	o := op{kind: opClaim, site: to, epoch: epoch}
+	o := op{kind: opClaim, site: to, epoch: epoch, care: true}
 	if !stopped {
 		o.from = num(from)
 	}
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -26,6 +26,7 @@
 	bar   bool   // opRelease: the site can never run it
 	tasks uint32
 	nowMS uint64
+	care  bool // nobody waits for it, and others may be at it too
 }
 
 // outcome is what became of an op.
--- a/internal/coordination/gateway/round.go
+++ b/internal/coordination/gateway/round.go
@@ -236,7 +236,12 @@
 			}
 		}
 	}
-	span := time.Duration(min(r.tries, 8)) * 60 * time.Millisecond
+	for _, ch := range r.queue {
+		if ch.op.care && r.tries >= 2 {
+			ch.until = c.now // somebody else is at it
+		}
+	}
+	span := 60 * time.Millisecond << min(r.tries, 5)
 	if r.leased != 0 {
 		span += 500 * time.Millisecond
 	}
--- a/internal/coordination/gateway/sim_test.go
+++ b/internal/coordination/gateway/sim_test.go
@@ -66,6 +66,7 @@
 	faults  Faults
 	handed  []time.Duration
 	calm    bool
+	pace    time.Duration // of a site's store; 0: milliseconds
 	// before, if set, is asked before a member's effects are carried out; 0: all of
 	// them, 1: none, 2: only what is to be stored.
 	before func(m *simMember, e *Effects) int
@@ -83,7 +84,8 @@
 	offset  time.Duration
 	disk    map[string]wire.Item
 	slow    time.Duration // its store stands still until then
-	storeAt time.Duration
+	queue   []Batch
+	writing bool
 	drained bool
 }
 
@@ -178,7 +180,7 @@
 	m.inc++
 	m.gen++
 	m.up = true
-	m.storeAt = m.s.now
+	m.queue, m.writing = nil, false
 	var items []wire.Item
 	for _, id := range sortedKeys(m.disk) {
 		items = append(items, m.disk[id])
@@ -242,26 +244,8 @@
 		}
 		s.deliver(m.i, to, wire.Encode(&wire.Envelope{Items: items, Hint: e.Hint}))
 	}
-	for _, b := range e.Store {
-		m.storeAt = max(m.storeAt, s.now, m.slow) + s.span(2*time.Millisecond, 30*time.Millisecond)
-		gen := m.gen
-		s.after(m.storeAt-s.now, func() {
-			if m.gen != gen && s.rng.IntN(2) == 0 {
-				return // ended before it was written
-			}
-			for _, it := range b.Items {
-				if it.Kind == wire.SiteState {
-					continue // the sim drains again by itself
-				}
-				if old, ok := m.disk[it.ID]; !ok || m.gen == gen || !it.Accepted.Less(old.Accepted) && !it.Ballot.Less(old.Ballot) {
-					m.disk[it.ID] = it
-				}
-			}
-			if m.gen == gen {
-				m.awake(func() { m.run(m.core.Stored(m.clock(), b.Seq)) })
-			}
-		})
-	}
+	m.queue = append(m.queue, e.Store...)
+	m.write()
 	for _, a := range e.Answers {
 		if f := s.asks[a.Token]; f != nil {
 			delete(s.asks, a.Token)
@@ -273,6 +257,41 @@
 	}
 }
 
+// write stores all batches that wait, one write at a time.
+func (m *simMember) write() {
+	s := m.s
+	if m.writing || len(m.queue) == 0 {
+		return
+	}
+	m.writing = true
+	took := s.span(2*time.Millisecond, 30*time.Millisecond)
+	if s.pace > 0 && s.sites[m.i] != nil {
+		took = s.span(s.pace/2, s.pace)
+	}
+	batch, gen := m.queue, m.gen
+	m.queue = nil
+	s.after(max(0, m.slow-s.now)+took, func() {
+		if m.gen != gen && s.rng.IntN(2) == 0 {
+			return // ended before it was written
+		}
+		for _, b := range batch {
+			for _, it := range b.Items {
+				if it.Kind == wire.SiteState {
+					continue // the sim drains again by itself
+				}
+				if old, ok := m.disk[it.ID]; !ok || m.gen == gen || !it.Accepted.Less(old.Accepted) && !it.Ballot.Less(old.Ballot) {
+					m.disk[it.ID] = it
+				}
+			}
+		}
+		if m.gen == gen {
+			m.writing = false
+			m.awake(func() { m.run(m.core.Stored(m.clock(), batch[len(batch)-1].Seq)) })
+			m.write()
+		}
+	})
+}
+
 // deliver carries a message. Through a cut it is lost, or held and delivered
 // minutes late; now and then it comes twice.
 func (s *sim) deliver(from, to int, data []byte) {
@@ -637,6 +656,9 @@
 func play(seed uint64, faults Faults, names []Member) *sim {
 	s := newSim(seed, faults, names)
 	s.lossy = s.rng.Float64() * 0.05
+	if seed%4 == 3 { // the sites' rates of changes are nearly used up
+		s.pace = 400 * time.Millisecond
+	}
 	s.after(5*time.Second, func() { s.trouble(names) })
 	for i := range 14 {
 		j := &simJob{id: fmt.Sprintf("job-%06d", i), work: s.span(time.Second, 40*time.Second)}
