--- a/cmd/dapplestage/gateway.go
+++ b/cmd/dapplestage/gateway.go
@@ -83,7 +83,7 @@
 func memberConfig(s *wire.Settings) gateway.Config {
 	second := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 	c := gateway.Config{Lease: second(s.LeaseS), Stop: gateway.StopBound(second(s.ControllersS), second(s.WorkersLeaseS)), InFlight: s.InFlight,
-		Route: gateway.RouteConfig{PerSecond: s.Route.PerSecond, RampS: s.Route.RampS, StaleS: s.Route.StaleS, MoveAfterS: s.Route.MoveAfterS}}
+		Route: gateway.RouteConfig{PerSecond: s.Route.PerSecond, RampS: s.Route.RampS, StaleS: s.Route.StaleS, OpenPerSite: s.Route.Open, MoveAfterS: s.Route.MoveAfterS}}
 	for i, m := range s.Members {
 		c.Members = append(c.Members, gateway.Member{Name: m.Name, Site: m.Site})
 		if m.Name == s.Member {
--- a/cmd/lab/load.go
+++ b/cmd/lab/load.go
@@ -111,6 +111,20 @@
 	straight := measure(w.sites[0].apis)
 	time.Sleep(2 * time.Second)
 	through := measure([]string{w.gateAPI})
+	time.Sleep(2 * time.Second)
+	// The daemons' logs number their segments: so many changes did the registers cost.
+	changes := 0.0
+	for _, s := range w.sites {
+		var page struct {
+			Items []struct{ Path string }
+		}
+		if err := w.get(ctx, s.stateAddr, "/store?under=g/s/", &page); err != nil || len(page.Items) == 0 {
+			return fmt.Errorf("the log of %s can't be read: %v", s.name, err)
+		}
+		var last uint64
+		fmt.Sscanf(page.Items[len(page.Items)-1].Path, "g/s/%x", &last)
+		changes += float64(last)
+	}
 	st, _ := os.Stat(filepath.Join(w.dir, "gate.journal"))
 	res := struct {
 		Runs     int     `json:"runs"`
@@ -121,8 +135,12 @@
 		Straight way     `json:"straight_to_one_site"`
 		Through  way     `json:"through_the_gateway"`
 		Ratio    float64 `json:"through_over_straight"`
+		Changes  float64 `json:"changes_per_job_and_site"`
 		Journal  int64   `json:"journal_bytes"`
 	}{Runs: 1, Clients: clients, Rate: rate, Straight: straight, Through: through, Journal: st.Size()}
+	if through.Accepted > 0 {
+		res.Changes = changes / 2 / float64(through.Accepted)
+	}
 	if straight.PerSecond > 0 {
 		res.Ratio = through.PerSecond / straight.PerSecond
 	}
--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -133,6 +133,7 @@
 	rounds   map[string]*round
 	progress map[string]progress
 	budgets  []budget
+	holds    []int // open jobs by the site that holds them
 	topN     uint64
 	reads    map[uint64]*readBatch
 	nextRead uint64
@@ -178,7 +179,7 @@
 func New(cfg Config, inc uint32, restored []wire.Item, seed uint64, log *slog.Logger, now time.Duration) *Core {
 	c := &Core{cfg: cfg, inc: inc, rng: rand.New(rand.NewPCG(seed, uint64(inc))), log: log, now: now, booted: now,
 		regs: map[string]*register{}, open: map[string]*register{}, rounds: map[string]*round{}, reads: map[uint64]*readBatch{},
-		progress: map[string]progress{}, budgets: make([]budget, len(cfg.Members)),
+		progress: map[string]progress{}, budgets: make([]budget, len(cfg.Members)), holds: make([]int, len(cfg.Members)),
 		dirty: map[string]struct{}{}, heard: make([]time.Duration, len(cfg.Members)), hints: make([]hintAt, len(cfg.Members)),
 		lenders: make([]*lender, len(cfg.Members))}
 	c.out.Send = map[int][]wire.Item{}
@@ -202,6 +203,7 @@
 			c.nFinal++
 		}
 		c.index(it.ID, r)
+		c.hold(r, 1)
 	}
 	if cfg.Members[cfg.Self].Site {
 		c.site = newDuty(c)
@@ -237,6 +239,13 @@
 	return r
 }
 
+// hold counts an open job at the site that holds it.
+func (c *Core) hold(r *register, by int) {
+	if r.exists && r.rec.Final == wire.Open && r.rec.Holder > 0 && int(r.rec.Holder) <= len(c.holds) {
+		c.holds[r.rec.Holder-1] += by
+	}
+}
+
 // index keeps the sets of open and final registers.
 func (c *Core) index(id string, r *register) {
 	if r.exists && r.rec.Final == wire.Open {
@@ -522,6 +531,8 @@
 	case was && !is: // it was never agreed on
 		c.nFinal--
 	}
+	c.hold(r, -1)
+	defer c.hold(r, 1)
 	r.accepted, r.exists, r.rec, r.touched = accepted, true, *rec, c.now
 	r.committed = false
 	c.dirty[id] = struct{}{}
--- a/internal/coordination/gateway/route.go
+++ b/internal/coordination/gateway/route.go
@@ -19,6 +19,8 @@
 	RampS float64
 	// StaleS is the age from which a hint says nothing of load.
 	StaleS float64
+	// OpenPerSite is how many unfinished jobs a site holds at most; 0: any number.
+	OpenPerSite int
 	// MoveAfterS is how long a job may wait at a site without any task placed while
 	// another site has room for it; 0: for ever.
 	MoveAfterS float64
@@ -26,7 +28,7 @@
 
 // DefaultRoute are the limits that a gateway starts with.
 func DefaultRoute() RouteConfig {
-	return RouteConfig{PerSecond: 50, RampS: 60, StaleS: 10, MoveAfterS: 60}
+	return RouteConfig{PerSecond: 50, RampS: 60, StaleS: 10, OpenPerSite: 20000, MoveAfterS: 60}
 }
 
 // SiteView is what is known of one site.
@@ -37,6 +39,7 @@
 	AgeS     float64
 	Hint     *wire.Hint
 	UnderWay float64 // jobs given to it that its hint can't show yet
+	Open     int     // unfinished jobs that it holds
 	Allowed  bool    // within its rate
 }
 
@@ -75,7 +78,7 @@
 			continue
 		}
 		there++
-		if !s.Allowed {
+		if !s.Allowed || cfg.OpenPerSite > 0 && s.Open >= cfg.OpenPerSite {
 			continue
 		}
 		if c := cost(spec, s, cfg); c < best {
--- a/internal/coordination/gateway/status.go
+++ b/internal/coordination/gateway/status.go
@@ -42,11 +42,7 @@
 func (c *Core) status() Status {
 	s := Status{Member: c.cfg.Members[c.cfg.Self].Name, Majority: c.reachable() >= c.majority(), Open: len(c.open), Final: c.nFinal,
 		UnderWay: len(c.rounds), Counts: c.counts}
-	holds := make([]int, len(c.cfg.Members))
 	for _, r := range c.open {
-		if r.rec.Holder > 0 {
-			holds[r.rec.Holder-1]++
-		}
 		if !r.committed {
 			s.Undecided++
 		}
@@ -63,7 +59,7 @@
 		}
 	}
 	for i, m := range c.cfg.Members {
-		v := MemberStatus{Name: m.Name, Site: m.Site, State: "heard", SinceS: tenths(c.now - c.heard[i]), Holds: holds[i], HintAge: -1}
+		v := MemberStatus{Name: m.Name, Site: m.Site, State: "heard", SinceS: tenths(c.now - c.heard[i]), Holds: c.holds[i], HintAge: -1}
 		switch {
 		case i == c.cfg.Self:
 			v.State, v.SinceS = "this member", 0
--- a/internal/protocol/gateway/settings.go
+++ b/internal/protocol/gateway/settings.go
@@ -41,6 +41,7 @@
 		PerSecond  float64 `toml:"per_second"`
 		RampS      float64 `toml:"ramp_s"`
 		StaleS     float64 `toml:"stale_s"`
+		Open       int     `toml:"open_per_site"`
 		MoveAfterS float64 `toml:"move_after_s"`
 	} `toml:"route"`
 	Site struct {
@@ -72,6 +73,7 @@
 		return nil, nil, err
 	}
 	s := &Settings{LeaseS: 8, ControllersS: 3, InFlight: 500, dir: filepath.Dir(path)}
+	s.Route.Open = 20000
 	s.Route.PerSecond, s.Route.RampS, s.Route.StaleS, s.Route.MoveAfterS = 50, 60, 10, 60
 	s.Site.Part = 0.25
 	if err := toml.Unmarshal(data, s); err != nil {
@@ -146,6 +148,7 @@
 	between("route.per_second", s.Route.PerSecond, 0.1, 10000)
 	between("route.ramp_s", s.Route.RampS, 0, 3600)
 	between("route.stale_s", s.Route.StaleS, 3, 600)
+	between("route.open_per_site", float64(s.Route.Open), 1, 1e6)
 	between("route.move_after_s", s.Route.MoveAfterS, 0, 86400)
 	// A cancellation must end what the site's workers run though the site can't be told.
 	if most := s.CancelS - s.WorkersLeaseS - s.ControllersS - 4; s.LeaseS*1.002 >= most {
