Gateway: only the daemon's host may hand a controller jobs; new work is tended at once

Need: users reach a controller on the same address as the site's daemon and could have ended claims. A daemon with many jobs looked through all of them fifty times a second; now ten times, and at what is new at once.

--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -143,6 +143,7 @@
 
 	if daemon != "" {
 		asks := transport.NewClient(daemon, 0)
+		node.SiteFrom, _, _ = net.SplitHostPort(daemon)
 		node.Known = func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error) {
 			a, err := asks.Call(ctx, time.Second, "GET", "/site/jobs/"+id, nil)
 			switch {
--- a/internal/coordination/gateway/duty.go
+++ b/internal/coordination/gateway/duty.go
@@ -27,6 +27,7 @@
 	floor   uint64
 	drained bool
 	calls   int
+	tended  time.Duration
 }
 
 // work is one job that the site holds, or has to see stopped.
@@ -74,6 +75,7 @@
 
 // Times of the duty.
 const (
+	tendEvery = 100 * time.Millisecond // new work is tended at once
 	pollEvery = time.Second
 	callAgain = time.Second
 	mostCalls = 256
@@ -92,6 +94,10 @@
 	if c.now-d.renewed >= c.cfg.Lease/5 {
 		d.renew()
 	}
+	if c.now-d.tended < tendEvery {
+		return
+	}
+	d.tended = c.now
 	for _, id := range sortedKeys(d.work) {
 		if d.calls >= mostCalls {
 			break
@@ -199,8 +205,7 @@
 			d.work[id] = &work{epoch: rec.Epoch, spec: rec.Spec, made: rec.CreatedMS, since: c.now, leave: true}
 			return
 		}
-		nw := &work{epoch: rec.Epoch, spec: rec.Spec, made: rec.CreatedMS, since: c.now}
-		d.work[id] = nw
+		d.begin(id, &work{epoch: rec.Epoch, spec: rec.Spec, made: rec.CreatedMS, since: c.now})
 		for m := range c.cfg.Members {
 			c.post(m, wire.Item{Kind: wire.Ack, ID: id, Ballot: wire.Ballot{Who: d.session}, Record: wire.Record{Epoch: rec.Epoch}})
 		}
@@ -220,7 +225,15 @@
 		if w != nil && !w.stop {
 			c.counts.Stale++
 		}
-		d.work[id] = &work{stop: true, below: below, epoch: below - 1, since: c.now}
+		d.begin(id, &work{stop: true, below: below, epoch: below - 1, since: c.now})
+	}
+}
+
+// begin takes up work, at once where there is room for another call.
+func (d *duty) begin(id string, w *work) {
+	d.work[id] = w
+	if d.calls < mostCalls {
+		d.tend(id, w)
 	}
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -38,6 +38,9 @@
 	cloud   CloudService
 	workers Workers
 	// SetLevel, if set, is told the log level that operators chose, if any.
+	// SiteFrom is the host of the site's daemon, which alone may hand this node jobs of
+	// the gateway; empty: nobody may.
+	SiteFrom string
 	// Known, if set, asks the site's daemon whether a job is the gateway's, and how it is.
 	Known    func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error)
 	SetLevel func(l slog.Level, chosen bool)
--- a/internal/coordination/sitejobs.go
+++ b/internal/coordination/sitejobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -152,7 +153,20 @@
 // maxCalls bounds a request: as many submissions of the longest kind.
 const maxCalls = mostCalls * (protocol.MaxBody / 16)
 
+// fromDaemon refuses whoever is not the site's daemon: users reach the same address.
+func (n *Node) fromDaemon(w http.ResponseWriter, r *http.Request) bool {
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && n.SiteFrom != "" && host == n.SiteFrom {
+		return true
+	}
+	n.metrics.refused.WithLabelValues("not_the_daemon").Inc()
+	write(w, answer{status: 403, body: errorBody{"for the site's daemon only (--site-daemon)"}})
+	return false
+}
+
 func (n *Node) postCalls(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if !n.fromDaemon(w, r) {
+		return
+	}
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxCalls))
 	var e *wire.Envelope
 	if err == nil {
@@ -411,6 +425,9 @@
 
 // getHint tells the site's daemon what it may tell the other members.
 func (n *Node) getHint(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if !n.fromDaemon(w, r) {
+		return
+	}
 	reply := make(chan *wire.Hint, 1)
 	n.post(func() { reply <- n.siteHint(time.Now()) })
 	select {
--- a/internal/coordination/sitejobs_test.go
+++ b/internal/coordination/sitejobs_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -398,3 +400,22 @@
 		})
 	}
 }
+
+// Users reach a controller on the same address as the daemon: only the host that
+// --site-daemon names may hand over jobs or end claims.
+func TestOnlyTheDaemonMayCall(t *testing.T) {
+	for _, c := range []struct {
+		daemon, from string
+		status       int
+	}{{"", "127.0.0.1:5", 403}, {"10.0.0.9", "127.0.0.1:5", 403}, {"127.0.0.1", "127.0.0.1:5", 400}} {
+		b := newBench(t)
+		b.SiteFrom = c.daemon
+		r := httptest.NewRequest("POST", "/site/calls", strings.NewReader("x"))
+		r.RemoteAddr = c.from
+		w := httptest.NewRecorder()
+		b.API().ServeHTTP(w, r)
+		if w.Code != c.status {
+			t.Errorf("daemon %q, call from %s: %d, want %d", c.daemon, c.from, w.Code, c.status)
+		}
+	}
+}
