A stand-in stops unknown tasks only where there is a gateway

Such tasks belong to the site's own newest jobs there. With a gateway it stays: a replica that is behind does not know the newest jobs of it.

--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -156,7 +156,10 @@
 	for i := range r.Tasks {
 		tr := &r.Tasks[i]
 		id, _, _ := protocol.ParseTaskID(tr.Task)
-		if j := n.jobs[id]; (j != nil && (j.cancelled || n.closed(j, now)) || j == nil && n.shut(now)) && tr.State != protocol.TaskExited {
+		// With a gateway and no lease also what this node does not know: a replica that
+		// is behind does not know the newest jobs of the gateway.
+		j := n.jobs[id]
+		if (j != nil && (j.cancelled || n.closed(j, now)) || j == nil && n.SiteFrom != "" && n.shut(now)) && tr.State != protocol.TaskExited {
 			o.Commands = append(o.Commands, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt})
 		}
 	}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -120,6 +120,9 @@
 	fs := &faultyState{w: w, node: name}
 	n := New(ctx, w.cfg[name], log, fs, &faultyCloud{w.fleet, w, name}, &faultyWorkers{w, name}, 1)
 	fs.contact = n.Contact
+	if w.lease != nil {
+		n.SiteFrom = "the daemon"
+	}
 	w.set(func() { w.nodes[name], w.stop[name] = n, cancel })
 	go n.Run()
 	go w.hint(ctx, n)
--- a/internal/coordination/sitejobs_test.go
+++ b/internal/coordination/sitejobs_test.go
@@ -134,6 +134,10 @@
 		}
 		return s
 	}
+	if got := ask(); got != "halt job-1/0 " {
+		t.Errorf("without a gateway: %q", got)
+	}
+	b.SiteFrom = "127.0.0.1"
 	if got := ask(); got != "halt job-1/0 halt job-3/0 " {
 		t.Errorf("without a lease: %q", got)
 	}
@@ -249,6 +253,10 @@
 						p.ReportS, p.LeaseS, p.CancelS = 6, 36, 56
 					}
 				})
+				for _, name := range w.names {
+					n := w.node(name)
+					n.post(func() { n.SiteFrom = "the daemon" })
+				}
 				lease := time.Duration(w.fleet.Workers.LeaseS * float64(time.Second))
 				bound := time.Duration(float64(controllers+lease)*(1+maxDrift)) + 4*time.Second
 				on := map[string]int{}
