--- a/cmd/dapplestage/gateway.go
+++ b/cmd/dapplestage/gateway.go
@@ -63,7 +63,7 @@
 				gateway.HandoffBound(c).Seconds(), int(left.Hours()/24))
 			return nil
 		}}
-	run.AddCommand(check, gatewayAdmin()[0], gatewayAdmin()[1], gatewayAdmin()[2], gatewayAdmin()[3])
+	run.AddCommand(append(gatewayAdmin(), check)...)
 	return run
 }
 
@@ -195,7 +195,7 @@
 	for {
 		l, entries, start, err := segments.Open(ctx, svc, s.Member, lim, log)
 		if err == nil {
-			items, err := gateway.DecodeSegments(entries)
+			items, err := gateway.DecodeEntries(entries)
 			if err != nil {
 				return nil, nil, 0, err
 			}
--- a/cmd/lab/load.go
+++ b/cmd/lab/load.go
@@ -51,14 +51,11 @@
 }
 
 func loadGateway(ctx context.Context, out io.Writer, seconds, clients, rate int) error {
-	bin, err := os.MkdirTemp("", "lab-bin-")
+	bin, err := build(ctx)
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(bin)
-	if err := build(ctx, bin); err != nil {
-		return err
-	}
 	dir, err := os.MkdirTemp("", "lab-load-")
 	if err != nil {
 		return err
--- a/cmd/lab/proof.go
+++ b/cmd/lab/proof.go
@@ -76,14 +76,11 @@
 }
 
 func proveGateway(ctx context.Context, out io.Writer, runs, parallel, jobs int, seed uint64, keep, asJSON bool) error {
-	bin, err := os.MkdirTemp("", "lab-bin-")
+	bin, err := build(ctx)
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(bin)
-	if err := build(ctx, bin); err != nil {
-		return err
-	}
 	say := func(format string, a ...any) {
 		if !asJSON {
 			fmt.Fprintf(out, format+"\n", a...)
@@ -704,7 +701,7 @@
 		svc := storage.NewStore(s.stateAddr, protocol.StateSettings{RPS: 1000, WriteRPS: 1000, ValueKB: 8, TxnOps: 12}, 1)
 		_, entries, _, err := segments.Open(ctx, svc, s.name, segments.Limits{ValueKB: 8, TxnOps: 12, ChangesPerS: 100}, slog.New(slog.DiscardHandler))
 		if err == nil {
-			items, err = gateway.DecodeSegments(entries)
+			items, err = gateway.DecodeEntries(entries)
 		}
 		if err != nil {
 			r.stores = append(r.stores, err.Error())
--- a/cmd/lab/world.go
+++ b/cmd/lab/world.go
@@ -24,15 +24,19 @@
 // service, a cloud with its workers (stand-ins), two controllers and the site's
 // daemon. Members reach one another through proxies that can be cut one way.
 
-// build makes the programs once.
-func build(ctx context.Context, dir string) error {
+// build makes the programs once, in a folder of their own that the caller removes.
+func build(ctx context.Context) (dir string, err error) {
+	if dir, err = os.MkdirTemp("", "lab-bin-"); err != nil {
+		return "", err
+	}
 	for _, p := range []string{"dapplestage", "standin"} {
 		cmd := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(dir, p), "./cmd/"+p)
 		if out, err := cmd.CombinedOutput(); err != nil {
-			return fmt.Errorf("building %s: %v\n%s", p, err, out)
+			os.RemoveAll(dir)
+			return "", fmt.Errorf("building %s: %v\n%s", p, err, out)
 		}
 	}
-	return nil
+	return dir, nil
 }
 
 // process is one program that can be killed, stopped and started again.
--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -281,12 +280,7 @@
 	if len(c.dirty) > 0 || c.barrier || c.siteDirty {
 		c.seq++
 		b := Batch{Seq: c.seq}
-		ids := make([]string, 0, len(c.dirty))
-		for id := range c.dirty {
-			ids = append(ids, id)
-		}
-		slices.Sort(ids)
-		for _, id := range ids {
+		for _, id := range sortedKeys(c.dirty) {
 			b.Items = append(b.Items, c.regs[id].item(id))
 		}
 		if c.siteDirty {
@@ -758,11 +752,7 @@
 
 // careIDs lists the open jobs, starting where the last look had to end.
 func (c *Core) careIDs() []string {
-	ids := make([]string, 0, len(c.open))
-	for id := range c.open {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
+	ids := sortedKeys(c.open)
 	at, _ := slices.BinarySearch(ids, c.careFrom)
 	return append(ids[at:], ids[:at]...)
 }
@@ -793,8 +783,3 @@
 	})
 	return true
 }
-
-// sortedMembers are the members by name, as every member orders them.
-func sortedMembers(ms []Member) {
-	slices.SortFunc(ms, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-}
--- a/internal/coordination/gateway/duty.go
+++ b/internal/coordination/gateway/duty.go
@@ -173,11 +173,16 @@
 	}
 }
 
+// ack says, as this start of the daemon, that claims below an epoch are dead here.
+func (d *duty) ack(id string, epoch uint32) wire.Item {
+	return wire.Item{Kind: wire.Ack, ID: id, Ballot: wire.Ballot{Who: d.session}, Record: wire.Record{Epoch: epoch}}
+}
+
 // confirm tells a lender what the site knows: not only that it has been told, but
 // that its controllers will not run the job any more.
 func (d *duty) confirm(to int, id string, rec *wire.Record) {
 	concerns, blocks := concerned(rec, d.c.cfg.Self)
-	it := wire.Item{Kind: wire.Ack, ID: id, Ballot: wire.Ballot{Who: d.session}, Record: wire.Record{Epoch: rec.Epoch}}
+	it := d.ack(id, rec.Epoch)
 	switch {
 	case concerns && !blocks:
 	case d.dead[id] >= deadBelow(rec):
@@ -207,7 +212,7 @@
 		}
 		d.begin(id, &work{epoch: rec.Epoch, spec: rec.Spec, made: rec.CreatedMS, since: c.now})
 		for m := range c.cfg.Members {
-			c.post(m, wire.Item{Kind: wire.Ack, ID: id, Ballot: wire.Ballot{Who: d.session}, Record: wire.Record{Epoch: rec.Epoch}})
+			c.post(m, d.ack(id, rec.Epoch))
 		}
 		return
 	}
--- a/internal/coordination/gateway/round.go
+++ b/internal/coordination/gateway/round.go
@@ -35,7 +35,6 @@
 	best     wire.Item
 	same     int // promises that agree with best
 	rec      wire.Record
-	exists   bool
 	now      []*change // part of what is being accepted
 	queue    []*change
 	sent     time.Duration
@@ -165,7 +164,7 @@
 		c.finish(r, rec, exists)
 		return
 	}
-	r.rec, r.exists = rec, exists
+	r.rec = rec
 	r.phase, r.votes = accepting, 0
 	c.sendRound(r)
 }
--- a/internal/coordination/gateway/stores.go
+++ b/internal/coordination/gateway/stores.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
+	"dapplestage.example/dapplestage/internal/storage"
 	"dapplestage.example/dapplestage/internal/storage/journal"
 	"dapplestage.example/dapplestage/internal/storage/segments"
 )
@@ -20,8 +21,12 @@
 	return it.ID
 }
 
-func encodeEntry(it *wire.Item) []byte {
-	return wire.Encode(&wire.Envelope{Items: []wire.Item{*it}})
+func encodeEntries(items []wire.Item) []storage.Entry {
+	entries := make([]storage.Entry, len(items))
+	for i := range items {
+		entries[i] = storage.Entry{Key: storeKey(&items[i]), Value: wire.Encode(&wire.Envelope{Items: items[i : i+1]})}
+	}
+	return entries
 }
 
 func decodeEntry(key string, data []byte) (wire.Item, error) {
@@ -44,11 +49,7 @@
 
 // Write implements Store. The file belongs to one process, so no proof is needed.
 func (s JournalStore) Write(_ context.Context, items []wire.Item) error {
-	entries := make([]journal.Entry, len(items))
-	for i := range items {
-		entries[i] = journal.Entry{Key: storeKey(&items[i]), Value: encodeEntry(&items[i])}
-	}
-	return s.Journal.Write(entries)
+	return s.Journal.Write(encodeEntries(items))
 }
 
 // OpenJournal opens a gateway's journal.
@@ -57,14 +58,10 @@
 	if err != nil {
 		return nil, nil, 0, err
 	}
-	items := make([]wire.Item, 0, len(entries))
-	for _, e := range entries {
-		it, err := decodeEntry(e.Key, e.Value)
-		if err != nil {
-			j.Close()
-			return nil, nil, 0, err
-		}
-		items = append(items, it)
+	items, err := DecodeEntries(entries)
+	if err != nil {
+		j.Close()
+		return nil, nil, 0, err
 	}
 	return j, items, start, nil
 }
@@ -74,19 +71,15 @@
 
 // Write implements Store.
 func (s SegmentStore) Write(ctx context.Context, items []wire.Item) error {
-	entries := make([]segments.Entry, len(items))
-	for i := range items {
-		entries[i] = segments.Entry{Key: storeKey(&items[i]), Value: encodeEntry(&items[i])}
-	}
-	err := s.Log.Write(ctx, entries)
+	err := s.Log.Write(ctx, encodeEntries(items))
 	if errors.Is(err, segments.ErrReplaced) {
 		return fmt.Errorf("%w: %w", ErrFatal, err)
 	}
 	return err
 }
 
-// DecodeSegments reads what a site's log held.
-func DecodeSegments(entries []segments.Entry) ([]wire.Item, error) {
+// DecodeEntries reads what a member's store held.
+func DecodeEntries(entries []storage.Entry) ([]wire.Item, error) {
 	items := make([]wire.Item, 0, len(entries))
 	for _, e := range entries {
 		it, err := decodeEntry(e.Key, e.Value)
--- a/internal/storage/journal/journal.go
+++ b/internal/storage/journal/journal.go
@@ -21,6 +21,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	bolt "go.etcd.io/bbolt"
+
+	"dapplestage.example/dapplestage/internal/storage"
 )
 
 // ErrDamaged: the file does not hold what was written. A member must not go on with
@@ -47,10 +49,7 @@
 }
 
 // Entry is one value.
-type Entry struct {
-	Key   string
-	Value []byte
-}
+type Entry = storage.Entry
 
 // Open opens or makes the file for a member and reads all of it. start is higher at
 // each opening.
@@ -124,7 +123,7 @@
 		if len(v) < 8 || binary.BigEndian.Uint64(v) != sum(k, v[8:]) {
 			return damaged(fmt.Sprintf("value of %q", k))
 		}
-		*entries = append(*entries, Entry{string(k), append([]byte(nil), v[8:]...)})
+		*entries = append(*entries, Entry{Key: string(k), Value: append([]byte(nil), v[8:]...)})
 		return nil
 	})
 	if err != nil {
--- a/internal/storage/journal/journal_test.go
+++ b/internal/storage/journal/journal_test.go
@@ -43,7 +43,7 @@
 			for range rapid.IntRange(0, 3).Draw(rt, "writes") {
 				var es []Entry
 				for range rapid.IntRange(1, 5).Draw(rt, "entries") {
-					e := Entry{fmt.Sprintf("job-%d", rapid.IntRange(0, 9).Draw(rt, "id")), []byte(rapid.String().Draw(rt, "value"))}
+					e := Entry{Key: fmt.Sprintf("job-%d", rapid.IntRange(0, 9).Draw(rt, "id")), Value: []byte(rapid.String().Draw(rt, "value"))}
 					es = append(es, e)
 					want[e.Key] = string(e.Value)
 				}
@@ -65,7 +65,7 @@
 	for i := range 60 {
 		id, v := fmt.Sprintf("job-%d", i%40), strings.Repeat(fmt.Sprint(i), 30)
 		want[id] = v
-		if err := j.Write([]Entry{{id, []byte(v)}}); err != nil {
+		if err := j.Write([]Entry{{Key: id, Value: []byte(v)}}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -115,7 +115,7 @@
 	path := filepath.Join(t.TempDir(), "j")
 	j, _, _ := open(t, path)
 	for i := range 200 {
-		j.Write([]Entry{{fmt.Sprintf("job-%d", i), []byte(strings.Repeat("x", 300))}})
+		j.Write([]Entry{{Key: fmt.Sprintf("job-%d", i), Value: []byte(strings.Repeat("x", 300))}})
 	}
 	j.Close()
 	whole, _ := os.ReadFile(path)
@@ -161,7 +161,7 @@
 			for i := range b.N {
 				var es []Entry
 				for k := range n {
-					es = append(es, Entry{fmt.Sprintf("job-%d", i*n+k), value})
+					es = append(es, Entry{Key: fmt.Sprintf("job-%d", i*n+k), Value: value})
 				}
 				if err := j.Write(es); err != nil {
 					b.Fatal(err)
--- a/internal/storage/segments/segments.go
+++ b/internal/storage/segments/segments.go
@@ -38,10 +38,7 @@
 const version = 1
 
 // Entry is one register, or another small record, by key.
-type Entry struct {
-	Key   string
-	Value []byte
-}
+type Entry = storage.Entry
 
 type fence struct {
 	Version int    `json:"version"`
@@ -119,7 +116,7 @@
 	}
 	entries := make([]Entry, 0, len(order))
 	for _, k := range order {
-		entries = append(entries, Entry{k, l.live[k].value})
+		entries = append(entries, Entry{Key: k, Value: l.live[k].value})
 	}
 	return l, entries, start, nil
 }
@@ -251,7 +248,7 @@
 		fits := len(segs)+1+len(drop)+1 <= l.lim.TxnOps
 		for _, k := range l.inSeg[victim] {
 			if v := l.live[k]; fits && v.seg == victim && !inBatch[k] {
-				if fits = add(Entry{k, v.value}); fits {
+				if fits = add(Entry{Key: k, Value: v.value}); fits {
 					inBatch[k] = true
 				}
 			}
@@ -316,7 +313,7 @@
 // take notes an entry of a segment as the live one.
 func (l *Log) take(seg uint64, e *Entry) {
 	if old, ok := l.live[e.Key]; ok {
-		l.bytes -= size(&Entry{e.Key, old.value})
+		l.bytes -= size(&Entry{Key: e.Key, Value: old.value})
 	}
 	l.bytes += size(e)
 	l.live[e.Key] = live{seg, e.Value}
--- a/internal/storage/segments/segments_test.go
+++ b/internal/storage/segments/segments_test.go
@@ -81,7 +81,7 @@
 				for range rng.IntN(60) {
 					var es []Entry
 					for range 1 + rng.IntN(30) {
-						e := Entry{fmt.Sprintf("job-%d", rng.IntN(80)), make([]byte, rng.IntN(2800))}
+						e := Entry{Key: fmt.Sprintf("job-%d", rng.IntN(80)), Value: make([]byte, rng.IntN(2800))}
 						es = append(es, e)
 						want[e.Key] = string(e.Value)
 					}
@@ -115,7 +115,7 @@
 	if err := old.Write(ctx, nil); !errors.Is(err, ErrReplaced) {
 		t.Errorf("proof: %v", err)
 	}
-	if err := old.Write(ctx, []Entry{{"job-1", []byte("x")}}); !errors.Is(err, ErrReplaced) {
+	if err := old.Write(ctx, []Entry{{Key: "job-1", Value: []byte("x")}}); !errors.Is(err, ErrReplaced) {
 		t.Errorf("write: %v", err)
 	}
 	if items, _, _ := s.List(ctx, segments); len(items) != 0 {
@@ -135,7 +135,7 @@
 	}
 	for i := range 2000 {
 		for _, n := range []int{600, 600, 120} { // promise, record, end
-			if err := l.Write(ctx, []Entry{{fmt.Sprintf("job-%d", i), make([]byte, n)}}); err != nil {
+			if err := l.Write(ctx, []Entry{{Key: fmt.Sprintf("job-%d", i), Value: make([]byte, n)}}); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/storage/state.go
+++ b/internal/storage/state.go
@@ -58,6 +58,12 @@
 	Stamp uint64          `json:"stamp"`
 }
 
+// Entry is one small record by its key, as journals of records hold them.
+type Entry struct {
+	Key   string
+	Value []byte
+}
+
 // Service is the state service as the rest of the program sees it.
 type Service interface {
 	Get(ctx context.Context, key string) (Item, error)
