--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -20,6 +20,7 @@
 	"github.com/spf13/cobra"
 
 	"dapplestage.example/dapplestage/internal/coordination"
+	"dapplestage.example/dapplestage/internal/coordination/ticket"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
 	"dapplestage.example/dapplestage/internal/transport"
@@ -43,7 +44,7 @@
 }
 
 func command() *cobra.Command {
-	var config, daemon string
+	var config, daemon, tickets string
 	root := &cobra.Command{
 		Use:           "dapplestage --config FILE",
 		Short:         "A controller of the dapplestage cluster scheduler",
@@ -58,11 +59,12 @@
 			if err != nil {
 				return report(err)
 			}
-			return report(serve(cfg, daemon))
+			return report(serve(cfg, daemon, tickets))
 		},
 	}
 	root.Flags().StringVar(&config, "config", "", "the settings file that the platform hands over")
 	root.Flags().StringVar(&daemon, "site-daemon", "", "where the site's daemon tells how long jobs of a gateway may run, as IP:PORT")
+	root.Flags().StringVar(&tickets, "tickets", "", "take render-farm tickets of the classes in this file, such as deploy/tickets.toml")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return report(fmt.Errorf("%w: %v", errUsage, err))
 	})
@@ -80,7 +82,7 @@
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dapplestage", version) },
 	})
 	root.AddCommand(adminCommands()...)
-	root.AddCommand(gatewayCommand(), keysCommand())
+	root.AddCommand(gatewayCommand(), keysCommand(), ticketCommand())
 	return root
 }
 
@@ -112,12 +114,19 @@
 }
 
 // serve runs the node until it is told to stop.
-func serve(cfg *protocol.Settings, daemon string) error {
+func serve(cfg *protocol.Settings, daemon, tickets string) error {
 	if daemon != "" {
 		if _, err := netip.ParseAddrPort(daemon); err != nil {
 			return fmt.Errorf("%w: --site-daemon: not an address and port: %q", errUsage, daemon)
 		}
 	}
+	var classes ticket.Table
+	if tickets != "" {
+		var err error
+		if classes, err = ticket.ReadClasses(tickets); err != nil {
+			return fmt.Errorf("%w: --tickets: %v", errUsage, err)
+		}
+	}
 	planMachine(cfg.Params.Quota)
 	level := &slog.LevelVar{}
 	level.Set(logLevel())
@@ -134,6 +143,7 @@
 	defer cancel(nil)
 	node := coordination.New(ctx, cfg, log, store, cloud, storage.NewWorkers(), h.Sum64()^uint64(time.Now().UnixNano()))
 	store.OnContact = node.Contact
+	node.TakeTickets(classes)
 	node.SetLevel = func(l slog.Level, chosen bool) {
 		if !chosen {
 			l = logLevel()
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -23,6 +23,7 @@
 	r.POST("/v1/report", n.postReport)
 	r.GET("/ready", n.getReady)
 	n.routeAdmin(r)
+	n.routeTickets(r)
 	n.routeSite(r)
 	return r
 }
@@ -75,6 +76,10 @@
 		return
 	}
 	s, err := protocol.ParseJob(data)
+	if errors.Is(err, protocol.ErrTicket) {
+		n.postCarried(w, r, data)
+		return
+	}
 	if err != nil {
 		write(w, answer{status: 400, body: errorBody{err.Error()}})
 		return
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -19,6 +19,7 @@
 	proposed              // a placement is being stored
 	placed                // a machine is recorded: the task may be there
 	done                  // completed and stored
+	spent                 // of a ticket: it used up its tries, and that is stored
 )
 
 // fact is what is known of a placed task beyond the record and not stored yet.
@@ -37,6 +38,8 @@
 	freed   bool // its place counts as free: it is known not to be there
 	stop    bool // wanted off its machine
 	seen    seenState
+	erred   bool  // of a ticket: gone with an error that counts, not stored yet
+	errs    uint8 // of a ticket: errors that count, as stored
 	attempt uint64
 	machine *machine
 	since   time.Time // when it began to wait, or was recorded
@@ -76,9 +79,14 @@
 	tasks     []task
 	chunks    map[int]bool // stored chunks beyond the head
 	nDone     int
-	nPlaced   int  // placed or proposed
-	busy      bool // a change is being stored
-	counted   bool // the share's window has counted its arrival
+	nPlaced   int               // placed or proposed
+	nSpent    int               // tasks that used up their tries
+	step      *protocol.StepRef // of a ticket's step; see tickets.go
+	failed    bool              // of such a job: it is to end since it, or its ticket, has failed
+	ending    bool              // of such a job: its end is being stored
+	errored   bool              // of such a job: a task of it has errors that count
+	busy      bool              // a change is being stored
+	counted   bool              // the share's window has counted its arrival
 	heavy     bool
 	abandon   bool         // gang: this attempt is to end
 	seen      time.Time    // when this node learned of it
@@ -94,7 +102,7 @@
 	taskChunk map[int]bool // chunks to be written by the next change
 }
 
-func (j *job) nWaiting() int { return len(j.tasks) - j.nDone - j.nPlaced }
+func (j *job) nWaiting() int { return len(j.tasks) - j.nDone - j.nPlaced - j.nSpent }
 
 func (j *job) chunkRange(k int) (lo, hi int) {
 	return k * protocol.ChunkTasks, min(len(j.tasks), (k+1)*protocol.ChunkTasks)
@@ -120,7 +128,7 @@
 		}
 		j = &job{id: id, spec: r.Spec, team: team, share: n.teams[team].share, rank: r.Spec.Rank(),
 			need:      Amounts{r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB},
-			submitted: time.UnixMilli(r.SubmittedMS), tasks: make([]task, r.Spec.Tasks),
+			submitted: time.UnixMilli(r.SubmittedMS), tasks: make([]task, r.Spec.Tasks), step: r.Step,
 			chunks: map[int]bool{}, taskChunk: map[int]bool{}}
 		now := time.Now()
 		j.seen = now
@@ -143,9 +151,10 @@
 		j.claim = r.Claim
 		n.reclaimed(id, r.Claim)
 	}
-	if r.Cancelled && !j.cancelled {
+	j.failed = j.failed || r.Failed
+	if (r.Cancelled || r.Failed) && !j.cancelled {
 		j.cancelled = true
-		n.log.Info("job is cancelled", "job", id, "placed", j.nPlaced)
+		n.log.Info("job is cancelled", "job", id, "placed", j.nPlaced, "failed", j.failed)
 		n.wakeMachines(j)
 		n.dirty[j] = true
 	}
@@ -196,6 +205,15 @@
 			j.next = max(j.next, p.Attempt+1)
 		}
 	}
+	if j.step != nil {
+		defer n.ticketChanged(j.step.Ticket)
+		for _, e := range c.Errors {
+			if e[0] >= lo && e[0] < hi {
+				j.tasks[e[0]].errs = uint8(min(e[1], 255))
+				j.errored = true
+			}
+		}
+	}
 	for i := lo; i < hi; i++ {
 		t := &j.tasks[i]
 		p := want[i-lo]
@@ -214,6 +232,8 @@
 				n.wake(m, now)
 				n.starts[m] = true
 			}
+		case j.spentAll(int(t.errs)):
+			n.setPhase(j, i, spent, nil, 0, now)
 		case t.phase != waiting:
 			n.setPhase(j, i, waiting, nil, 0, now)
 		}
@@ -221,7 +241,7 @@
 	if j.abandon && j.nPlaced == 0 {
 		j.abandon = false
 	}
-	if j.cancelled || j.nDone == len(j.tasks) {
+	if j.cancelled || j.nDone+j.nSpent == len(j.tasks) {
 		n.dirty[j] = true
 	}
 }
@@ -248,8 +268,14 @@
 	if t.phase == done && p != done {
 		j.nDone--
 	}
+	if t.phase != spent && p == spent {
+		j.nSpent++
+	}
+	if t.phase == spent && p != spent {
+		j.nSpent--
+	}
 	if t.phase != p || t.attempt != attempt {
-		*t = task{phase: p, attempt: attempt, machine: m, since: now}
+		*t = task{phase: p, attempt: attempt, machine: m, since: now, errs: t.errs}
 	}
 	t.machine = m
 }
@@ -308,7 +334,7 @@
 			tm.used = tm.used.Add(j.need, 1)
 			t.machine.used = t.machine.used.Add(j.need, 1)
 		}
-		t.fact, t.storing, t.stop = noFact, false, false
+		t.fact, t.storing, t.stop, t.erred = noFact, false, false, false
 		t.seen, t.sent = unseen, time.Time{}
 	}
 }
@@ -319,6 +345,9 @@
 	if j == nil {
 		return
 	}
+	if j.step != nil {
+		n.ticketChanged(j.step.Ticket)
+	}
 	for i := range j.tasks {
 		n.setPhase(j, i, waiting, nil, 0, time.Time{})
 	}
@@ -452,7 +481,7 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		starts = starts || t.phase == proposed || t.fact == gone
-		over = over && (t.phase == done || t.fact == finished)
+		over = over && (t.phase == done || t.fact == finished || j.willBeSpent(t))
 	}
 	switch {
 	case over || j.cancelled:
@@ -471,6 +500,9 @@
 	lo, hi := j.chunkRange(k)
 	for i := lo; i < hi; i++ {
 		t := &j.tasks[i]
+		if e := t.errors(); e > 0 && t.phase != done && t.fact != finished {
+			c.Errors = append(c.Errors, [2]int{i, e})
+		}
 		switch {
 		case t.phase == done || t.fact == finished:
 			if l := len(c.Done); l > 0 && c.Done[l-1][1] == i-1 {
@@ -478,7 +510,7 @@
 			} else {
 				c.Done = append(c.Done, [2]int{i, i})
 			}
-		case t.fact == gone || t.phase == waiting:
+		case t.fact == gone || t.phase == waiting || t.phase == spent:
 		default:
 			c.Placed = append(c.Placed, protocol.Placement{Task: i, Attempt: t.attempt, Machine: t.machine.name})
 		}
@@ -488,7 +520,7 @@
 
 // head builds a job's head as it is to be stored.
 func (j *job) head() protocol.JobRecord {
-	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim, Chunk: j.record(0)}
+	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim, Step: j.step, Failed: j.failed, Chunk: j.record(0)}
 }
 
 func mustJSON(v any) json.RawMessage {
@@ -515,7 +547,7 @@
 			touched[i/protocol.ChunkTasks] = true
 		}
 		anyDone = anyDone || t.phase == done || t.fact == finished
-		if !(t.phase == done || t.fact == finished) && !(j.cancelled && (t.phase == waiting || t.phase == proposed || t.fact == gone)) {
+		if !(t.phase == done || t.fact == finished || j.willBeSpent(t)) && !(j.cancelled && (t.phase == waiting || t.phase == proposed || t.fact == gone)) {
 			left++
 		}
 	}
@@ -525,7 +557,13 @@
 	if j.spec.Shape == protocol.Gang && anyDone {
 		left = 0 // they complete together
 	}
-	if left == 0 {
+	if left == 0 && j.step != nil {
+		if !n.endStep(j, op) {
+			j.taskChunk = touched
+			n.dirty[j] = true
+			return
+		}
+	} else if left == 0 {
 		status := protocol.JobDone
 		if j.cancelled {
 			status = protocol.JobCancelled
@@ -558,6 +596,7 @@
 	if !n.books.Submit(op) {
 		n.storing -= len(op.Writes)
 		j.busy = false
+		n.stepEnded(j)
 		n.revert(j)
 	}
 }
@@ -597,6 +636,7 @@
 			n.learn(w, r.Epoch)
 		}
 		j.busy = false
+		n.stepEnded(j)
 		if j.nWaiting() == 0 && j.allPlaced.IsZero() {
 			j.allPlaced = time.Now()
 		}
@@ -609,6 +649,7 @@
 	n.log.Info("change of a job refused", "job", j.id, "failed", strings.Join(r.Failed, " "), "why", r.Err)
 	n.resync(r.Failed, func([]storage.Item, error) {
 		j.busy = false
+		n.stepEnded(j)
 		n.revert(j)
 		if n.jobs[j.id] == j {
 			n.dirty[j] = true
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -77,7 +77,9 @@
 	f.bins = append(slices.Clone(running), booting...)
 	f.open = slices.Clone(f.bins)
 	for _, j := range waits {
-		j.why = "no capacity"
+		if j.why = "no capacity"; j.step != nil {
+			j.why += n.draining(s, j)
+		}
 		if now.Sub(j.seen) < n.moveTime() {
 			f.bins = append(f.bins, lent...)
 			f.open = append(f.open, lent...)
--- a/internal/coordination/mistakes.go
+++ b/internal/coordination/mistakes.go
@@ -38,6 +38,10 @@
 	f := &j.trouble
 	f.last = m.name
 	f.ranSince = time.Time{}
+	if j.step != nil {
+		n.stepFailed(j, m, now)
+		return
+	}
 	if f.mistake {
 		if attempt >= f.from {
 			f.tries++
@@ -100,6 +104,8 @@
 	switch {
 	case now.Before(j.notBefore):
 		return 0
+	case j.errored:
+		return min(r, j.tryable(now))
 	case !j.trouble.mistake || j.spec.Shape == protocol.Gang:
 		return r
 	case j.nPlaced > 0:
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -112,6 +112,7 @@
 	probing     int         // workers being asked how they are
 	lastProbe   time.Time
 	gate        *gate  // of jobs of the gateway; nil: none may run
+	tickets     desk   // render-farm tickets; see tickets.go
 	caught      uint64 // revision up to which the replica is complete
 	policy      Policy
 	metrics     *Metrics
@@ -169,6 +170,7 @@
 		classes[o.Class] = true
 	}
 	n.metrics = newMetrics(classes)
+	n.tickets = newDesk(cfg.Params.State.TxnOps)
 	n.contact.Store(-int64(time.Hour))
 	n.caches.Store(&[]protocol.Cache{})
 	var guarantees []float64
@@ -273,6 +275,7 @@
 		end := time.Now()
 		n.nextPlan = end.Add(max(40*time.Millisecond, 3*end.Sub(now)))
 	}
+	n.tendTickets(now)
 	n.flush(now)
 	n.releaseParked(now)
 	for m := range n.starts {
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"dapplestage.example/dapplestage/internal/coordination/ticket"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
 )
@@ -101,7 +102,7 @@
 		id, chunk := splitJobKey(key)
 		j := n.jobs[id]
 		if chunk == 0 {
-			return j != nil
+			return j != nil || n.tickets.byID[id] != nil
 		}
 		if j != nil {
 			return j.chunks[chunk]
@@ -169,6 +170,11 @@
 		if read(&mv) {
 			n.onMoves(mv)
 		}
+	case it.Key == protocol.ClassesKey:
+		var t ticket.Table
+		if it.Value == nil || read(&t) {
+			n.tickets.stored = t
+		}
 	case it.Key == protocol.PolicyKey:
 		p := DefaultPolicy()
 		if it.Value == nil || read(&p) {
@@ -178,10 +184,14 @@
 		id, chunk := splitJobKey(it.Key)
 		if chunk == 0 {
 			var r protocol.JobRecord
-			if read(&r) && r.Spec != nil {
+			switch ok := read(&r); {
+			case ok && r.Ticket != nil && r.Ticket.Base != nil:
+				n.setTicket(id, &r)
+			case ok && r.Spec != nil:
 				n.setJob(id, &r)
-			} else {
+			default:
 				n.dropJob(id)
+				n.dropTicket(id)
 			}
 			return
 		}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -126,7 +126,9 @@
 	const most = 512 // tasks in one change
 	r := min(n.startable(j, now), most)
 	if r == 0 {
-		j.why = "team limit"
+		if j.why = "team limit"; j.errored && j.tryable(now) == 0 {
+			j.why = "a task failed and waits before its next try"
+		}
 		return
 	}
 	gang := j.spec.Shape == protocol.Gang
@@ -183,7 +185,9 @@
 		return
 	}
 	if len(picked) == 0 {
-		j.why = "no free machine"
+		if j.why = "no free machine"; j.step != nil {
+			j.why += n.draining(s, j)
+		}
 		return
 	}
 	if short := countAbove(picked, n.patience(j.spec)); short > 0 && !now.Before(j.preempted) {
@@ -201,7 +205,7 @@
 		if len(tasks) == len(picked) {
 			break
 		}
-		if j.tasks[i].phase == waiting {
+		if j.tasks[i].phase == waiting && !j.pausing(i, now) {
 			to = append(to, on[picked[len(tasks)].Machine])
 			tasks = append(tasks, i)
 		}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -107,6 +107,7 @@
 			n.dirty[j] = true
 			n.forgetFacts(j)
 		}
+		n.tickets.takenOver(s.index)
 		for _, m := range s.machines {
 			m.added, m.heard = now, time.Time{}
 			m.moving, m.returning, m.notice = false, false, false
--- a/internal/coordination/sitejobs.go
+++ b/internal/coordination/sitejobs.go
@@ -245,7 +245,7 @@
 	j := n.jobs[id]
 	f, ended := n.finals.byID[id]
 	switch {
-	case j != nil && j.claim == 0, j == nil && ended && f.Claim == 0:
+	case j != nil && j.claim == 0, j == nil && ended && f.Claim == 0, n.tickets.byID[id] != nil:
 		c.answer(wire.Conflict, "the site has a job of its own under this id")
 	case j == nil && ended && f.Status == protocol.JobDone:
 		c.ended(f)
--- a/internal/coordination/status.go
+++ b/internal/coordination/status.go
@@ -48,6 +48,7 @@
 // StuckJob is a job with tasks that do not run.
 type StuckJob struct {
 	Job      string  `json:"job"`
+	Ticket   string  `json:"ticket,omitempty"` // whose step the job is
 	Class    string  `json:"class"`
 	Team     string  `json:"team"`
 	Shape    string  `json:"shape"`
@@ -137,12 +138,15 @@
 // stuck says whether a job has tasks that do not run, and why not.
 func (n *Node) stuck(j *job, now time.Time) (StuckJob, bool) {
 	k := StuckJob{Job: j.id, Class: j.spec.Class, Team: j.spec.Team, Shape: j.spec.Shape}
+	if j.step != nil {
+		k.Ticket = j.step.Ticket
+	}
 	since := now
 	fetching, quiet, gangWait := 0, 0, 0
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		switch {
-		case t.phase == done || t.phase == placed && t.seen >= seenRunning:
+		case t.phase == done || t.phase == spent || t.phase == placed && t.seen >= seenRunning:
 			continue
 		case t.phase == waiting:
 			if j.cancelled {
@@ -176,6 +180,8 @@
 		k.Why = "its share has no holder"
 	case !n.mine(sh):
 		k.Why = "see " + sh.holder.Node
+	case j.failed:
+		k.Why = "its ticket failed, being stopped"
 	case j.cancelled:
 		k.Why = "cancelled, being stopped"
 	case quiet > 0:
--- /dev/null
+++ b/internal/coordination/ticketapi.go
@@ -0,0 +1,556 @@
+package coordination
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"dapplestage.example/dapplestage/internal/coordination/ticket"
+	"dapplestage.example/dapplestage/internal/protocol"
+	format "dapplestage.example/dapplestage/internal/protocol/ticket"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// The interface for tickets. Both ways in, POST /tickets and a ticket in an ordinary
+// submission, differ in how their body is read and in nothing else.
+
+func (n *Node) routeTickets(r *httprouter.Router) {
+	r.POST("/tickets", n.postTicket)
+	r.GET("/tickets/:id", n.getTicket)
+	r.GET("/tickets/:id/tasks", n.getTicketTasks)
+	r.POST("/tickets/:id/cancel", n.postCancel)
+	r.GET("/admin/classes", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		n.serve(w, r, func(reply chan<- answer) { reply <- answer{status: 200, body: n.classesView()} })
+	})
+	r.PUT("/admin/classes/:lot", n.putClass)
+	r.DELETE("/admin/classes/:lot", n.deleteClass)
+}
+
+func (n *Node) postTicket(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := body(r)
+	if err != nil {
+		write(w, answer{status: 400, body: errorBody{err.Error()}})
+		return
+	}
+	n.takeTicket(w, r, data, format.ParseTicket)
+}
+
+// postCarried takes an ordinary submission that carries a ticket.
+func (n *Node) postCarried(w http.ResponseWriter, r *http.Request, data []byte) {
+	n.takeTicket(w, r, data, format.ParseCarried)
+}
+
+func (n *Node) takeTicket(w http.ResponseWriter, r *http.Request, data []byte, parse func([]byte) (*format.Submission, error)) {
+	if n.tickets.classes == nil { // set before the node runs, and never again
+		write(w, answer{status: 400, body: errorBody{protocol.ErrTicket.Error() + " (--tickets)"}})
+		return
+	}
+	s, err := parse(data)
+	if err != nil {
+		write(w, answer{status: 400, body: errorBody{err.Error()}})
+		return
+	}
+	table := make(chan ticket.Table, 1)
+	n.post(func() { table <- n.tickets.table() })
+	var classes ticket.Table
+	select {
+	case classes = <-table:
+	case <-r.Context().Done():
+		return
+	case <-n.ctx.Done():
+		write(w, busy)
+		return
+	}
+	a, err := ticket.Admit(s, classes, ticket.Limits{ValueBytes: int(n.cfg.Params.State.ValueKB*1024) - 256})
+	came := time.Now()
+	n.serve(w, r, func(reply chan<- answer) { n.onTicket(s.ID, a, err, time.Now(), reply) })
+	since(n.metrics.accept, came, time.Now())
+}
+
+// onTicket accepts a ticket, or says why not. A repeat is judged by what is stored,
+// whatever its class would say of it now.
+func (n *Node) onTicket(id string, a *ticket.Admitted, refused error, now time.Time, reply chan<- answer) {
+	if !n.loaded {
+		reply <- busy
+		return
+	}
+	repeat := func(ifNew func()) {
+		n.readJob(id, func(known bool, _ protocol.JobStatus, err error) {
+			switch s, ok := n.ticketStatus(id, time.Now()); {
+			case err != nil:
+				reply <- busy
+			case known && n.gateways(id):
+				reply <- askGateway
+			case known && !ok:
+				reply <- answer{status: 422, body: errorBody{"field id: an ordinary job has it"}}
+			case known:
+				reply <- answer{status: 200, body: s}
+			default:
+				ifNew()
+			}
+		})
+	}
+	refuse := func(status int, why string) { repeat(func() { reply <- answer{status: status, body: errorBody{why}} }) }
+	_, final := n.finals.byID[id]
+	switch j := n.jobs[id]; {
+	case j != nil && j.step != nil:
+		reply <- answer{status: 422, body: errorBody{"field id: it is that of a ticket's step"}}
+		return
+	case final || j != nil || n.tickets.byID[id] != nil:
+		repeat(func() { reply <- busy })
+		return
+	}
+	var r *ticket.Refusal
+	switch {
+	case errors.As(refused, &r) && !r.Malformed:
+		refuse(422, r.Why)
+		return
+	case refused != nil:
+		refuse(400, refused.Error())
+		return
+	}
+	for i := range a.Record.Steps {
+		switch why, decided := n.runnable(ticket.StepSpec(a.Record, i)); {
+		case !decided:
+			repeat(func() { reply <- busy })
+			return
+		case why != "":
+			refuse(422, fmt.Sprintf("step %s: %s", a.Record.Steps[i].Name, why))
+			return
+		}
+	}
+	n.unlessGateways(id, reply, func() { n.acceptTicket(a, now, reply, repeat) })
+}
+
+// acceptTicket stores a ticket, its template and the jobs of its first steps at once.
+func (n *Node) acceptTicket(a *ticket.Admitted, now time.Time, reply chan<- answer, repeat func(ifNew func())) {
+	rec := a.Record
+	t := &openTicket{submitted: now}
+	for i := range rec.Steps {
+		t.steps = append(t.steps, ticket.StepSpec(rec, i).ID)
+	}
+	op := &storage.Op{
+		Conds: []storage.Cond{{Key: protocol.JobKey(a.ID)}, {Key: protocol.FinalKey(a.ID)}},
+		Writes: []storage.Write{
+			{Put: protocol.TicketKey(a.ID), Value: mustJSON(packedTicket{a.Packed})},
+			{Put: protocol.JobKey(a.ID), Value: mustJSON(t.head(rec, false))}}}
+	d := ticket.Decide(rec, false, make([]ticket.StepNow, len(rec.Steps)), n.tickets.most)
+	n.openSteps(rec, t.steps, d.Open, now, op)
+	n.forUser(op, reply, func(r storage.Result) {
+		switch {
+		case r.OK:
+			for _, w := range op.Writes[1:] {
+				n.learn(w, r.Epoch)
+			}
+			n.log.Info("ticket accepted", "ticket", a.ID, "name", rec.Name, "class", rec.Base.Class, "team", rec.Base.Team, "tasks", rec.Base.Tasks, "steps", len(rec.Steps),
+				"urgency", rec.Terms.Urgency, "retries", rec.Terms.Retries.Granted)
+			s, _ := n.ticketStatus(a.ID, time.Now())
+			reply <- answer{status: 201, body: s}
+		case r.Err != nil:
+			reply <- busy
+		default:
+			// Somebody has the id, or that of a step. What holds is read once more.
+			n.resync(r.Failed, func([]storage.Item, error) { repeat(func() { reply <- busy }) })
+		}
+	})
+}
+
+// packedTicket is what is stored under a ticket's TicketKey.
+type packedTicket struct {
+	Packed []byte `json:"z"`
+}
+
+// cancelTicket cancels a ticket and all its open steps in one change: from then on
+// nothing of it can be started.
+func (n *Node) cancelTicket(t *openTicket, tries int, reply chan<- answer) {
+	if t.rec.Failing != "" {
+		reply <- answer{status: 200, body: protocol.JobStatus{ID: t.id, Status: protocol.JobFailed}}
+		return
+	}
+	head := protocol.JobKey(t.id)
+	op := &storage.Op{Conds: []storage.Cond{n.cond(head)}, Writes: []storage.Write{{Put: head, Value: mustJSON(t.head(t.rec, true))}}}
+	for _, j := range n.openJobs(t) {
+		n.stopStep(j, op, func(r *protocol.JobRecord) { r.Cancelled = true })
+	}
+	for _, i := range ticket.MayOpen(t.rec, n.stepsNow(t, nil), n.tickets.most) {
+		op.Conds = append(op.Conds, storage.Cond{Key: protocol.JobKey(t.steps[i])})
+	}
+	id := t.id
+	n.forUser(op, reply, func(r storage.Result) {
+		switch {
+		case r.OK:
+			for _, w := range op.Writes {
+				n.learn(w, r.Epoch)
+			}
+			reply <- answer{status: 200, body: protocol.JobStatus{ID: id, Status: protocol.JobCancelled}}
+		case r.Err == nil && tries > 0:
+			n.resync(append(r.Failed, protocol.FinalKey(id)), func(_ []storage.Item, err error) {
+				if err != nil {
+					reply <- busy
+					return
+				}
+				n.onCancel(id, tries-1, reply)
+			})
+		default:
+			reply <- busy
+		}
+	})
+}
+
+// ticketJobStatus is what users see of a ticket where they ask for a job.
+func (n *Node) ticketJobStatus(t *openTicket) protocol.JobStatus {
+	s := protocol.JobStatus{ID: t.id, Status: protocol.JobQueued, Terms: &t.rec.Terms}
+	for _, st := range t.rec.Steps {
+		s.Done, s.Failed = s.Done+st.Done, s.Failed+st.Failed
+	}
+	for _, j := range n.openJobs(t) {
+		s.Done, s.Failed, s.Running = s.Done+j.nDone, s.Failed+j.nSpent, s.Running+j.nPlaced
+	}
+	switch {
+	case t.rec.Failing != "":
+		s.Status = protocol.JobFailed
+	case t.cancelled:
+		s.Status = protocol.JobCancelled
+	case s.Running > 0:
+		s.Status = protocol.JobRunning
+	}
+	return s
+}
+
+// TicketStatus is a ticket and its steps.
+type TicketStatus struct {
+	protocol.JobStatus
+	Name  string       `json:"name"`
+	Class string       `json:"lot"`
+	Team  string       `json:"crew"`
+	Tasks int          `json:"tasks"`
+	Why   string       `json:"why,omitempty"` // it failed
+	Steps []StepStatus `json:"steps"`
+}
+
+// States of a step beside a job's.
+const (
+	StepBlocked = "blocked" // waits for steps that it depends on
+	StepNotRun  = "not_run" // and the ticket is over
+)
+
+// StepStatus is one step of a ticket.
+type StepStatus struct {
+	Step      string   `json:"step"`
+	Job       string   `json:"job"` // under which its description is uploaded
+	Status    string   `json:"status"`
+	Tasks     int      `json:"tasks"`
+	Done      int      `json:"done"`
+	Running   int      `json:"running"`
+	Failed    int      `json:"failed"`
+	FailedAre [][2]int `json:"failed_tasks,omitempty"` // the first ranges of them
+	After     []string `json:"after,omitempty"`        // steps that must be done before
+	Why       string   `json:"why,omitempty"`          // its tasks wait
+}
+
+// ticketStatus is how a ticket is; false if there is none of that id.
+func (n *Node) ticketStatus(id string, now time.Time) (*TicketStatus, bool) {
+	var rec *protocol.TicketRecord
+	s := &TicketStatus{}
+	t := n.tickets.byID[id]
+	over := false
+	if f, ok := n.finals.byID[id]; ok {
+		if rec, over = f.Ticket, true; rec == nil {
+			return nil, false
+		}
+		s.JobStatus = finalStatus(id, f)
+	} else if t != nil {
+		rec = t.rec
+		s.JobStatus = n.ticketJobStatus(t)
+		over = t.cancelled || rec.Failing != ""
+	} else {
+		return nil, false
+	}
+	s.Name, s.Class, s.Team, s.Tasks, s.Why = rec.Name, rec.Base.Class, rec.Base.Team, rec.Base.Tasks, rec.Failing
+	for i, st := range rec.Steps {
+		v := StepStatus{Step: st.Name, Job: ticket.StepSpec(rec, i).ID, Status: st.State, Tasks: st.Tasks, Done: st.Done, Failed: st.Failed, FailedAre: st.Which}
+		for _, d := range st.Deps {
+			v.After = append(v.After, rec.Steps[d].Name)
+		}
+		j := n.jobs[v.Job]
+		switch {
+		case st.State != "":
+		case t != nil && j != nil && j.step != nil:
+			js := j.status()
+			v.Status, v.Done, v.Running, v.Failed = js.Status, js.Done, js.Running, j.nSpent
+			if j.failed {
+				v.Status = protocol.JobFailed
+			}
+			if k, stuck := n.stuck(j, now); stuck {
+				v.Why = k.Why
+			}
+		case over:
+			v.Status = StepNotRun
+		default:
+			v.Status = StepBlocked
+		}
+		s.Steps = append(s.Steps, v)
+	}
+	return s, true
+}
+
+// onTicketPoll answers how a ticket is, after the same comparison with the store as
+// any poll.
+func (n *Node) onTicketPoll(id string, reply chan<- answer) {
+	if !n.loaded {
+		reply <- busy
+		return
+	}
+	n.readJob(id, func(known bool, _ protocol.JobStatus, err error) {
+		s, ok := n.ticketStatus(id, time.Now())
+		switch {
+		case err != nil:
+			reply <- busy
+		case !known || !ok:
+			reply <- answer{status: 404, body: errorBody{"no such ticket"}}
+		default:
+			reply <- answer{status: 200, body: s}
+		}
+	})
+}
+
+func (n *Node) getTicket(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	id := p.ByName("id")
+	if !protocol.ValidJobID(id) {
+		write(w, answer{status: 404, body: errorBody{"no such ticket"}})
+		return
+	}
+	n.serve(w, r, func(reply chan<- answer) { n.onTicketPoll(id, reply) })
+}
+
+// TicketTask is a task with its parameters.
+type TicketTask struct {
+	Task       int              `json:"task"`
+	Status     string           `json:"status"` // waiting, placed, running, done, failed, or over
+	Machine    string           `json:"machine,omitempty"`
+	Errors     int              `json:"errors,omitempty"` // that counted
+	Parameters []format.Binding `json:"parameters,omitempty"`
+}
+
+// TicketTasks is a page of a step's tasks.
+type TicketTasks struct {
+	Ticket string       `json:"ticket"`
+	Step   string       `json:"step"`
+	Tasks  []TicketTask `json:"tasks"`
+	More   bool         `json:"more"`
+}
+
+// mostPage bounds a page of tasks.
+const mostPage = 500
+
+// getTicketTasks tells a step's tasks, from ?since= on, ?limit= of them. What they are
+// doing comes from memory, their parameters from the stored template: one read.
+func (n *Node) getTicketTasks(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	q := r.URL.Query()
+	number := func(name string, otherwise, least, most int) (int, error) {
+		if q.Get(name) == "" {
+			return otherwise, nil
+		}
+		v, err := strconv.Atoi(q.Get(name))
+		if err != nil || v < least || v > most {
+			err = fmt.Errorf("%s: must be %d to %d", name, least, most)
+		}
+		return v, err
+	}
+	from, err := number("since", 0, 0, protocol.MaxTasks)
+	limit, lerr := number("limit", 100, 1, mostPage)
+	if err = errors.Join(err, lerr); err != nil {
+		write(w, answer{status: 400, body: errorBody{err.Error()}})
+		return
+	}
+	id := p.ByName("id")
+	if !protocol.ValidJobID(id) {
+		write(w, answer{status: 404, body: errorBody{"no such ticket"}})
+		return
+	}
+	page := make(chan answer, 1)
+	step := -1
+	n.post(func() {
+		// After a restart the ticket may be known only once it was read.
+		n.readJob(id, func(_ bool, _ protocol.JobStatus, err error) {
+			if err != nil {
+				page <- busy
+				return
+			}
+			step = n.ticketTasks(id, q.Get("step"), from, limit, page)
+		})
+	})
+	var a answer
+	select {
+	case a = <-page:
+	case <-r.Context().Done():
+		return
+	case <-n.ctx.Done():
+		a = busy
+	}
+	if out, ok := a.body.(*TicketTasks); ok {
+		it, err := n.store.Get(r.Context(), protocol.TicketKey(id))
+		var packed packedTicket
+		if err == nil && it.Value != nil {
+			err = json.Unmarshal(it.Value, &packed)
+		}
+		var plan *format.Plan
+		if err == nil {
+			_, plan, err = format.Unpack(packed.Packed)
+		}
+		if err != nil || step >= len(plan.Steps) {
+			n.log.Info("ticket's template not read", "ticket", id, "why", err)
+			write(w, busy)
+			return
+		}
+		for i := range out.Tasks {
+			out.Tasks[i].Parameters = plan.Steps[step].Space.At(out.Tasks[i].Task)
+		}
+	}
+	write(w, a)
+}
+
+// ticketTasks answers with a page without parameters, and returns the step's number.
+func (n *Node) ticketTasks(id, name string, from, limit int, reply chan<- answer) int {
+	rec := n.finals.byID[id].Ticket
+	if t := n.tickets.byID[id]; t != nil {
+		rec = t.rec
+	}
+	if rec == nil {
+		reply <- answer{status: 404, body: errorBody{"no such ticket"}}
+		return -1
+	}
+	for i, st := range rec.Steps {
+		if st.Name != name && (name != "" || i > 0) {
+			continue
+		}
+		out := &TicketTasks{Ticket: id, Step: st.Name, Tasks: []TicketTask{}, More: from+limit < st.Tasks}
+		j := n.jobs[ticket.StepSpec(rec, i).ID]
+		for k := from; k < min(st.Tasks, from+limit); k++ {
+			out.Tasks = append(out.Tasks, taskOf(j, st, k))
+		}
+		reply <- answer{status: 200, body: out}
+		return i
+	}
+	reply <- answer{status: 404, body: errorBody{"no such step"}}
+	return -1
+}
+
+func taskOf(j *job, st protocol.TicketStep, k int) TicketTask {
+	v := TicketTask{Task: k, Status: "waiting"}
+	switch {
+	case st.State == protocol.JobDone:
+		v.Status = "done"
+	case st.State != "":
+		v.Status = "over"
+		for _, r := range st.Which {
+			if k >= r[0] && k <= r[1] {
+				v.Status = "failed"
+			}
+		}
+	case j != nil && j.step != nil && k < len(j.tasks):
+		t := &j.tasks[k]
+		v.Errors = t.errors()
+		switch {
+		case t.phase == spent:
+			v.Status = "failed"
+		case t.phase == done:
+			v.Status = "done"
+		case t.phase == placed:
+			v.Status, v.Machine = "placed", t.machine.name
+			if t.seen == seenRunning {
+				v.Status = "running"
+			}
+		}
+	}
+	return v
+}
+
+// ClassesView shows the classes of tickets with the revision that a change must name.
+type ClassesView struct {
+	Stamp   uint64       `json:"stamp"`
+	Taken   bool         `json:"taken"` // whether this node takes tickets
+	Classes ticket.Table `json:"classes"`
+	Stored  []string     `json:"stored"` // those that operators set
+}
+
+func (n *Node) classesView() ClassesView {
+	return ClassesView{Stamp: n.stamp(protocol.ClassesKey), Taken: n.tickets.classes != nil, Classes: n.tickets.table(), Stored: n.tickets.stored.Lots()}
+}
+
+func (n *Node) putClass(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	data, err := body(r)
+	var c SettingChange
+	if err == nil {
+		err = json.Unmarshal(data, &c)
+	}
+	if err != nil || c.Stamp == nil {
+		write(w, answer{status: 400, body: errorBody{`need {"value":{...},"stamp":N} with the stamp that /admin/classes shows`}})
+		return
+	}
+	lot := p.ByName("lot")
+	class, err := ticket.ParseClass(lot, c.Value)
+	if err != nil {
+		write(w, answer{status: 400, body: errorBody{err.Error()}})
+		return
+	}
+	from := r.RemoteAddr
+	n.serve(w, r, func(reply chan<- answer) {
+		n.setClasses(*c.Stamp, from, reply, func(t ticket.Table) { t[lot] = class })
+	})
+}
+
+func (n *Node) deleteClass(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	stamp, err := strconv.ParseUint(r.URL.Query().Get("stamp"), 10, 64)
+	if err != nil {
+		write(w, answer{status: 400, body: errorBody{"need ?stamp=N with the stamp that /admin/classes shows"}})
+		return
+	}
+	lot, from := p.ByName("lot"), r.RemoteAddr
+	n.serve(w, r, func(reply chan<- answer) {
+		if _, ok := n.tickets.stored[lot]; !ok {
+			reply <- answer{status: 404, body: errorBody{"operators set no class of that lot"}}
+			return
+		}
+		n.setClasses(stamp, from, reply, func(t ticket.Table) { delete(t, lot) })
+	})
+}
+
+// setClasses stores what operators set of the classes.
+func (n *Node) setClasses(stamp uint64, from string, reply chan<- answer, change func(ticket.Table)) {
+	changed := ticket.Table{}
+	maps.Copy(changed, n.tickets.stored)
+	change(changed)
+	conflict := answer{status: 409, body: errorBody{"changed meanwhile: read the classes again"}}
+	value := mustJSON(changed)
+	switch most := int(n.cfg.Params.State.ValueKB * 1024); {
+	case !n.loaded:
+		reply <- busy
+		return
+	case stamp != n.stamp(protocol.ClassesKey):
+		reply <- conflict
+		return
+	case len(changed) > ticket.MaxClasses || len(value) > most:
+		reply <- answer{status: 400, body: errorBody{fmt.Sprintf("classes: %d in %d bytes, at most %d in %d are stored", len(changed), len(value), ticket.MaxClasses, most)}}
+		return
+	}
+	op := &storage.Op{Conds: []storage.Cond{{Key: protocol.ClassesKey, Stamp: stamp}}, Writes: []storage.Write{{Put: protocol.ClassesKey, Value: value}}}
+	n.forUser(op, reply, func(r storage.Result) {
+		switch {
+		case r.OK:
+			n.learn(op.Writes[0], r.Epoch)
+			n.log.Info("classes of tickets changed", "lots", n.tickets.stored.Lots(), "by", from)
+			reply <- answer{status: 200, body: n.classesView()}
+		case r.Err != nil:
+			reply <- busy
+		default:
+			reply <- conflict
+		}
+	})
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -52,6 +52,12 @@
 	if r.Status == protocol.JobDone {
 		s.Done = r.Tasks
 	}
+	if r.Ticket != nil {
+		s.Done, s.Terms = 0, &r.Ticket.Terms
+		for _, st := range r.Ticket.Steps {
+			s.Done, s.Failed = s.Done+st.Done, s.Failed+st.Failed
+		}
+	}
 	return s
 }
 
@@ -222,8 +228,12 @@
 func (n *Node) tell(r *read) bool {
 	if f, ok := n.finals.byID[r.id]; ok {
 		r.then(true, finalStatus(r.id, f), nil)
-	} else if j := n.jobs[r.id]; j != nil {
+	} else if j := n.jobs[r.id]; j != nil && j.step != nil {
+		r.then(false, protocol.JobStatus{}, nil) // a ticket's step: nobody submitted it
+	} else if j != nil {
 		r.then(true, j.status(), nil)
+	} else if t := n.tickets.byID[r.id]; t != nil {
+		r.then(true, n.ticketJobStatus(t), nil)
 	} else {
 		return false
 	}
@@ -304,7 +314,11 @@
 		})
 	}
 	_, final := n.finals.byID[s.ID]
-	if final || n.jobs[s.ID] != nil {
+	if j := n.jobs[s.ID]; j != nil && j.step != nil {
+		reply <- answer{status: 422, body: errorBody{"field id: it is that of a ticket's step"}}
+		return
+	}
+	if final || n.jobs[s.ID] != nil || n.tickets.byID[s.ID] != nil {
 		repeat(func() { reply <- busy })
 		return
 	}
@@ -359,6 +373,8 @@
 			reply <- askGateway
 		case s.Status == protocol.JobDone || s.Status == protocol.JobCancelled:
 			reply <- answer{status: 200, body: protocol.JobStatus{ID: id, Status: s.Status}}
+		case n.tickets.byID[id] != nil:
+			n.cancelTicket(n.tickets.byID[id], tries, reply)
 		case j == nil:
 			reply <- busy
 		default:
@@ -400,9 +416,12 @@
 // stored is a job's head as it is stored now, without what is only proposed
 // or noted: whoever changes it must not store another's pending decisions.
 func (j *job) stored() protocol.JobRecord {
-	r := protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim}
+	r := protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim, Step: j.step, Failed: j.failed}
 	lo, hi := j.chunkRange(0)
 	for i := lo; i < hi; i++ {
+		if e := int(j.tasks[i].errs); e > 0 && j.tasks[i].phase != done {
+			r.Errors = append(r.Errors, [2]int{i, e})
+		}
 		switch t := &j.tasks[i]; t.phase {
 		case done:
 			if l := len(r.Done); l > 0 && r.Done[l-1][1] == i-1 {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dapplestage.example/dapplestage/internal/coordination/ticket"
 	"dapplestage.example/dapplestage/internal/protocol"
 )
 
@@ -334,6 +335,11 @@
 		}
 		if t.fact == noFact {
 			n.log.Info("task exited", "task", tr.Task, "machine", m.name, "cause", tr.Cause, "saved", tr.Saved)
+			if j.step != nil && ticket.Counts(tr.Cause) {
+				// Counted with the end itself: both are in one change, and a repeated
+				// report, or another holder, finds the end noted or stored.
+				t.erred, j.errored = true, true
+			}
 			switch tr.Cause {
 			case protocol.CauseError:
 				n.failed(j, tr.Attempt, m, now)
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -13,7 +13,9 @@
 	NodeRoot    = Root + "nodes/"
 	MovesKey    = Root + "moves"
 	PolicyKey   = Root + "settings"
+	ClassesKey  = Root + "classes"
 	FinalRoot   = "f/"
+	TicketRoot  = "t/"
 )
 
 // ChunkTasks is how many tasks share one stored value: 128 placements with
@@ -34,6 +36,9 @@
 // FinalKey is the key of what a job became in the end.
 func FinalKey(id string) string { return FinalRoot + id }
 
+// TicketKey is the key of a ticket's template and arguments, which are written once.
+func TicketKey(id string) string { return TicketRoot + id }
+
 // HolderKey is the key that names the holder of a share.
 func HolderKey(share int) string { return HolderRoot + strconv.Itoa(share) + "/holder" }
 
@@ -56,6 +61,8 @@
 type Chunk struct {
 	Placed []Placement `json:"p,omitempty"`
 	Done   [][2]int    `json:"d,omitempty"`
+	// Errors are tasks of a ticket's step that ended with an error, and how often.
+	Errors [][2]int `json:"q,omitempty"`
 }
 
 // JobRecord is a job's head.
@@ -66,9 +73,61 @@
 	Next        uint64   `json:"n"`
 	Tries       int      `json:"e,omitempty"` // of a job that fails on every machine
 	Claim       uint32   `json:"g,omitempty"` // of a job that came through the gateway: the site's claim on it
+	Step        *StepRef `json:"k,omitempty"` // of a ticket's step
+	Failed      bool     `json:"f,omitempty"` // of a ticket's step: it is to end, since the ticket or it has failed
+	// Ticket makes this a ticket's record, which has no Spec and no tasks of its own: a
+	// version that knows no tickets leaves it alone.
+	Ticket *TicketRecord `json:"w,omitempty"`
 	Chunk
 }
 
+// StepRef ties a job to the step of a ticket.
+type StepRef struct {
+	Ticket  string `json:"t"`
+	Step    int    `json:"s"`
+	Retries int    `json:"r"` // of a task, after its first run
+}
+
+// TicketRecord is a render-farm ticket. Its steps are jobs of their own; what became
+// of those that are over is here, so that who takes the share over reads nothing else.
+type TicketRecord struct {
+	Name    string       `json:"m"`
+	Base    *JobSpec     `json:"b"` // what all steps have in common
+	Terms   TicketTerms  `json:"a"`
+	Steps   []TicketStep `json:"z"`
+	Failing string       `json:"y,omitempty"` // why it fails
+}
+
+// TicketStep is a step: what its tasks take, and what became of it.
+type TicketStep struct {
+	Name     string   `json:"n"`
+	Tasks    int      `json:"t"`
+	Deps     []int    `json:"d,omitempty"`
+	CPUs     float64  `json:"c"`
+	GPUs     float64  `json:"g"`
+	MemoryGB float64  `json:"m"`
+	Types    []string `json:"y,omitempty"`
+	Zone     string   `json:"z,omitempty"`
+	State    string   `json:"s,omitempty"` // JobDone, JobFailed or JobCancelled; empty: not over
+	Done     int      `json:"o,omitempty"` // tasks, of one that is over
+	Failed   int      `json:"f,omitempty"`
+	Which    [][2]int `json:"w,omitempty"` // the first ranges of them
+}
+
+// TicketTerms are what a ticket asked for and what its class granted.
+type TicketTerms struct {
+	Retries      Granted `json:"maxRetriesPerTask"`
+	FailedTasks  Granted `json:"maxFailedTasksCount"`
+	AskedUrgency string  `json:"askedUrgency,omitempty"` // if another than was granted
+	Urgency      string  `json:"urgency"`
+}
+
+// Granted is a number that was asked for, if it was, and what was granted.
+type Granted struct {
+	Asked   *int `json:"asked,omitempty"`
+	Granted int  `json:"granted"`
+}
+
 // FinalRecord is what remains of a job.
 type FinalRecord struct {
 	Status string `json:"s"`
@@ -76,6 +135,8 @@
 	// Claim is not 0 for a job of the gateway: then this says what became of the
 	// site's claims up to it, and the gateway knows what became of the job.
 	Claim uint32 `json:"g,omitempty"`
+	// Ticket is what remains of a ticket.
+	Ticket *TicketRecord `json:"w,omitempty"`
 }
 
 // HolderRecord names the holder of a share. It is attached to the node's
--- /dev/null
+++ b/internal/protocol/ticket/expand.go
@@ -0,0 +1,247 @@
+package ticket
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Plan is a template with its parameters: what is to run. Tasks are numbers; their
+// parameters are found by number and never all written out.
+type Plan struct {
+	Name  string
+	Tasks int // of all steps
+	Steps []PlanStep
+}
+
+// PlanStep is one step of a plan.
+type PlanStep struct {
+	Name  string
+	Deps  []int // steps that must be done before
+	Space *Space
+	// What a task takes; nil: not said, so the submission's or the class's holds.
+	CPUs, GPUs, MemoryGB *float64
+	Builds               []string // allowed machine types; nil: not said
+	Region               string
+}
+
+// Args are the values given for job parameters, by name.
+type Args map[string]string
+
+// Expand gives a template's parameters their values, and counts its tasks.
+func (t *Template) Expand(given Args) (*Plan, error) {
+	vals, err := t.bind(given)
+	if err != nil {
+		return nil, err
+	}
+	lookup := func(ref string) (string, bool) {
+		_, name, _ := strings.Cut(ref, ".")
+		v, ok := vals[name]
+		return v, ok
+	}
+	resolve := func(s, path string) (string, error) {
+		f, err := parseFormat(s)
+		if err == nil {
+			s, err = f.resolve(lookup)
+		}
+		if err != nil {
+			return "", &Error{Field: path, Text: err.Error()}
+		}
+		return s, nil
+	}
+	p := &Plan{}
+	if p.Name, err = resolve(t.Name, "name"); err != nil {
+		return nil, err
+	}
+	if n := len([]rune(p.Name)); n > maxJobName {
+		return nil, &Error{Field: "name", Text: fmt.Sprintf("is %d characters long, at most %d are taken", n, maxJobName)}
+	}
+	index := map[string]int{}
+	for i, s := range t.Steps {
+		index[s.Name] = i
+	}
+	for i, s := range t.Steps {
+		path := fmt.Sprintf("steps[%d]", i)
+		ps := PlanStep{Name: s.Name}
+		for _, d := range s.Dependencies {
+			ps.Deps = append(ps.Deps, index[d.On])
+		}
+		if ps.Space, err = s.Space.expand(resolve, path+".parameterSpace"); err != nil {
+			return nil, err
+		}
+		if err := ps.require(s.Host, resolve, path+".hostRequirements"); err != nil {
+			return nil, err
+		}
+		// Each is at most MaxTasks, so the sum can't overflow.
+		if p.Tasks += ps.Space.Len(); p.Tasks > MaxTasks {
+			return nil, &Error{Field: path, Text: fmt.Sprintf("the ticket has more than %d tasks", MaxTasks)}
+		}
+		p.Steps = append(p.Steps, ps)
+	}
+	return p, nil
+}
+
+// bind checks the values given against the definitions and adds defaults.
+func (t *Template) bind(given Args) (Args, error) {
+	vals := Args{}
+	for _, p := range t.Parameters {
+		path := "parameters." + p.Name
+		s, ok := given[p.Name]
+		switch {
+		case ok:
+			v, err := scalar(p.Type, &value{kind: text, text: s})
+			if err == nil {
+				err = p.check(v, true)
+			}
+			if err != nil {
+				return nil, &Error{Field: path, Text: err.Error()}
+			}
+			vals[p.Name] = v
+		case p.Default != nil:
+			vals[p.Name] = *p.Default
+		default:
+			return nil, &Error{Field: path, Text: "is missing and has no default"}
+		}
+	}
+	for name := range given {
+		if !slices.ContainsFunc(t.Parameters, func(p Parameter) bool { return p.Name == name }) {
+			return nil, &Error{Field: "parameters", Text: fmt.Sprintf("the template has no parameter %s", clip(name))}
+		}
+	}
+	return vals, nil
+}
+
+type resolver func(s, path string) (string, error)
+
+func (d *SpaceDef) expand(resolve resolver, path string) (*Space, error) {
+	if d == nil {
+		return nil, nil
+	}
+	var axes []*axis
+	for i, p := range d.Parameters {
+		path := fmt.Sprintf("%s.taskParameterDefinitions[%d].range", path, i)
+		a := &axis{name: p.Name, kind: p.Type}
+		bad := func(err error) error { return &Error{Field: path, Text: err.Error()} }
+		if p.Range.List == nil {
+			s, err := resolve(p.Range.Expr, path)
+			if err != nil {
+				return nil, err
+			}
+			if a.ints, err = parseRange(s); err != nil {
+				return nil, bad(err)
+			}
+		}
+		size := 0
+		for k, it := range p.Range.List {
+			s, err := resolve(it, fmt.Sprintf("%s[%d]", path, k))
+			if err == nil {
+				s, err = scalar(p.Type, &value{kind: text, text: s})
+			}
+			if err != nil {
+				return nil, bad(err)
+			}
+			if size += len(s); size > maxString {
+				return nil, bad(fmt.Errorf("longer than %d characters once its references are replaced", maxString))
+			}
+			if p.Type == "INT" {
+				n, err := parseInt(s)
+				if err != nil {
+					return nil, bad(err)
+				}
+				a.ints = append(a.ints, run{n, 1, 1})
+			} else {
+				a.list = append(a.list, s)
+			}
+		}
+		axes = append(axes, a)
+	}
+	var e *combineExpr
+	if d.Combination != "" {
+		var err error
+		if e, err = parseCombine(d.Combination); err != nil {
+			return nil, &Error{Field: path + ".combination", Text: err.Error()}
+		}
+	}
+	s, err := newSpace(axes, e)
+	if err != nil {
+		return nil, &Error{Field: path, Text: err.Error()}
+	}
+	return s, nil
+}
+
+// require turns host requirements into what the scheduler knows.
+func (s *PlanStep) require(h *Host, resolve resolver, path string) error {
+	if h == nil {
+		return nil
+	}
+	for i, a := range h.Amounts {
+		v := a.Min
+		switch a.Name {
+		case "amount.worker.vcpu":
+			s.CPUs = &v
+		case "amount.worker.gpu":
+			if v != math.Trunc(v) {
+				return &Error{Field: fmt.Sprintf("%s.amounts[%d].min", path, i), Text: "must be a whole number of GPUs"}
+			}
+			s.GPUs = &v
+		case "amount.worker.memory":
+			v /= 1024 // the format counts MiB
+			s.MemoryGB = &v
+		}
+	}
+	for i, a := range h.Attributes {
+		var any, all []string
+		for _, list := range []struct {
+			from []string
+			to   *[]string
+		}{{a.AnyOf, &any}, {a.AllOf, &all}} {
+			for _, v := range list.from {
+				v, err := resolve(v, fmt.Sprintf("%s.attributes[%d]", path, i))
+				if err != nil {
+					return err
+				}
+				*list.to = append(*list.to, v)
+			}
+		}
+		if err := s.attribute(a.Name, any, all); err != nil {
+			return &Error{Field: fmt.Sprintf("%s.attributes[%d]", path, i), Text: err.Error()}
+		}
+	}
+	return nil
+}
+
+// attribute narrows a step to machines with a property. Each machine has one value
+// of each, so allOf holds only if it names a single one.
+func (s *PlanStep) attribute(name string, any, all []string) error {
+	allowed := any
+	if all != nil {
+		if len(slices.Compact(slices.Sorted(slices.Values(all)))) > 1 {
+			return fmt.Errorf("no machine has all of %s", strings.Join(all, ", "))
+		}
+		if any != nil && !slices.Contains(any, all[0]) {
+			return fmt.Errorf("anyOf and allOf leave nothing")
+		}
+		allowed = all[:1]
+	}
+	only := func(have string) error {
+		if !slices.Contains(allowed, have) {
+			return fmt.Errorf("machines here are %s, not %s", have, strings.Join(allowed, ", "))
+		}
+		return nil
+	}
+	switch name {
+	case "attr.worker.os.family":
+		return only("linux")
+	case "attr.worker.cpu.arch":
+		return only("x86_64")
+	case "attr.dapplestage.build":
+		s.Builds = allowed
+	case "attr.dapplestage.region":
+		if len(allowed) > 1 {
+			return fmt.Errorf("one region, or none for any")
+		}
+		s.Region = allowed[0]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/protocol/ticket/template.go
@@ -0,0 +1,920 @@
+package ticket
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Version is the template version that is read.
+const Version = "jobtemplate-2023-09"
+
+// Limits of a template; the format's own where it names one.
+const (
+	maxParameters = 50
+	maxSteps      = 48 // ours: a ticket's record must fit a stored value
+	maxAxes       = 16
+	maxList       = 1024
+	maxName       = 64
+	maxJobName    = 128
+	maxDescribed  = 2048
+	maxEnvs       = 16
+	maxFiles      = 32
+	maxArgs       = 256
+)
+
+// Template is a job template as it was written: format strings are kept unresolved.
+type Template struct {
+	Version      string        `json:"specificationVersion"`
+	Name         string        `json:"name"`
+	Description  string        `json:"description,omitempty"`
+	Parameters   []Parameter   `json:"parameterDefinitions,omitempty"`
+	Environments []Environment `json:"jobEnvironments,omitempty"`
+	Steps        []Step        `json:"steps"`
+}
+
+// Parameter is a job parameter's definition. Numbers are kept as text.
+type Parameter struct {
+	Name        string          `json:"name"`
+	Type        string          `json:"type"`
+	Description string          `json:"description,omitempty"`
+	Default     *string         `json:"default,omitempty"`
+	Allowed     []string        `json:"allowedValues,omitempty"`
+	Min         *string         `json:"minValue,omitempty"`
+	Max         *string         `json:"maxValue,omitempty"`
+	MinLength   *int            `json:"minLength,omitempty"`
+	MaxLength   *int            `json:"maxLength,omitempty"`
+	ObjectType  string          `json:"objectType,omitempty"`
+	DataFlow    string          `json:"dataFlow,omitempty"`
+	Interface   json.RawMessage `json:"userInterface,omitempty"`
+}
+
+// Environment is set up on a worker before tasks and taken down after them. It does
+// not concern scheduling: whatever runs the tasks gets it with their description.
+type Environment struct {
+	Name        string            `json:"name"`
+	Description string            `json:"description,omitempty"`
+	Variables   map[string]string `json:"variables,omitempty"`
+	Script      *Script           `json:"script,omitempty"`
+}
+
+// Script is what runs on a worker.
+type Script struct {
+	Actions Actions `json:"actions"`
+	Files   []File  `json:"embeddedFiles,omitempty"`
+}
+
+// Actions are a step's (onRun) or an environment's (onEnter, onExit).
+type Actions struct {
+	Run   *Action `json:"onRun,omitempty"`
+	Enter *Action `json:"onEnter,omitempty"`
+	Exit  *Action `json:"onExit,omitempty"`
+}
+
+// Action is a command.
+type Action struct {
+	Command     string       `json:"command"`
+	Args        []string     `json:"args,omitempty"`
+	Timeout     *int         `json:"timeout,omitempty"`
+	Cancelation *Cancelation `json:"cancelation,omitempty"`
+}
+
+// Cancelation says how an action is stopped.
+type Cancelation struct {
+	Mode string `json:"mode"`
+}
+
+// File is a text that is put on the worker.
+type File struct {
+	Name     string `json:"name"`
+	Type     string `json:"type"`
+	Filename string `json:"filename,omitempty"`
+	Data     string `json:"data"`
+	Runnable bool   `json:"runnable,omitempty"`
+}
+
+// Step is a step with its tasks.
+type Step struct {
+	Name         string        `json:"name"`
+	Description  string        `json:"description,omitempty"`
+	Dependencies []Dependency  `json:"dependencies,omitempty"`
+	Environments []Environment `json:"stepEnvironments,omitempty"`
+	Host         *Host         `json:"hostRequirements,omitempty"`
+	Space        *SpaceDef     `json:"parameterSpace,omitempty"`
+	Script       Script        `json:"script"`
+}
+
+// Dependency names a step that must be done before.
+type Dependency struct {
+	On string `json:"dependsOn"`
+}
+
+// Host is what a step's tasks need of their machine.
+type Host struct {
+	Amounts    []Amount    `json:"amounts,omitempty"`
+	Attributes []Attribute `json:"attributes,omitempty"`
+}
+
+// Amount is an amount that a task takes.
+type Amount struct {
+	Name string  `json:"name"`
+	Min  float64 `json:"min"`
+}
+
+// Attribute is a property that a machine must have.
+type Attribute struct {
+	Name  string   `json:"name"`
+	AnyOf []string `json:"anyOf,omitempty"`
+	AllOf []string `json:"allOf,omitempty"`
+}
+
+// SpaceDef defines the parameters of a step's tasks.
+type SpaceDef struct {
+	Parameters  []TaskParameter `json:"taskParameterDefinitions"`
+	Combination string          `json:"combination,omitempty"`
+}
+
+// TaskParameter is a parameter of a step's tasks.
+type TaskParameter struct {
+	Name  string `json:"name"`
+	Type  string `json:"type"`
+	Range Range  `json:"range"`
+}
+
+// Range is an expression for integers, or a list of values; both may have references.
+type Range struct {
+	Expr string
+	List []string
+}
+
+// MarshalJSON writes a range as the format has it.
+func (r Range) MarshalJSON() ([]byte, error) {
+	if r.List != nil {
+		return json.Marshal(r.List)
+	}
+	return json.Marshal(r.Expr)
+}
+
+// ParseTemplate reads and checks a template. form is "JSON", "YAML" or empty for
+// whichever it is. The error is an *Error.
+func ParseTemplate(data []byte, form string) (*Template, error) {
+	v, err := parseDocument(data, form)
+	if err != nil {
+		return nil, err
+	}
+	return readTemplate(v, "")
+}
+
+// Print writes a template as JSON, which reads as the same template.
+func (t *Template) Print() ([]byte, error) { return json.Marshal(t) }
+
+// reader takes a document apart, and keeps the first error.
+type reader struct {
+	err    *Error
+	params map[string]string // job parameters by name: their type
+}
+
+func (r *reader) fail(v *value, path, format string, a ...any) {
+	if r.err == nil {
+		r.err = &Error{Line: v.line, Col: v.col, Field: path, Text: fmt.Sprintf(format, a...)}
+	}
+}
+
+// fields hands out the fields of an object; what is not asked for is refused by name.
+type fields struct {
+	r     *reader
+	v     *value
+	path  string
+	taken map[string]bool
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (r *reader) object(v *value, path string) *fields {
+	if v.kind != object {
+		r.fail(v, path, "must be an object, not %s", v.kind)
+	}
+	return &fields{r, v, path, map[string]bool{}}
+}
+
+// get is a field, nil if it is missing or null.
+func (f *fields) get(name string) (*value, string) {
+	f.taken[name] = true
+	for i, k := range f.v.keys {
+		if k == name && f.v.kind == object && f.v.items[i].kind != null {
+			return f.v.items[i], join(f.path, name)
+		}
+	}
+	return nil, join(f.path, name)
+}
+
+func (f *fields) need(name string) (*value, string) {
+	v, path := f.get(name)
+	if v == nil {
+		f.r.fail(f.v, path, "is missing")
+		v = &value{kind: null, line: f.v.line, col: f.v.col}
+	}
+	return v, path
+}
+
+// unsupported are fields that the format has and this reader does not take, and why.
+var unsupported = map[string]string{
+	"extensions":                  "extensions are not supported",
+	"max":                         "an upper bound on a machine's amount is not supported",
+	"notifyPeriodInSeconds":       "a notice before a task is stopped is not supported",
+	"endOfLine":                   "is not supported",
+	"chunks":                      "chunks of tasks are not supported",
+	"parameterDefinitionsFromURI": "is not supported",
+}
+
+func (f *fields) done() {
+	if f.v.kind != object {
+		return
+	}
+	for i, k := range f.v.keys {
+		if why, known := unsupported[k]; known && !f.taken[k] {
+			f.r.fail(f.v.items[i], join(f.path, k), "%s", why)
+		} else if !f.taken[k] {
+			f.r.fail(f.v.items[i], join(f.path, k), "is not a field of the format, or not supported")
+		}
+	}
+}
+
+func (r *reader) list(v *value, path string, least, most int) []*value {
+	if v.kind != list {
+		r.fail(v, path, "must be a list, not %s", v.kind)
+		return nil
+	}
+	if len(v.items) < least || len(v.items) > most {
+		r.fail(v, path, "has %d items, must have %d to %d", len(v.items), least, most)
+		return nil
+	}
+	return v.items
+}
+
+func at(path string, i int) string { return fmt.Sprintf("%s[%d]", path, i) }
+
+// str is a string without control characters, lines in some places apart.
+func (r *reader) str(v *value, path string, least, most int, lines bool) string {
+	if v.kind != text {
+		if v.kind != null {
+			r.fail(v, path, "must be a string, not %s", v.kind)
+		}
+		return ""
+	}
+	if n := utf8.RuneCountInString(v.text); n < least || n > most {
+		r.fail(v, path, "is %d characters long, must be %d to %d", n, least, most)
+	}
+	for _, c := range v.text {
+		if unicode.IsControl(c) && !(lines && (c == '\n' || c == '\t' || c == '\r')) {
+			r.fail(v, path, "holds the control character U+%04X", c)
+			break
+		}
+	}
+	return v.text
+}
+
+func (f *fields) optStr(name string, most int, lines bool) string {
+	v, path := f.get(name)
+	if v == nil {
+		return ""
+	}
+	return f.r.str(v, path, 0, most, lines)
+}
+
+func (f *fields) oneOf(name, fallback string, of ...string) string {
+	v, path := f.get(name)
+	if v == nil {
+		return fallback
+	}
+	s := f.r.str(v, path, 1, maxName, false)
+	if !slices.Contains(of, s) {
+		f.r.fail(v, path, "%s is not supported; one of %s is", clip(s), strings.Join(of, ", "))
+	}
+	return s
+}
+
+func identifier(s string) bool {
+	for i, c := range s {
+		if c != '_' && !(c >= 'a' && c <= 'z') && !(c >= 'A' && c <= 'Z') && (i == 0 || c < '0' || c > '9') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= maxName
+}
+
+func (f *fields) identifier(name string) string {
+	v, path := f.need(name)
+	s := f.r.str(v, path, 1, maxName, false)
+	if s != "" && !identifier(s) {
+		f.r.fail(v, path, "%s is not a name of letters, digits and _, at most %d", clip(s), maxName)
+	}
+	return s
+}
+
+func (f *fields) optInt(name string, least, most int) *int {
+	v, path := f.get(name)
+	if v == nil {
+		return nil
+	}
+	n, err := strconv.Atoi(v.text)
+	if v.kind != integer && v.kind != text || err != nil || n < least || n > most {
+		f.r.fail(v, path, "must be an integer from %d to %d", least, most)
+	}
+	return &n
+}
+
+// scope is which references a format string may have.
+type scope struct {
+	onWorker bool            // scripts: sessions and files too
+	task     map[string]bool // the step's task parameters
+	files    map[string]bool // by prefix and name
+}
+
+// format checks a format string's references.
+func (r *reader) format(v *value, path string, least, most int, lines bool, sc scope) string {
+	s := r.str(v, path, least, most, lines)
+	f, err := parseFormat(s)
+	if err != nil {
+		r.fail(v, path, "%v", err)
+		return s
+	}
+	for _, ref := range f.refs() {
+		if why := r.refuse(ref, sc); why != "" {
+			r.fail(v, path, "{{%s}}: %s", ref, why)
+		}
+	}
+	return s
+}
+
+func (r *reader) refuse(ref string, sc scope) string {
+	parts := strings.Split(ref, ".")
+	switch {
+	case len(parts) == 2 && (parts[0] == "Param" || parts[0] == "RawParam"):
+		typ, ok := r.params[parts[1]]
+		if !ok {
+			return "no such job parameter"
+		}
+		if typ == "PATH" && parts[0] == "Param" && !sc.onWorker {
+			return "a PATH is known on the worker only; RawParam gives it as it was submitted"
+		}
+	case len(parts) == 3 && parts[0] == "Task" && (parts[1] == "Param" || parts[1] == "RawParam"):
+		if !sc.task[parts[2]] {
+			return "no such task parameter here"
+		}
+	case len(parts) == 3 && parts[1] == "File" && (parts[0] == "Task" || parts[0] == "Env"):
+		if !sc.files[parts[0]+"."+parts[2]] {
+			return "no such embedded file here"
+		}
+	case ref == "Session.WorkingDirectory" || ref == "Session.HasPathMappingRules" || ref == "Session.PathMappingRulesFile":
+		if !sc.onWorker {
+			return "known on the worker only"
+		}
+	default:
+		return "not a value of the format"
+	}
+	return ""
+}
+
+func readTemplate(v *value, path string) (*Template, error) {
+	r := &reader{params: map[string]string{}}
+	f := r.object(v, path)
+	t := &Template{}
+	ver, vpath := f.need("specificationVersion")
+	if t.Version = r.str(ver, vpath, 1, maxName, false); t.Version != Version {
+		r.fail(ver, vpath, "%s is not supported; %s is", clip(t.Version), Version)
+	}
+	f.get("$schema")
+	if v, path := f.get("parameterDefinitions"); v != nil {
+		for i, it := range r.list(v, path, 1, maxParameters) {
+			p := r.parameter(it, at(path, i))
+			if _, twice := r.params[p.Name]; twice {
+				r.fail(it, at(path, i), "parameter %s is defined twice", p.Name)
+			}
+			r.params[p.Name] = p.Type
+			t.Parameters = append(t.Parameters, p)
+		}
+	}
+	name, npath := f.need("name")
+	t.Name = r.format(name, npath, 1, maxString, false, scope{})
+	t.Description = f.optStr("description", maxDescribed, true)
+	envs := map[string]bool{}
+	t.Environments = r.environments(f, "jobEnvironments", envs)
+	steps, spath := f.need("steps")
+	seen := map[string]int{}
+	var places []*value
+	if steps.kind != null {
+		for i, it := range r.list(steps, spath, 1, maxSteps) {
+			s := r.step(it, at(spath, i), envs)
+			if _, twice := seen[s.Name]; twice {
+				r.fail(it, at(spath, i)+".name", "step %s is defined twice", clip(s.Name))
+			}
+			seen[s.Name] = i
+			t.Steps = append(t.Steps, s)
+			places = append(places, it)
+		}
+	}
+	r.dependencies(t, spath, seen, places)
+	f.done()
+	if r.err != nil {
+		return nil, r.err
+	}
+	return t, nil
+}
+
+// dependencies refuses unknown and cyclic ones, and names the cycle.
+func (r *reader) dependencies(t *Template, path string, seen map[string]int, places []*value) {
+	state := make([]int, len(t.Steps)) // 1: being looked at, 2: fine
+	var chain []string
+	var visit func(i int)
+	visit = func(i int) {
+		state[i] = 1
+		chain = append(chain, t.Steps[i].Name)
+		for k, d := range t.Steps[i].Dependencies {
+			p := fmt.Sprintf("%s[%d].dependencies[%d].dependsOn", path, i, k)
+			j, ok := seen[d.On]
+			switch {
+			case !ok:
+				r.fail(places[i], p, "there is no step %s", clip(d.On))
+			case state[j] == 1:
+				cycle := append(slices.Clone(chain[slices.Index(chain, d.On):]), d.On)
+				r.fail(places[i], p, "steps depend on one another: %s", strings.Join(cycle, " -> "))
+			case state[j] == 0:
+				visit(j)
+			}
+		}
+		chain = chain[:len(chain)-1]
+		state[i] = 2
+	}
+	for i := range t.Steps {
+		if state[i] == 0 && r.err == nil {
+			visit(i)
+		}
+	}
+}
+
+var parameterTypes = []string{"INT", "FLOAT", "STRING", "PATH"}
+
+func (r *reader) parameter(v *value, path string) Parameter {
+	f := r.object(v, path)
+	p := Parameter{Name: f.identifier("name")}
+	f.need("type")
+	p.Type = f.oneOf("type", "", parameterTypes...)
+	p.Description = f.optStr("description", maxDescribed, true)
+	number := p.Type == "INT" || p.Type == "FLOAT"
+	bound := func(name string) *string {
+		v, path := f.get(name)
+		if v == nil {
+			return nil
+		}
+		s, err := scalar(p.Type, v)
+		if err != nil {
+			r.fail(v, path, "%v", err)
+		}
+		return &s
+	}
+	if number {
+		p.Min, p.Max = bound("minValue"), bound("maxValue")
+		if p.Min != nil && p.Max != nil && r.err == nil && less(p.Type, *p.Max, *p.Min) {
+			r.fail(v, path+".maxValue", "%s is below minValue %s", *p.Max, *p.Min)
+		}
+	} else if p.Type != "" {
+		p.MinLength, p.MaxLength = f.optInt("minLength", 0, maxParameterValue), f.optInt("maxLength", 1, maxParameterValue)
+		if p.MinLength != nil && p.MaxLength != nil && *p.MinLength > *p.MaxLength {
+			r.fail(v, path+".maxLength", "%d is below minLength %d", *p.MaxLength, *p.MinLength)
+		}
+	}
+	if p.Type == "PATH" {
+		p.ObjectType = f.oneOf("objectType", "", "FILE", "DIRECTORY")
+		p.DataFlow = f.oneOf("dataFlow", "", "NONE", "IN", "OUT", "INOUT")
+	}
+	if v, path := f.get("allowedValues"); v != nil {
+		for i, it := range r.list(v, path, 1, maxList) {
+			s, err := scalar(p.Type, it)
+			if err == nil {
+				err = p.check(s, false)
+			}
+			if err != nil {
+				r.fail(it, at(path, i), "%v", err)
+			}
+			p.Allowed = append(p.Allowed, s)
+		}
+	}
+	if v, path := f.get("default"); v != nil {
+		s, err := scalar(p.Type, v)
+		if err == nil {
+			err = p.check(s, true)
+		}
+		if err != nil {
+			r.fail(v, path, "%v", err)
+		}
+		p.Default = &s
+	}
+	if v, path := f.get("userInterface"); v != nil {
+		r.object(v, path)
+		p.Interface, _ = json.Marshal(v.plain())
+	}
+	f.done()
+	return p
+}
+
+// maxParameterValue is the longest value of a job parameter.
+const maxParameterValue = 1024
+
+// scalar reads a value of a parameter's type into its text.
+func scalar(typ string, v *value) (string, error) {
+	switch typ {
+	case "INT":
+		if v.kind == integer || v.kind == text {
+			if n, err := strconv.ParseInt(strings.TrimPrefix(v.text, "+"), 10, 64); err == nil {
+				return strconv.FormatInt(n, 10), nil
+			}
+		}
+		return "", fmt.Errorf("%s is not an integer of 64 bits", clip(v.text))
+	case "FLOAT":
+		if v.kind == integer || v.kind == float || v.kind == text {
+			if x, err := strconv.ParseFloat(v.text, 64); err == nil && !math.IsInf(x, 0) && !math.IsNaN(x) && !strings.ContainsAny(v.text, "xX_") {
+				return v.text, nil
+			}
+		}
+		return "", fmt.Errorf("%s is not a finite number", clip(v.text))
+	}
+	if v.kind != text {
+		return "", fmt.Errorf("must be a string, not %s", v.kind)
+	}
+	return v.text, nil
+}
+
+func less(typ, a, b string) bool {
+	if typ == "INT" {
+		x, _ := strconv.ParseInt(a, 10, 64)
+		y, _ := strconv.ParseInt(b, 10, 64)
+		return x < y
+	}
+	x, _ := strconv.ParseFloat(a, 64)
+	y, _ := strconv.ParseFloat(b, 64)
+	return x < y
+}
+
+// check holds a value against a definition's bounds.
+func (p *Parameter) check(s string, allowed bool) error {
+	n := utf8.RuneCountInString(s)
+	switch {
+	case n > maxParameterValue:
+		return fmt.Errorf("is %d characters long, at most %d are taken", n, maxParameterValue)
+	case p.Min != nil && less(p.Type, s, *p.Min):
+		return fmt.Errorf("%s is below minValue %s", s, *p.Min)
+	case p.Max != nil && less(p.Type, *p.Max, s):
+		return fmt.Errorf("%s is above maxValue %s", s, *p.Max)
+	case p.MinLength != nil && n < *p.MinLength:
+		return fmt.Errorf("is %d characters long, below minLength %d", n, *p.MinLength)
+	case p.MaxLength != nil && n > *p.MaxLength:
+		return fmt.Errorf("is %d characters long, above maxLength %d", n, *p.MaxLength)
+	case allowed && p.Allowed != nil && !slices.ContainsFunc(p.Allowed, func(a string) bool {
+		return a == s || p.Type == "FLOAT" && !less(p.Type, a, s) && !less(p.Type, s, a)
+	}):
+		return fmt.Errorf("%s is not one of allowedValues", clip(s))
+	}
+	for _, c := range s {
+		if unicode.IsControl(c) {
+			return fmt.Errorf("holds the control character U+%04X", c)
+		}
+	}
+	return nil
+}
+
+func (r *reader) step(v *value, path string, jobEnvs map[string]bool) Step {
+	f := r.object(v, path)
+	s := Step{}
+	name, npath := f.need("name")
+	s.Name = r.str(name, npath, 1, maxName, false)
+	s.Description = f.optStr("description", maxDescribed, true)
+	if v, path := f.get("dependencies"); v != nil {
+		for i, it := range r.list(v, path, 1, maxSteps) {
+			d := r.object(it, at(path, i))
+			on, opath := d.need("dependsOn")
+			dep := Dependency{r.str(on, opath, 1, maxName, false)}
+			if slices.Contains(s.Dependencies, dep) {
+				r.fail(it, opath, "%s is named twice", clip(dep.On))
+			}
+			s.Dependencies = append(s.Dependencies, dep)
+			d.done()
+		}
+	}
+	if v, path := f.get("hostRequirements"); v != nil {
+		s.Host = r.host(v, path)
+	}
+	task := map[string]bool{}
+	if v, path := f.get("parameterSpace"); v != nil {
+		s.Space = r.space(v, path)
+		for _, p := range s.Space.Parameters {
+			task[p.Name] = true
+		}
+	}
+	envs := map[string]bool{}
+	for e := range jobEnvs {
+		envs[e] = true
+	}
+	s.Environments = r.environments(f, "stepEnvironments", envs)
+	script, spath := f.need("script")
+	if script.kind != null {
+		s.Script = r.script(script, spath, "Task", task, "onRun")
+		if s.Script.Actions.Run == nil {
+			r.fail(script, spath+".actions.onRun", "is missing")
+		}
+	}
+	f.done()
+	return s
+}
+
+// amounts are the names of amounts that machines have here.
+var amounts = []string{"amount.worker.vcpu", "amount.worker.memory", "amount.worker.gpu"}
+
+// attributes are the names of properties that are known here.
+var attributes = []string{"attr.worker.os.family", "attr.worker.cpu.arch", "attr.dapplestage.build", "attr.dapplestage.region"}
+
+func (r *reader) host(v *value, path string) *Host {
+	f := r.object(v, path)
+	h := &Host{}
+	names := map[string]bool{}
+	name := func(f *fields, known []string) string {
+		v, path := f.need("name")
+		s := r.str(v, path, 1, 100, false)
+		if s != "" && !slices.Contains(known, s) {
+			r.fail(v, path, "%s is not supported; of %s", clip(s), strings.Join(known, ", "))
+		}
+		if names[s] {
+			r.fail(v, path, "%s is named twice", clip(s))
+		}
+		names[s] = true
+		return s
+	}
+	if v, path := f.get("amounts"); v != nil {
+		for i, it := range r.list(v, path, 1, 50) {
+			a := r.object(it, at(path, i))
+			am := Amount{Name: name(a, amounts)}
+			v, path := a.need("min")
+			x, err := strconv.ParseFloat(v.text, 64)
+			if v.kind != null && (v.kind != integer && v.kind != float || err != nil || !(x >= 0) || x > 1e6) {
+				r.fail(v, path, "must be a number from 0 to 1000000")
+			}
+			am.Min = x
+			a.done()
+			h.Amounts = append(h.Amounts, am)
+		}
+	}
+	if v, path := f.get("attributes"); v != nil {
+		for i, it := range r.list(v, path, 1, 50) {
+			a := r.object(it, at(path, i))
+			at := Attribute{Name: name(a, attributes)}
+			values := func(name string) (out []string) {
+				if v, path := a.get(name); v != nil {
+					for i, it := range r.list(v, path, 1, 50) {
+						out = append(out, r.format(it, fmt.Sprintf("%s[%d]", path, i), 1, 100, false, scope{}))
+					}
+				}
+				return out
+			}
+			at.AnyOf, at.AllOf = values("anyOf"), values("allOf")
+			if at.AnyOf == nil && at.AllOf == nil {
+				r.fail(it, a.path, "anyOf or allOf is needed")
+			}
+			a.done()
+			h.Attributes = append(h.Attributes, at)
+		}
+	}
+	if h.Amounts == nil && h.Attributes == nil {
+		r.fail(v, path, "amounts or attributes are needed")
+	}
+	f.done()
+	return h
+}
+
+func (r *reader) space(v *value, path string) *SpaceDef {
+	f := r.object(v, path)
+	s := &SpaceDef{}
+	defs, dpath := f.need("taskParameterDefinitions")
+	names := map[string]bool{}
+	if defs.kind != null {
+		for i, it := range r.list(defs, dpath, 1, maxAxes) {
+			p := r.taskParameter(it, at(dpath, i))
+			if names[p.Name] {
+				r.fail(it, at(dpath, i), "parameter %s is defined twice", p.Name)
+			}
+			names[p.Name] = true
+			s.Parameters = append(s.Parameters, p)
+		}
+	}
+	if v, path := f.get("combination"); v != nil {
+		s.Combination = r.str(v, path, 1, 1280, false)
+		e, err := parseCombine(s.Combination)
+		if err != nil {
+			r.fail(v, path, "%v", err)
+		} else {
+			left := map[string]bool{}
+			for n := range names {
+				left[n] = true
+			}
+			for _, n := range e.names(nil) {
+				if !names[n] {
+					r.fail(v, path, "there is no task parameter %s", clip(n))
+				} else if !left[n] {
+					r.fail(v, path, "%s is in it twice", n)
+				}
+				delete(left, n)
+			}
+			for _, p := range s.Parameters {
+				if left[p.Name] {
+					r.fail(v, path, "%s is not in it", p.Name)
+				}
+			}
+		}
+	}
+	f.done()
+	return s
+}
+
+func (r *reader) taskParameter(v *value, path string) TaskParameter {
+	f := r.object(v, path)
+	p := TaskParameter{Name: f.identifier("name")}
+	if t, tpath := f.need("type"); t.kind == text && t.text == "CHUNK[INT]" {
+		r.fail(t, tpath, "chunks of tasks are not supported")
+	}
+	p.Type = f.oneOf("type", "", parameterTypes...)
+	rng, rpath := f.need("range")
+	switch {
+	case rng.kind == list:
+		for i, it := range r.list(rng, rpath, 1, maxList) {
+			ipath := at(rpath, i)
+			s := it.text
+			if it.kind == text {
+				s = r.format(it, ipath, 0, maxParameterValue, false, scope{})
+			}
+			if !strings.Contains(s, "{{") {
+				var err error
+				if s, err = scalar(p.Type, it); err != nil {
+					r.fail(it, ipath, "%v", err)
+				}
+			}
+			p.Range.List = append(p.Range.List, s)
+		}
+	case rng.kind == text && p.Type == "INT":
+		p.Range.Expr = r.format(rng, rpath, 1, 4096, false, scope{})
+		if e, err := parseFormat(p.Range.Expr); err == nil {
+			for _, ref := range e.refs() {
+				// A string could bring commas and dashes of its own: only numbers may
+				// stand in an expression.
+				if _, name, _ := strings.Cut(ref, "."); r.params[name] != "INT" {
+					r.fail(rng, rpath, "{{%s}}: only INT parameters may stand in a range expression", ref)
+				}
+			}
+			if len(e.refs()) == 0 {
+				if _, err := parseRange(p.Range.Expr); err != nil {
+					r.fail(rng, rpath, "%v", err)
+				}
+			}
+		}
+	case rng.kind != null:
+		r.fail(rng, rpath, "must be a list of values, or for INT a range expression")
+	}
+	f.done()
+	return p
+}
+
+func (r *reader) environments(f *fields, name string, seen map[string]bool) (out []Environment) {
+	v, path := f.get(name)
+	if v == nil {
+		return nil
+	}
+	for i, it := range r.list(v, path, 1, maxEnvs) {
+		path := at(path, i)
+		f := r.object(it, path)
+		e := Environment{}
+		n, npath := f.need("name")
+		e.Name = r.str(n, npath, 1, maxName, false)
+		if seen[e.Name] {
+			r.fail(n, npath, "environment %s is defined twice", clip(e.Name))
+		}
+		seen[e.Name] = true
+		e.Description = f.optStr("description", maxDescribed, true)
+		if v, path := f.get("variables"); v != nil {
+			if r.object(v, path); len(v.keys) > maxList || len(v.keys) == 0 {
+				r.fail(v, path, "has %d items, must have 1 to %d", len(v.keys), maxList)
+			}
+			e.Variables = map[string]string{}
+			for k, name := range v.keys {
+				if !identifier(name) {
+					r.fail(v.items[k], join(path, name), "is not a name of letters, digits and _, at most %d", maxName)
+				}
+				e.Variables[name] = r.format(v.items[k], join(path, name), 0, 2048, true, scope{onWorker: true})
+			}
+		}
+		if v, path := f.get("script"); v != nil {
+			s := r.script(v, path, "Env", nil, "onEnter", "onExit")
+			e.Script = &s
+		}
+		if e.Script == nil && e.Variables == nil {
+			r.fail(it, path, "script or variables are needed")
+		}
+		f.done()
+		out = append(out, e)
+	}
+	return out
+}
+
+func (r *reader) script(v *value, path, prefix string, task map[string]bool, actions ...string) Script {
+	f := r.object(v, path)
+	s := Script{}
+	files := map[string]bool{}
+	sc := scope{onWorker: true, task: task, files: files}
+	if v, path := f.get("embeddedFiles"); v != nil {
+		items := r.list(v, path, 1, maxFiles)
+		for i, it := range items { // their names first: they may name one another
+			if name, _ := r.object(it, at(path, i)).get("name"); name != nil {
+				if key := prefix + "." + name.text; files[key] {
+					r.fail(name, at(path, i)+".name", "file %s is defined twice", clip(name.text))
+				} else {
+					files[key] = true
+				}
+			}
+		}
+		for i, it := range items {
+			f := r.object(it, at(path, i))
+			file := File{Name: f.identifier("name")}
+			f.need("type")
+			file.Type = f.oneOf("type", "", "TEXT")
+			file.Filename = f.optStr("filename", maxName, false)
+			if strings.ContainsAny(file.Filename, `/\`) || file.Filename == "." || file.Filename == ".." {
+				r.fail(it, at(path, i)+".filename", "%s is not a plain file name", clip(file.Filename))
+			}
+			d, dpath := f.need("data")
+			file.Data = r.format(d, dpath, 1, maxString, true, sc)
+			if v, path := f.get("runnable"); v != nil {
+				if v.kind != boolean {
+					r.fail(v, path, "must be true or false")
+				}
+				file.Runnable = v.text == "true"
+			}
+			f.done()
+			s.Files = append(s.Files, file)
+		}
+	}
+	acts, apath := f.need("actions")
+	if acts.kind != null {
+		a := r.object(acts, apath)
+		any := false
+		for _, name := range actions {
+			v, path := a.get(name)
+			if v == nil {
+				continue
+			}
+			any = true
+			act := r.action(v, path, sc)
+			switch name {
+			case "onRun":
+				s.Actions.Run = act
+			case "onEnter":
+				s.Actions.Enter = act
+			case "onExit":
+				s.Actions.Exit = act
+			}
+		}
+		if !any {
+			r.fail(acts, apath, "one of %s is needed", strings.Join(actions, ", "))
+		}
+		a.done()
+	}
+	f.done()
+	return s
+}
+
+func (r *reader) action(v *value, path string, sc scope) *Action {
+	f := r.object(v, path)
+	a := &Action{}
+	c, cpath := f.need("command")
+	a.Command = r.format(c, cpath, 1, maxParameterValue, false, sc)
+	if v, path := f.get("args"); v != nil {
+		for i, it := range r.list(v, path, 0, maxArgs) {
+			a.Args = append(a.Args, r.format(it, at(path, i), 0, 8192, true, sc))
+		}
+	}
+	a.Timeout = f.optInt("timeout", 1, 1<<31-1)
+	if v, path := f.get("cancelation"); v != nil {
+		c := r.object(v, path)
+		c.need("mode")
+		a.Cancelation = &Cancelation{c.oneOf("mode", "", "TERMINATE")}
+		c.done()
+	}
+	f.done()
+	return a
+}
--- /dev/null
+++ b/internal/protocol/ticket/tree.go
@@ -0,0 +1,340 @@
+package ticket
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Limits of a document as text. A ticket travels in a request, so its text can't be
+// longer than that; what it may become when it is expanded has limits of its own.
+const (
+	MaxText  = 60 << 10
+	maxDepth = 24
+	maxNodes = 20000
+)
+
+// Error is what is wrong with a ticket, and where.
+type Error struct {
+	Line, Col int    // 1 and up; 0: not known
+	Field     string // such as steps[0].parameterSpace.combination
+	Text      string
+}
+
+func (e *Error) Error() string {
+	var b strings.Builder
+	if e.Line > 0 {
+		fmt.Fprintf(&b, "line %d, column %d: ", e.Line, e.Col)
+	}
+	if e.Field != "" {
+		b.WriteString(e.Field + ": ")
+	}
+	b.WriteString(e.Text)
+	return b.String()
+}
+
+type kind uint8
+
+const (
+	null kind = iota
+	boolean
+	integer
+	float
+	text
+	list
+	object
+)
+
+var kindNames = [...]string{"null", "a boolean", "an integer", "a number", "a string", "a list", "an object"}
+
+func (k kind) String() string { return kindNames[k] }
+
+// value is a piece of a document with its place.
+type value struct {
+	kind      kind
+	line, col int
+	text      string   // of a scalar: what was written, or the string
+	keys      []string // of an object, beside items
+	items     []*value
+}
+
+// parseDocument reads JSON or YAML. form is "JSON", "YAML", or empty for whichever it is.
+func parseDocument(data []byte, form string) (*value, error) {
+	switch {
+	case len(data) > MaxText:
+		return nil, &Error{Text: fmt.Sprintf("%d bytes long, at most %d are taken", len(data), MaxText)}
+	case !utf8.Valid(data):
+		return nil, &Error{Text: "not UTF-8"}
+	case form == "":
+		form = "YAML"
+		if t := bytes.TrimLeft(data, " \t\r\n"); len(t) > 0 && t[0] == '{' {
+			form = "JSON"
+		}
+	}
+	if form == "JSON" {
+		return parseJSON(data)
+	}
+	return parseYAML(data)
+}
+
+// counted refuses documents that are too deep or have too many parts.
+type counted struct{ nodes int }
+
+func (c *counted) enter(depth, line, col int) error {
+	if c.nodes++; c.nodes > maxNodes {
+		return &Error{Line: line, Col: col, Text: fmt.Sprintf("more than %d values", maxNodes)}
+	}
+	if depth > maxDepth {
+		return &Error{Line: line, Col: col, Text: fmt.Sprintf("nested more than %d deep", maxDepth)}
+	}
+	return nil
+}
+
+type jsonReader struct {
+	counted
+	data []byte
+	dec  *json.Decoder
+	line int // of the offset counted up to
+	from int
+	bol  int // where that line begins
+}
+
+func parseJSON(data []byte) (*value, error) {
+	r := &jsonReader{data: data, dec: json.NewDecoder(bytes.NewReader(data)), line: 1}
+	r.dec.UseNumber()
+	v, err := r.read(0)
+	if err == nil {
+		if _, more := r.dec.Token(); more != io.EOF {
+			err = r.at("something follows the document")
+		}
+	}
+	return v, err
+}
+
+// place is the line and column of the next token.
+func (r *jsonReader) place() (line, col int) {
+	off := int(r.dec.InputOffset())
+	for off < len(r.data) && strings.IndexByte(" \t\r\n,:", r.data[off]) >= 0 {
+		off++
+	}
+	for ; r.from < off; r.from++ {
+		if r.data[r.from] == '\n' {
+			r.line, r.bol = r.line+1, r.from+1
+		}
+	}
+	return r.line, off - r.bol + 1
+}
+
+func (r *jsonReader) at(text string) error {
+	line, col := r.place()
+	return &Error{Line: line, Col: col, Text: text}
+}
+
+func (r *jsonReader) read(depth int) (*value, error) {
+	line, col := r.place()
+	if err := r.enter(depth, line, col); err != nil {
+		return nil, err
+	}
+	tok, err := r.dec.Token()
+	if err != nil {
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			return nil, &Error{Line: line, Col: col, Text: syntax.Error()}
+		}
+		return nil, &Error{Line: line, Col: col, Text: "the document ends too early"}
+	}
+	v := &value{line: line, col: col}
+	switch t := tok.(type) {
+	case nil:
+	case bool:
+		v.kind, v.text = boolean, strconv.FormatBool(t)
+	case json.Number:
+		v.kind, v.text = numberKind(t.String()), t.String()
+	case string:
+		v.kind, v.text = text, t
+	case json.Delim:
+		v.kind = list
+		if t == '{' {
+			v.kind = object
+		}
+		for r.dec.More() {
+			if v.kind == object {
+				kline, kcol := r.place()
+				k, err := r.dec.Token()
+				key, ok := k.(string)
+				if err != nil || !ok {
+					return nil, &Error{Line: kline, Col: kcol, Text: "a name in quotes is expected"}
+				}
+				if err := v.addKey(key, kline, kcol); err != nil {
+					return nil, err
+				}
+			}
+			item, err := r.read(depth + 1)
+			if err != nil {
+				return nil, err
+			}
+			v.items = append(v.items, item)
+		}
+		if _, err := r.dec.Token(); err != nil {
+			return nil, r.at("a list or an object is not closed")
+		}
+	}
+	return v, nil
+}
+
+func (v *value) addKey(key string, line, col int) error {
+	for _, k := range v.keys {
+		if k == key {
+			return &Error{Line: line, Col: col, Field: key, Text: "given twice"}
+		}
+	}
+	v.keys = append(v.keys, key)
+	return nil
+}
+
+func numberKind(s string) kind {
+	if strings.ContainsAny(s, ".eE") {
+		return float
+	}
+	return integer
+}
+
+func parseYAML(data []byte) (*value, error) {
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	var doc yaml.Node
+	if err := dec.Decode(&doc); err != nil {
+		if err == io.EOF {
+			return nil, &Error{Text: "empty"}
+		}
+		return nil, yamlError(err)
+	}
+	var second yaml.Node
+	if err := dec.Decode(&second); err != io.EOF {
+		if err != nil {
+			return nil, yamlError(err)
+		}
+		return nil, &Error{Line: second.Line, Col: second.Column, Text: "a second document"}
+	}
+	if doc.Kind != yaml.DocumentNode || len(doc.Content) != 1 {
+		return nil, &Error{Text: "empty"}
+	}
+	var c counted
+	return c.fromYAML(doc.Content[0], 0)
+}
+
+// yamlError finds the line in the library's message.
+func yamlError(err error) error {
+	msg := strings.TrimPrefix(err.Error(), "yaml: ")
+	e := &Error{Text: msg}
+	if rest, ok := strings.CutPrefix(msg, "line "); ok {
+		if num, text, ok := strings.Cut(rest, ": "); ok {
+			if n, err := strconv.Atoi(num); err == nil {
+				e.Line, e.Col, e.Text = n, 1, text
+			}
+		}
+	}
+	return e
+}
+
+func (c *counted) fromYAML(n *yaml.Node, depth int) (*value, error) {
+	if err := c.enter(depth, n.Line, n.Column); err != nil {
+		return nil, err
+	}
+	bad := func(s string) (*value, error) { return nil, &Error{Line: n.Line, Col: n.Column, Text: s} }
+	v := &value{line: n.Line, col: n.Column}
+	switch {
+	case n.Kind == yaml.AliasNode || n.Anchor != "":
+		return bad("anchors and aliases are not taken: write the value out")
+	case n.Kind == yaml.ScalarNode:
+		v.text = n.Value
+		switch n.ShortTag() {
+		case "!!null":
+			v.text = ""
+		case "!!bool":
+			v.kind = boolean
+		case "!!int":
+			v.kind = integer
+			if strings.Trim(strings.TrimLeft(n.Value, "+-"), "0123456789") != "" {
+				return bad("integers are written in decimal: " + clip(n.Value))
+			}
+		case "!!float":
+			v.kind = float
+			if f, err := strconv.ParseFloat(n.Value, 64); err != nil || math.IsInf(f, 0) || math.IsNaN(f) {
+				return bad("not a finite decimal number: " + clip(n.Value))
+			}
+		case "!!str", "!!timestamp":
+			v.kind = text
+		default:
+			return bad("tags are not taken: " + clip(n.Tag))
+		}
+	case n.Kind == yaml.SequenceNode:
+		v.kind = list
+		for _, it := range n.Content {
+			item, err := c.fromYAML(it, depth+1)
+			if err != nil {
+				return nil, err
+			}
+			v.items = append(v.items, item)
+		}
+	case n.Kind == yaml.MappingNode:
+		v.kind = object
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			k := n.Content[i]
+			if k.Kind != yaml.ScalarNode || k.ShortTag() == "!!merge" || k.Anchor != "" {
+				return nil, &Error{Line: k.Line, Col: k.Column, Text: "a plain name is expected (merge keys are not taken)"}
+			}
+			if err := v.addKey(k.Value, k.Line, k.Column); err != nil {
+				return nil, err
+			}
+			item, err := c.fromYAML(n.Content[i+1], depth+1)
+			if err != nil {
+				return nil, err
+			}
+			v.items = append(v.items, item)
+		}
+	default:
+		return bad("not understood")
+	}
+	return v, nil
+}
+
+// plain is a value as encoding/json knows it.
+func (v *value) plain() any {
+	switch v.kind {
+	case boolean:
+		return v.text == "true"
+	case integer, float:
+		return json.Number(v.text)
+	case text:
+		return v.text
+	case list:
+		out := []any{}
+		for _, it := range v.items {
+			out = append(out, it.plain())
+		}
+		return out
+	case object:
+		out := map[string]any{}
+		for i, k := range v.keys {
+			out[k] = v.items[i].plain()
+		}
+		return out
+	}
+	return nil
+}
+
+// clip shortens what is quoted in an error.
+func clip(s string) string {
+	if len(s) > 60 {
+		s = strings.ToValidUTF8(s[:60], "") + "..."
+	}
+	return strconv.Quote(s)
+}
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -51,6 +51,8 @@
 	JobRunning   = "running"
 	JobDone      = "done"
 	JobCancelled = "withdrawn"
+	// JobFailed is told of tickets alone: too many of its tasks used up their tries.
+	JobFailed = "failed"
 )
 
 // Commands to workers.
@@ -100,7 +102,11 @@
 var required = []string{"id", "lot", "crew", "shape", "urgency", "pieces", "vcpus", "cards", "memGb",
 	"bundle", "sizeGb", "together", "scatter", "loaners", "expectS", "snapshotS", "storeS"}
 
-// ParseJob reads a submission. Its error is the reason for a 400.
+// ErrTicket says that a submission carries a ticket.
+var ErrTicket = errors.New("field ticket: no tickets are taken here")
+
+// ParseJob reads a submission. Its error is the reason for a 400; it is ErrTicket if
+// the submission carries a ticket, which must not run as if it carried none.
 func ParseJob(body []byte) (*JobSpec, error) {
 	if len(body) > MaxBody {
 		return nil, errors.New("body over 64 KiB")
@@ -109,6 +115,9 @@
 	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
 		return nil, errors.New("not a JSON object")
 	}
+	if v, ok := fields["ticket"]; ok && !bytes.Equal(v, []byte("null")) {
+		return nil, ErrTicket
+	}
 	for _, f := range required {
 		if v, ok := fields[f]; !ok || bytes.Equal(v, []byte("null")) {
 			return nil, fmt.Errorf("field %s is missing", f)
@@ -205,6 +214,9 @@
 	Status  string `json:"status"`
 	Done    int    `json:"done"`
 	Running int    `json:"running"`
+	// Of a ticket: its tasks that failed, and the terms that it was taken on.
+	Failed int          `json:"failed,omitempty"`
+	Terms  *TicketTerms `json:"terms,omitempty"`
 }
 
 // TaskID names a task on the wire.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -29,6 +29,8 @@
 	Slow func() time.Duration
 	// Fetch is what an image takes; 0: fetchTime.
 	Fetch time.Duration
+	// Fails, if set, says whether a task that failed so often fails once more.
+	Fails func(job *protocol.JobSpec, task, errors int) bool
 	// Log, if set, is told what runs: "start" when a task has its image, then "done"
 	// or "end". It must not block.
 	Log func(event, task, machine string, at time.Time)
@@ -41,6 +43,7 @@
 	jobs      map[string]*protocol.JobSpec
 	cancelled map[string]time.Time
 	mistaken  map[string]bool
+	errors    map[string]int // by task
 	Started   int
 	Broken    []string
 }
@@ -73,7 +76,7 @@
 
 // NewFleet makes a fleet that lives until ctx ends.
 func NewFleet(ctx context.Context) *Fleet {
-	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}}
+	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}}
 }
 
 // Submitted tells the workers of a job, as users do.
@@ -90,6 +93,13 @@
 	f.mistaken[id] = true
 }
 
+// Errors is how often a task ended with an error.
+func (f *Fleet) Errors(task string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.errors[task]
+}
+
 // Cancelled tells the checker that a user was told that a job is cancelled.
 func (f *Fleet) Cancelled(id string) {
 	f.mu.Lock()
@@ -432,8 +442,9 @@
 	if at, ok := f.cancelled[p.job.ID]; ok && time.Since(at).Seconds() > f.Workers.CancelS {
 		f.broken("ran_cancelled %s", id)
 	}
-	if f.mistaken[p.job.ID] {
-		m.ended("end", id, p, time.Now())
+	if f.mistaken[p.job.ID] || f.Fails != nil && f.Fails(p.job, p.num, f.errors[id]) {
+		f.errors[id]++
+		m.ended("error", id, p, time.Now())
 		p.state, p.cause = protocol.TaskExited, protocol.CauseError
 	}
 }
