--- /dev/null
+++ b/cmd/lab/tickets.go
@@ -0,0 +1,694 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"dapplestage.example/dapplestage/internal/coordination"
+	"dapplestage.example/dapplestage/internal/coordination/ticket"
+	"dapplestage.example/dapplestage/internal/protocol"
+	format "dapplestage.example/dapplestage/internal/protocol/ticket"
+	"dapplestage.example/dapplestage/internal/standin"
+)
+
+// A farm is one site as real processes: a state service, render servers and two
+// controllers that take tickets. Two farms of the same seed are given the same tickets,
+// one by POST /tickets and one inside ordinary submissions. What their machines ran and
+// what their users were told must be equal, line by line, and equal to what the seed
+// says it must be.
+
+type farm struct {
+	dir       string
+	procs     []*process
+	apis      []string
+	cloud     string
+	state     string
+	events    string
+	http      *http.Client
+	heldStart []string // starts on machines that were held back
+}
+
+// farmTimes are the times of a farm's site.
+var farmTimes = times{workersLease: 2.5, report: 0.5, cancel: 14, writeRPS: 150}
+
+const farmClasses = `
+[[classes]]
+lot = "preview"
+urgency = "high"
+retries = %d
+failed = 3
+tasks = 100000
+vcpus = 2.0
+cards = 1.0
+memGb = 8.0
+bundle = "img-1"
+sizeGb = 1.0
+loaners = true
+expectS = 0.8
+`
+
+// farmRetries is what the class of a farm allows.
+const farmRetries = 3
+
+func newFarm(ctx context.Context, bin, dir string, seed uint64, retries, machines int, t times) (*farm, error) {
+	f := &farm{dir: dir, events: filepath.Join(dir, "events"), http: &http.Client{Timeout: 5 * time.Second}}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return f, err
+	}
+	a, err := ports(6)
+	if err != nil {
+		return f, err
+	}
+	state, cloud, peers := a[0], a[1], a[4:6]
+	f.cloud, f.state, f.apis = cloud, state, a[2:4]
+	classes := filepath.Join(dir, "tickets.toml")
+	if err := os.WriteFile(classes, fmt.Appendf(nil, farmClasses, retries), 0o644); err != nil {
+		return f, err
+	}
+	proc := func(name, program string, args ...string) {
+		f.procs = append(f.procs, &process{name: name, bin: filepath.Join(bin, program), args: args, log: filepath.Join(dir, name+".log")})
+	}
+	nodes := []string{"n-0", "n-1"}
+	proc("state", "standin", "-state", state, "-cloud", "", "-nodes", "n-0="+f.apis[0])
+	proc("cloud", "standin", "-state", "", "-cloud", cloud, "-nodes", "n-0="+f.apis[0]+",n-1="+f.apis[1], "-boot", "400ms", "-fetch", "150ms",
+		"-lease", fmt.Sprint(t.workersLease), "-report", fmt.Sprint(t.report), "-zone", "a", "-machines", fmt.Sprint(machines), "-events", f.events, "-farm", fmt.Sprint(seed))
+	for i, n := range nodes {
+		path := filepath.Join(dir, n+".toml")
+		text := controllerSettings(n, nodes[1-i], "a", f.apis[i], peers[i], peers[1-i], cloud, state, t)
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			return f, err
+		}
+		proc(n, "dapplestage", "--tickets", classes, "--config", path)
+	}
+	for _, p := range f.procs {
+		if err := p.start(); err != nil {
+			return f, err
+		}
+	}
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		ok := true
+		for _, api := range f.apis {
+			status, _, err := f.call(ctx, "GET", api, "/ready", nil)
+			ok = ok && err == nil && status == 200
+		}
+		if ok {
+			return f, nil
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return f, fmt.Errorf("the farm in %s did not start", dir)
+		}
+	}
+}
+
+func (f *farm) end() {
+	for _, p := range f.procs {
+		p.kill()
+	}
+}
+
+func (f *farm) call(ctx context.Context, method, addr, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, strings.NewReader(string(body)))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	return resp.StatusCode, data, err
+}
+
+// farmTicket is a ticket of a run.
+type farmTicket struct {
+	id, name  string
+	steps     []string // "name tasks after..."
+	retries   int
+	failed    int
+	cancelled bool // as soon as it is accepted
+}
+
+// body is the ticket's submission; carried: inside an ordinary one.
+func (t *farmTicket) body(carried bool) []byte {
+	var steps []map[string]any
+	for _, s := range t.steps {
+		f := strings.Fields(s)
+		step := map[string]any{"name": f[0], "script": map[string]any{"actions": map[string]any{"onRun": map[string]any{"command": "render", "args": []string{"{{Task.Param.F}}"}}}},
+			"parameterSpace": map[string]any{"taskParameterDefinitions": []any{map[string]any{"name": "F", "type": "INT", "range": "1-" + f[1]}}}}
+		var deps []any
+		for _, d := range f[2:] {
+			deps = append(deps, map[string]any{"dependsOn": d})
+		}
+		if deps != nil {
+			step["dependencies"] = deps
+		}
+		steps = append(steps, step)
+	}
+	tk := map[string]any{"maxRetriesPerTask": t.retries, "maxFailedTasksCount": t.failed, "priority": 100,
+		"template": map[string]any{"specificationVersion": format.Version, "name": t.name, "steps": steps}}
+	out := map[string]any{"id": t.id, "lot": "preview", "crew": "red"}
+	if carried {
+		out["ticket"] = tk
+	} else {
+		for k, v := range tk {
+			out[k] = v
+		}
+	}
+	data, _ := json.Marshal(out)
+	return data
+}
+
+// drawTickets draws the tickets of a run.
+func drawTickets(seed uint64) []*farmTicket {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	var out []*farmTicket
+	for i := range 6 {
+		t := &farmTicket{id: fmt.Sprintf("job-%06d", i), name: fmt.Sprintf("t%d", i), retries: 2 + rng.IntN(6)}
+		switch i {
+		case 0: // fails at once when its first task has used up its tries
+			t.name = standin.Hopeless + " at once"
+		case 1: // survives that, and fails in the end
+			t.name, t.failed = standin.Hopeless+" survived", 2
+		case 2:
+			t.cancelled = true
+		}
+		for k := range 1 + rng.IntN(3) {
+			s := fmt.Sprintf("s%d %d", k, 1+rng.IntN(6))
+			for d := range k {
+				if rng.IntN(2) == 0 {
+					s += fmt.Sprintf(" s%d", d)
+				}
+			}
+			t.steps = append(t.steps, s)
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// describe are the descriptions that a ticket's user uploads.
+func describe(body []byte) ([]ticket.Description, error) {
+	s, a, err := admitted(body)
+	if err != nil {
+		return nil, err
+	}
+	return ticket.Describe(s, a)
+}
+
+// admitted is the ticket as any node admits it.
+func (t *farmTicket) admitted() (*format.Submission, *ticket.Admitted, error) {
+	return admitted(t.body(false))
+}
+
+func admitted(body []byte) (*format.Submission, *ticket.Admitted, error) {
+	s, err := format.ParseTicket(body)
+	if err != nil {
+		return nil, nil, err
+	}
+	classes := ticket.Table{"preview": {Lot: "preview", Urgency: "high", Shapes: []string{"sweep"}, Over: ticket.Grant, Retries: farmRetries, Failed: 3, Tasks: 100000, VCPUs: 2, Cards: 1, MemGB: 8, Bundle: "img-1", SizeGB: 1, Loaners: true, ExpectS: 0.8}}
+	a, err := ticket.Admit(s, classes, ticket.Limits{ValueBytes: 8000})
+	return s, a, err
+}
+
+// expected are the lines that a ticket must give: the seed alone decides.
+func (t *farmTicket) expected(f *standin.Farm) ([]string, error) {
+	_, a, err := t.admitted()
+	if err != nil {
+		return nil, err
+	}
+	rec := a.Record
+	granted := rec.Terms.Retries.Granted
+	atOnce := strings.HasPrefix(t.name, standin.Hopeless) && t.failed == 0
+	status := protocol.JobDone
+	if strings.HasPrefix(t.name, standin.Hopeless) {
+		status = protocol.JobFailed
+	}
+	lines := []string{fmt.Sprintf("%s retries asked %d granted %d urgency %s", t.name, t.retries, min(t.retries, farmRetries), "high")}
+	if t.cancelled {
+		return append(lines, t.name+" withdrawn"), nil
+	}
+	lines = append(lines, t.name+" "+status)
+	state := make([]string, len(rec.Steps))
+	for i, st := range rec.Steps {
+		state[i] = protocol.JobDone
+		for _, d := range st.Deps {
+			if state[d] != protocol.JobDone {
+				state[i] = coordination.StepNotRun
+			}
+		}
+		if state[i] == coordination.StepNotRun {
+			if !atOnce {
+				lines = append(lines, fmt.Sprintf("%s %s %s", t.name, st.Name, state[i]))
+			}
+			continue
+		}
+		for k := range st.Tasks {
+			n := f.Errors(t.name, st.Name, k)
+			end := "done"
+			if n < 0 || n > granted {
+				n, end, state[i] = granted+1, "failed", protocol.JobFailed
+			}
+			if !atOnce || end == "failed" {
+				lines = append(lines, fmt.Sprintf("%s %s/%d %d errors, %s", t.name, st.Name, k, n, end))
+			}
+		}
+		if !atOnce {
+			lines = append(lines, fmt.Sprintf("%s %s %s", t.name, st.Name, state[i]))
+		}
+	}
+	return lines, nil
+}
+
+// farmEvent is what a render server ran.
+type farmEvent struct {
+	At      int64
+	Event   string
+	Task    string
+	Machine string
+}
+
+func readEvents(path string) ([]farmEvent, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	var out []farmEvent
+	for sc := bufio.NewScanner(file); sc.Scan(); {
+		var e farmEvent
+		if json.Unmarshal(sc.Bytes(), &e) == nil {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
+// lines are what a ticket gave: from the machines' own log and from what its user was
+// told, each for its own part.
+func (t *farmTicket) lines(told *coordination.TicketStatus, events []farmEvent) ([]string, error) {
+	_, a, err := t.admitted()
+	if err != nil {
+		return nil, err
+	}
+	atOnce := strings.HasPrefix(t.name, standin.Hopeless) && t.failed == 0
+	terms := told.Terms
+	asked := -1
+	if terms != nil && terms.Retries.Asked != nil {
+		asked = *terms.Retries.Asked
+	}
+	lines := []string{fmt.Sprintf("%s retries asked %d granted %d urgency %s", t.name, asked, terms.Retries.Granted, terms.Urgency), t.name + " " + told.Status}
+	if t.cancelled {
+		return lines, nil
+	}
+	starts, errs, done := map[string]int{}, map[string]int{}, map[string]bool{}
+	lastDone, firstStart := map[string]int64{}, map[string]int64{}
+	for _, e := range events {
+		job, _, _ := protocol.ParseTaskID(e.Task)
+		switch e.Event {
+		case "start":
+			starts[e.Task]++
+			if firstStart[job] == 0 {
+				firstStart[job] = e.At
+			}
+		case "error":
+			errs[e.Task]++
+		case "done":
+			done[e.Task] = true
+			lastDone[job] = max(lastDone[job], e.At)
+		}
+	}
+	for i, st := range a.Record.Steps {
+		id := ticket.StepSpec(a.Record, i).ID
+		for _, d := range st.Deps {
+			if dep := ticket.StepSpec(a.Record, d).ID; firstStart[id] != 0 && firstStart[id] < lastDone[dep] {
+				lines = append(lines, fmt.Sprintf("%s %s started before %s was done", t.name, st.Name, a.Record.Steps[d].Name))
+			}
+		}
+		if told.Steps[i].Status == coordination.StepNotRun {
+			if firstStart[id] != 0 {
+				lines = append(lines, fmt.Sprintf("%s %s is told not to have run, and did", t.name, st.Name))
+			}
+			if !atOnce {
+				lines = append(lines, fmt.Sprintf("%s %s %s", t.name, st.Name, told.Steps[i].Status))
+			}
+			continue
+		}
+		for k := range st.Tasks {
+			task := protocol.TaskID(id, k)
+			end := "not run"
+			switch {
+			case done[task]:
+				end = "done"
+			case errs[task] > 0:
+				end = "failed"
+			}
+			if atOnce && !(i == 0 && k == 0) {
+				continue // what else ran until then is a matter of time
+			}
+			lines = append(lines, fmt.Sprintf("%s %s/%d %d errors, %s", t.name, st.Name, k, errs[task], end))
+			if starts[task] < errs[task] || done[task] && starts[task] <= errs[task] {
+				lines = append(lines, fmt.Sprintf("%s ended more often than it started", task))
+			}
+		}
+		if !atOnce {
+			lines = append(lines, fmt.Sprintf("%s %s %s", t.name, st.Name, told.Steps[i].Status))
+		}
+	}
+	return lines, nil
+}
+
+// compare tells the lines in which two accounts differ.
+func compare(nameA, nameB string, a, b []string) (out []string) {
+	for i := range max(len(a), len(b)) {
+		x, y := "(nothing)", "(nothing)"
+		if i < len(a) {
+			x = a[i]
+		}
+		if i < len(b) {
+			y = b[i]
+		}
+		if x != y {
+			out = append(out, fmt.Sprintf("%s: %s | %s: %s", nameA, x, nameB, y))
+		}
+	}
+	return out
+}
+
+// play gives a farm the tickets and waits for their ends.
+func (f *farm) play(ctx context.Context, seed uint64, tickets []*farmTicket, carried bool) (map[string]*coordination.TicketStatus, []time.Duration, error) {
+	rng := rand.New(rand.NewPCG(seed, 12))
+	told := map[string]*coordination.TicketStatus{}
+	var accepts []time.Duration
+	for _, t := range tickets {
+		if err := uploadAll(ctx, f, t.body(false), len(t.steps)); err != nil {
+			return nil, nil, err
+		}
+		path := "/tickets"
+		if carried {
+			path = "/api/jobs"
+		}
+		came := time.Now()
+		for try := 0; ; try++ {
+			status, out, err := f.call(ctx, "POST", f.apis[rng.IntN(2)], path, t.body(carried))
+			if err == nil && (status == 200 || status == 201) {
+				break
+			}
+			if try > 60 || ctx.Err() != nil || err == nil && status < 500 {
+				return nil, nil, fmt.Errorf("%s: %d %s %v", t.name, status, out, err)
+			}
+			time.Sleep(time.Second)
+		}
+		accepts = append(accepts, time.Since(came))
+		if t.cancelled {
+			if status, out, err := f.call(ctx, "POST", f.apis[rng.IntN(2)], "/tickets/"+t.id+"/cancel", []byte("{}")); err != nil || status != 200 {
+				return nil, nil, fmt.Errorf("%s: cancel: %d %s %v", t.name, status, out, err)
+			}
+		}
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		f.drainSome(ctx, rand.New(rand.NewPCG(seed, 13)), stop)
+	}()
+	defer func() {
+		close(stop)
+		wg.Wait()
+	}()
+	for deadline := time.Now().Add(120 * time.Second); ; time.Sleep(300 * time.Millisecond) {
+		open := 0
+		for _, t := range tickets {
+			status, out, err := f.call(ctx, "GET", f.apis[rng.IntN(2)], "/tickets/"+t.id, nil)
+			var st coordination.TicketStatus
+			if err != nil || status != 200 || json.Unmarshal(out, &st) != nil {
+				open++
+				continue
+			}
+			told[t.name] = &st
+			if st.Running > 0 || st.Status != protocol.JobDone && st.Status != protocol.JobFailed && st.Status != protocol.JobCancelled || slices.ContainsFunc(st.Steps, func(s coordination.StepStatus) bool { return s.Running > 0 }) {
+				open++
+			}
+		}
+		if open == 0 {
+			return told, accepts, nil
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return told, accepts, fmt.Errorf("%d tickets did not end", open)
+		}
+	}
+}
+
+// drainSome holds back one machine after another, as an operator does, and notes
+// starts on them.
+func (f *farm) drainSome(ctx context.Context, rng *rand.Rand, stop chan struct{}) {
+	set := func(names ...string) bool {
+		_, out, err := f.call(ctx, "GET", f.apis[0], "/admin/settings", nil)
+		var v struct{ Stamp uint64 }
+		if err != nil || json.Unmarshal(out, &v) != nil {
+			return false
+		}
+		body, _ := json.Marshal(map[string]any{"value": append([]string{}, names...), "stamp": v.Stamp})
+		status, _, err := f.call(ctx, "PUT", f.apis[0], "/admin/settings/held_back", body)
+		return err == nil && status == 200
+	}
+	for {
+		var list protocol.MachineList
+		_, out, err := f.call(ctx, "GET", f.cloud, "/hosts", nil)
+		if err == nil && json.Unmarshal(out, &list) == nil && len(list.Machines) > 0 {
+			m := list.Machines[rng.IntN(len(list.Machines))].ID
+			if set(m) {
+				from := time.Now().Add(1500 * time.Millisecond)
+				time.Sleep(3 * time.Second)
+				until := time.Now()
+				if events, err := readEvents(f.events); err == nil {
+					for _, e := range events {
+						// What was stored before the drain may still start; an image takes 0.15 s.
+						if at := time.Unix(0, e.At); e.Event == "start" && e.Machine == m && at.After(from) && at.Before(until) {
+							f.heldStart = append(f.heldStart, fmt.Sprintf("%s started on %s, which was held back", e.Task, m))
+						}
+					}
+				}
+				set()
+			}
+		}
+		select {
+		case <-stop:
+			return
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// farmResult is what a run showed.
+type farmResult struct {
+	lines   int
+	starts  int
+	errors  int
+	lost    int
+	broken  []string
+	accepts []time.Duration
+	err     error
+}
+
+// compareWays plays the same tickets both ways. doorRetries is what the class of the
+// second farm allows: other than the first's it is a side door, which must be found.
+func compareWays(ctx context.Context, bin, dir string, seed uint64, doorRetries int) *farmResult {
+	r := &farmResult{}
+	tickets := drawTickets(seed)
+	var lines [2][]string
+	var fails [2]error
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for way := range 2 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			retries := farmRetries
+			if way == 1 {
+				retries = doorRetries
+			}
+			var f *farm
+			var err error
+			for try := range 3 { // another program may take a port first
+				if f, err = newFarm(ctx, bin, filepath.Join(dir, fmt.Sprintf("way-%d-%d", way, try)), seed, retries, 24, farmTimes); err == nil {
+					break
+				}
+				f.end()
+			}
+			defer f.end()
+			if err != nil {
+				fails[way] = err
+				return
+			}
+			told, accepts, err := f.play(ctx, seed, tickets, way == 1)
+			if err != nil {
+				fails[way] = err
+				return
+			}
+			events, err := readEvents(f.events)
+			if err != nil {
+				fails[way] = err
+				return
+			}
+			for _, t := range tickets {
+				ls, err := t.lines(told[t.name], events)
+				if err != nil {
+					fails[way] = err
+					return
+				}
+				lines[way] = append(lines[way], ls...)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			r.accepts = append(r.accepts, accepts...)
+			r.broken = append(r.broken, f.heldStart...)
+			for _, e := range events {
+				switch e.Event {
+				case "start":
+					r.starts++
+				case "error":
+					r.errors++
+				case "end":
+					r.lost++
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	for _, err := range fails {
+		if err != nil {
+			r.err = err
+			return r
+		}
+	}
+	var want []string
+	plan := standin.NewFarm(seed)
+	for _, t := range tickets {
+		ls, err := t.expected(plan)
+		if err != nil {
+			r.err = err
+			return r
+		}
+		want = append(want, ls...)
+	}
+	r.lines = len(want)
+	r.broken = append(r.broken, compare("tickets", "ordinary", lines[0], lines[1])...)
+	r.broken = append(r.broken, compare("tickets", "the seed", lines[0], want)...)
+	return r
+}
+
+func ticketsProof() *cobra.Command {
+	var runs, parallel int
+	var seed uint64
+	var asJSON bool
+	c := &cobra.Command{Use: "tickets", Short: "Submit the same tickets both ways to render servers that fail, drain and vanish, and compare", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := between("runs", runs, 1, 10000); err != nil {
+				return err
+			}
+			if err := between("parallel", parallel, 1, 16); err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return proveTickets(ctx, cmd.OutOrStdout(), runs, parallel, seed, asJSON)
+		}}
+	c.Flags().IntVar(&runs, "runs", 8, "how many runs")
+	c.Flags().IntVar(&parallel, "parallel", 8, "runs at a time")
+	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's seed; the next ones follow")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the last line only")
+	return c
+}
+
+func proveTickets(ctx context.Context, out io.Writer, runs, parallel int, seed uint64, asJSON bool) error {
+	bin, err := build(ctx)
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(bin)
+	hist := hdrhistogram.New(1, 120_000, 3)
+	sum := struct {
+		Runs    int     `json:"runs"`
+		Broken  int     `json:"broken"`
+		Seed    uint64  `json:"seed"`
+		Failed  int     `json:"failed_to_run"`
+		Tickets int     `json:"tickets_each_way"`
+		Lines   int     `json:"lines_compared"`
+		Starts  int     `json:"starts"`
+		Errors  int     `json:"errors"`
+		Lost    int     `json:"ended_otherwise"`
+		Median  float64 `json:"accept_median_ms"`
+		P99     float64 `json:"accept_p99_ms"`
+	}{Runs: runs, Seed: seed}
+	slots := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i := range runs {
+		slots <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			dir, err := os.MkdirTemp("", "lab-tickets-")
+			var r *farmResult
+			if err == nil {
+				r = compareWays(ctx, bin, dir, seed+uint64(i), farmRetries)
+			} else {
+				r = &farmResult{err: err}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			text := fmt.Sprintf("%d lines equal, %d starts, %d errors, %d ended otherwise", r.lines, r.starts, r.errors, r.lost)
+			switch {
+			case r.err != nil:
+				sum.Failed++
+				text = fmt.Sprintf("%v (files in %s)", r.err, dir)
+			case len(r.broken) > 0:
+				sum.Broken++
+				text = fmt.Sprintf("BROKEN %s (files in %s)", strings.Join(r.broken, "; "), dir)
+			default:
+				os.RemoveAll(dir)
+			}
+			if !asJSON {
+				fmt.Fprintf(out, "run %d, seed %d: %s\n", i+1, seed+uint64(i), text)
+			}
+			sum.Tickets += 6
+			sum.Lines, sum.Starts, sum.Errors, sum.Lost = sum.Lines+r.lines, sum.Starts+r.starts, sum.Errors+r.errors, sum.Lost+r.lost
+			for _, d := range r.accepts {
+				hist.RecordValue(max(1, d.Milliseconds()))
+			}
+		}()
+	}
+	wg.Wait()
+	sum.Median, sum.P99 = float64(hist.ValueAtQuantile(50)), float64(hist.ValueAtQuantile(99))
+	if err := figures(out, sum); err != nil {
+		return err
+	}
+	if sum.Broken > 0 || sum.Failed > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/cmd/lab/world.go
+++ b/cmd/lab/world.go
@@ -30,7 +30,7 @@
 		return "", err
 	}
 	for _, p := range []string{"dapplestage", "standin"} {
-		cmd := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(dir, p), "./cmd/"+p)
+		cmd := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(dir, p), "dapplestage.example/dapplestage/cmd/"+p)
 		if out, err := cmd.CombinedOutput(); err != nil {
 			os.RemoveAll(dir)
 			return "", fmt.Errorf("building %s: %v\n%s", p, err, out)
@@ -334,48 +334,7 @@
 		var settings string
 		for i, n := range nodes {
 			o := 1 - i
-			text := fmt.Sprintf(`node = %q
-location = %q
-api_addr = %q
-cluster_listen = %q
-[[siblings]]
-node = %q
-location = %q
-peer_addr = %q
-[external]
-cloud = %q
-state = %q
-[params]
-initial_size = 2
-zones = [%q]
-skew_ms = 100.0
-[[params.teams]]
-name = "red"
-gpus = 4.0
-gpus_max = 400.0
-[[params.teams]]
-name = "blue"
-gpus = 4.0
-gpus_max = 400.0
-[params.workers]
-report_s = %g
-lease_s = %g
-gang_wait_s = 30.0
-gang_peer_s = 5.0
-cancel_s = %g
-[params.state]
-rps = 400.0
-write_rps = %g
-value_kb = 8.0
-txn_ops = 12
-[params.cloud]
-rps = 10.0
-list_lag_s = 1.0
-[params.quota]
-cores = 2.0
-memory_mb = 400.0
-fd_limit = 1000
-`, n, name, s.apis[i], peers[i], nodes[o], name, peers[o], s.cloudAddr, s.stateAddr, name, t.report, t.workersLease, t.cancel, t.writeRPS)
+			text := controllerSettings(n, nodes[o], name, s.apis[i], peers[i], peers[o], s.cloudAddr, s.stateAddr, t)
 			settings = filepath.Join(dir, name+"-"+n+".toml")
 			if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
 				return nil, err
@@ -485,3 +444,49 @@
 func span(rng *rand.Rand, a, b time.Duration) time.Duration {
 	return a + time.Duration(rng.Int64N(int64(b-a)))
 }
+
+// controllerSettings is the settings file of one of two controllers of a site.
+func controllerSettings(node, other, zone, api, peer, otherPeer, cloud, state string, t times) string {
+	return fmt.Sprintf(`node = %q
+location = %q
+api_addr = %q
+cluster_listen = %q
+[[siblings]]
+node = %q
+location = %q
+peer_addr = %q
+[external]
+cloud = %q
+state = %q
+[params]
+initial_size = 2
+zones = [%q]
+skew_ms = 100.0
+[[params.teams]]
+name = "red"
+gpus = 4.0
+gpus_max = 400.0
+[[params.teams]]
+name = "blue"
+gpus = 4.0
+gpus_max = 400.0
+[params.workers]
+report_s = %g
+lease_s = %g
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = %g
+[params.state]
+rps = 400.0
+write_rps = %g
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 10.0
+list_lag_s = 1.0
+[params.quota]
+cores = 2.0
+memory_mb = 400.0
+fd_limit = 1000
+`, node, zone, api, peer, other, zone, otherPeer, cloud, state, zone, t.report, t.workersLease, t.cancel, t.writeRPS)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,7 @@
 	zone := flag.String("zone", "a", "the zone of all machines")
 	most := flag.Int("machines", 8, "machines to give")
 	events := flag.String("events", "", "file for what runs, a JSON line a start and an end")
+	farm := flag.Uint64("farm", 0, "be render servers that fail, drain and vanish from this seed; 0: no")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -65,6 +66,10 @@
 		}
 	}
 	f.Link = reporter(addrs)
+	uploaded := func([]byte) {}
+	if *farm != 0 {
+		uploaded = standin.NewFarm(*farm).Join(f)
+	}
 
 	serve := func(addr string, h http.Handler) {
 		go func() { log.Fatal(http.ListenAndServe(addr, h)) }()
@@ -73,7 +78,7 @@
 		serve(*stateAddr, stateAPI(standin.NewState()))
 	}
 	if *cloudAddr != "" {
-		serve(*cloudAddr, cloudAPI(f))
+		serve(*cloudAddr, cloudAPI(f, uploaded))
 	}
 	log.Printf("state service on %s, cloud on %s, workers report to %s", *stateAddr, *cloudAddr, *nodes)
 	<-ctx.Done()
@@ -134,6 +139,9 @@
 		}
 		send(w, 200, it)
 	})
+	r.GET("/changes", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		send(w, 200, obj{"changes": s.Changes()})
+	})
 	r.POST("/txn", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var t struct {
 			If     []storage.Cond
@@ -189,7 +197,7 @@
 }
 
 // cloudAPI serves the cloud, and takes copies of submissions for the workers.
-func cloudAPI(f *standin.Fleet) http.Handler {
+func cloudAPI(f *standin.Fleet, uploaded func([]byte)) http.Handler {
 	r := httprouter.New()
 	r.GET("/catalog", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		types, _ := f.Catalog(r.Context())
@@ -225,6 +233,7 @@
 			send(w, 400, map[string]string{"error": err.Error()})
 			return
 		}
+		uploaded(data)
 		f.Submitted(s)
 		send(w, 200, struct{}{})
 	})
--- a/internal/coordination/ticketapi.go
+++ b/internal/coordination/ticketapi.go
@@ -108,6 +108,14 @@
 	}
 	var r *ticket.Refusal
 	switch {
+	case refused == nil && n.openTasks()+a.Record.Base.Tasks > n.mostTasks():
+		// A few bytes may bring 100,000 tasks: what would not fit this node's memory is
+		// turned away, and can be asked for again when others have ended.
+		n.metrics.refused.WithLabelValues("ticket_memory").Inc()
+		repeat(func() {
+			reply <- answer{status: 503, retryS: 30, body: errorBody{fmt.Sprintf("%d tasks are open, at most %d with this ticket's", n.openTasks(), n.mostTasks())}}
+		})
+		return
 	case errors.As(refused, &r) && !r.Malformed:
 		refuse(422, r.Why)
 		return
@@ -128,6 +136,21 @@
 	n.unlessGateways(id, reply, func() { n.acceptTicket(a, now, reply, repeat) })
 }
 
+// taskBytes is what an open task takes of a node's memory.
+const taskBytes = 100
+
+// mostTasks is how many tasks may be open for another ticket to be taken: they take a
+// fifth of the node's memory at the most.
+func (n *Node) mostTasks() int { return int(n.cfg.Params.Quota.MemoryMB * 0.2 * (1 << 20) / taskBytes) }
+
+func (n *Node) openTasks() int {
+	c := 0
+	for _, j := range n.jobs {
+		c += len(j.tasks)
+	}
+	return c
+}
+
 // acceptTicket stores a ticket, its template and the jobs of its first steps at once.
 func (n *Node) acceptTicket(a *ticket.Admitted, now time.Time, reply chan<- answer, repeat func(ifNew func())) {
 	rec := a.Record
--- a/internal/coordination/tickets_test.go
+++ b/internal/coordination/tickets_test.go
@@ -586,3 +586,35 @@
 		synctest.Wait()
 	})
 }
+
+// A few bytes may ask for 100,000 tasks. What would not fit a node's memory is turned
+// away at once, to come again, and what is there goes on.
+func TestTicketsThatWouldNotFitAreTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(t, ctx, 9, func(*protocol.WorkerSettings) {})
+		for _, name := range w.names {
+			w.cfg[name].Params.Quota.MemoryMB = 1 // some 2,000 tasks
+		}
+		time.Sleep(5 * time.Second)
+		var codes []int
+		for i := range 5 {
+			u := newTicketUser(w, ticketBody(fmt.Sprintf("job-7%d", i), "render", "red", "", "a 900"))
+			a, err := u.submit(w.names[i%3])
+			if err != nil {
+				t.Fatal(err)
+			}
+			codes = append(codes, a.status)
+			if a.status == 503 && a.retryS == 0 {
+				t.Error("turned away without a time to come again")
+			}
+			time.Sleep(time.Second)
+		}
+		if fmt.Sprint(codes) != "[201 201 503 503 503]" {
+			t.Error(codes)
+		}
+		cancel()
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+	})
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -31,6 +31,9 @@
 	Fetch time.Duration
 	// Fails, if set, says whether a task that failed so often fails once more.
 	Fails func(job *protocol.JobSpec, task, errors int) bool
+	// Taken, if set, says whether the machine on which a task starts for the first time
+	// is lost, and after which notice (0: without a word).
+	Taken func(job *protocol.JobSpec, task int) (lost bool, notice time.Duration)
 	// Log, if set, is told what runs: "start" when a task has its image, then "done"
 	// or "end". It must not block.
 	Log func(event, task, machine string, at time.Time)
@@ -44,6 +47,7 @@
 	cancelled map[string]time.Time
 	mistaken  map[string]bool
 	errors    map[string]int // by task
+	began     map[string]bool
 	Started   int
 	Broken    []string
 }
@@ -55,6 +59,7 @@
 	born    time.Time
 	up      bool
 	gone    bool
+	notice  time.Time // when it is taken; zero: no notice
 	session uint64
 	seq     uint64
 	token   uint64
@@ -76,7 +81,7 @@
 
 // NewFleet makes a fleet that lives until ctx ends.
 func NewFleet(ctx context.Context) *Fleet {
-	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}}
+	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}}
 }
 
 // Submitted tells the workers of a job, as users do.
@@ -165,6 +170,20 @@
 	f.kill(name)
 }
 
+// take takes a machine, though not while it has an error to tell: what the controllers
+// know of errors must not depend on the moment.
+func (f *Fleet) take(m *Machine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range m.tasks {
+		if p.state == protocol.TaskExited && p.cause == protocol.CauseError && !m.gone {
+			time.AfterFunc(50*time.Millisecond, func() { f.take(m) })
+			return
+		}
+	}
+	f.kill(m.info.ID)
+}
+
 func (f *Fleet) kill(name string) {
 	if m := f.machines[name]; m != nil {
 		m.gone = true
@@ -278,6 +297,10 @@
 	m.seq++
 	r := protocol.Report{Machine: m.info.ID, Addr: m.info.Addr, Type: m.info.Type, Zone: m.info.Zone, Spot: m.info.Spot,
 		Session: m.session, Seq: m.seq, Token: m.token, Tasks: []protocol.TaskReport{}}
+	if !m.notice.IsZero() {
+		left := time.Until(m.notice).Seconds()
+		r.NoticeS = &left
+	}
 	var ids []string
 	for id := range m.tasks {
 		ids = append(ids, id)
@@ -414,6 +437,15 @@
 	if f.Log != nil {
 		f.Log("start", id, m.info.ID, time.Now())
 	}
+	if first := !f.began[id]; f.Taken != nil && first {
+		f.began[id] = true
+		if lost, notice := f.Taken(p.job, p.num); lost {
+			if m.notice.IsZero() {
+				m.notice = time.Now().Add(notice)
+			}
+			time.AfterFunc(notice, func() { f.take(m) })
+		}
+	}
 	zones := map[string]int{m.info.Zone: 1}
 	used := p.job.GPUs
 	for _, o := range f.machines {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -21,6 +21,7 @@
 	leases  map[uint64]*lease
 	last    uint64
 	log     []storage.Item
+	changes int // puts and deletions so far
 	changed chan struct{}
 }
 
@@ -55,6 +56,7 @@
 
 func (s *State) write(writes []storage.Write) {
 	s.rev++
+	s.changes += len(writes)
 	for _, w := range writes {
 		if w.Put != "" {
 			it := storage.Item{Key: w.Put, Value: w.Value, Stamp: s.rev}
@@ -183,6 +185,13 @@
 	}
 }
 
+// Changes is how many puts and deletions there were.
+func (s *State) Changes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes
+}
+
 // Put writes one value, for tests and tools.
 func (s *State) Put(key string, v any) {
 	b, err := json.Marshal(v)
