--- a/cmd/dapplestage/ticket.go
+++ b/cmd/dapplestage/ticket.go
@@ -106,7 +106,19 @@
 
 func (f *ticketFlags) check() *cobra.Command {
 	var show int
+	var asTemplate bool
 	c := f.command("check FILE", "Expand a template and show its steps, tasks and requirements", cobra.ExactArgs(1), false, func(cmd *cobra.Command, args []string) error {
+		if asTemplate {
+			t, _, err := f.template(args[0])
+			if err != nil {
+				return err
+			}
+			data, err := t.Print()
+			if err == nil {
+				fmt.Fprintln(cmd.OutOrStdout(), string(data))
+			}
+			return err
+		}
 		if show < 0 || show > format.MaxTasks {
 			return fmt.Errorf("%w: --show %d is not within 0 to %d", errUsage, show, format.MaxTasks)
 		}
@@ -160,6 +172,7 @@
 	})
 	c.Flags().StringArrayVar(&f.params, "param", nil, "a job parameter, as NAME=VALUE; may be repeated")
 	c.Flags().IntVar(&show, "show", 0, "write out so many tasks of each step")
+	c.Flags().BoolVar(&asTemplate, "template", false, "print the checked template as JSON instead")
 	return c
 }
 
