Every waiting job explains itself, from any node, with what would release it

Change: decide.Explain names all causes with their facts, decide.Release the smallest change that Place itself confirms; /admin/why, dapplestage why [--watch], a metric by cause; other nodes ask the holder over their own connections (FlatBuffers, 1 s) and say unknown rather than guess.

--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -82,7 +82,7 @@
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dapplestage", version) },
 	})
 	root.AddCommand(adminCommands()...)
-	root.AddCommand(gatewayCommand(), keysCommand(), ticketCommand())
+	root.AddCommand(gatewayCommand(), keysCommand(), ticketCommand(), whyCommand())
 	return root
 }
 
@@ -151,6 +151,13 @@
 		level.Set(l)
 	}
 
+	peerAddr := map[string]string{}
+	for _, s := range cfg.Siblings {
+		peerAddr[s.Node] = s.Addr
+	}
+	node.AskPeer = func(ctx context.Context, name string, question []byte) ([]byte, error) {
+		return transport.AskFrame(ctx, peerAddr[name], coordination.AskPatience, question)
+	}
 	if daemon != "" {
 		asks := transport.NewClient(daemon, 0)
 		node.SiteFrom, _, _ = net.SplitHostPort(daemon)
@@ -182,7 +189,7 @@
 		return err
 	}
 	go func() {
-		if err := transport.AcceptFrames(ctx, peers, coordination.HintQuiet, node.TakeHint); err != nil {
+		if err := transport.AcceptFrames(ctx, peers, coordination.HintQuiet, node.TakeHint, node.Answer); err != nil {
 			cancel(err)
 		}
 	}()
--- /dev/null
+++ b/cmd/lab/why.go
@@ -0,0 +1,455 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"dapplestage.example/dapplestage/internal/coordination"
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// condition is a reason to wait, as real controllers and stand-in machines make it.
+type condition struct {
+	name   string // of the cause
+	binds  bool   // it must be the first that is told
+	rivals int    // tasks of another job that run meanwhile
+	own    string // shape of the job that waits
+	tasks  int
+	cards  float64
+	build  func(ctx context.Context, f *farm, id string) error
+	lift   func(ctx context.Context, f *farm, id string) error
+}
+
+// whyFarm is what conditions are made of.
+var whyTimes = times{workersLease: 2.5, report: 0.5, cancel: 14, writeRPS: 150, gpusMax: 8}
+
+func setPolicy(ctx context.Context, f *farm, name string, value any) error {
+	for try := 0; ; try++ {
+		_, out, err := f.call(ctx, "GET", f.apis[try%2], "/admin/settings", nil)
+		var v struct{ Stamp uint64 }
+		if err == nil {
+			err = json.Unmarshal(out, &v)
+		}
+		status := 0
+		if err == nil {
+			body, _ := json.Marshal(map[string]any{"value": value, "stamp": v.Stamp})
+			status, _, err = f.call(ctx, "PUT", f.apis[try%2], "/admin/settings/"+name, body)
+		}
+		if err == nil && status == 200 {
+			return nil
+		}
+		if try > 50 || ctx.Err() != nil {
+			return fmt.Errorf("setting %s: %d %v", name, status, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func post(ctx context.Context, f *farm, path string) error {
+	status, out, err := f.call(ctx, "POST", f.cloud, path, nil)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("%s: %d %s", path, status, out)
+	}
+	return err
+}
+
+func holdAll(ctx context.Context, f *farm) error {
+	var list protocol.MachineList
+	_, out, err := f.call(ctx, "GET", f.cloud, "/hosts", nil)
+	if err == nil {
+		err = json.Unmarshal(out, &list)
+	}
+	names := []string{}
+	for _, m := range list.Machines {
+		names = append(names, m.ID)
+	}
+	if err == nil && len(names) == 0 {
+		err = fmt.Errorf("no machines to hold back")
+	}
+	if err == nil {
+		err = setPolicy(ctx, f, "stop_rentals", true)
+	}
+	if err == nil {
+		err = setPolicy(ctx, f, "held_back", names)
+	}
+	return err
+}
+
+func release(ctx context.Context, f *farm, _ string) error {
+	if err := setPolicy(ctx, f, "held_back", []string{}); err != nil {
+		return err
+	}
+	return setPolicy(ctx, f, "stop_rentals", false)
+}
+
+// rivalOf is the id of the job that runs beside a condition's.
+func rivalOf(id string) string { return id + "9" }
+
+func cancelRival(ctx context.Context, f *farm, id string) error {
+	for try := 0; ; try++ {
+		status, out, err := f.call(ctx, "POST", f.apis[try%2], "/api/jobs/"+rivalOf(id)+"/cancel", []byte("{}"))
+		if err == nil && status == 200 {
+			return nil
+		}
+		if try > 50 || ctx.Err() != nil {
+			return fmt.Errorf("cancel: %d %s %v", status, out, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func nothingToDo(context.Context, *farm, string) error { return nil }
+
+func conditions() []condition {
+	limit := func(n int) func(ctx context.Context, f *farm, _ string) error {
+		return func(ctx context.Context, f *farm, _ string) error { return post(ctx, f, fmt.Sprint("/limit/", n)) }
+	}
+	stop := func(s syscall.Signal, names ...string) func(ctx context.Context, f *farm, id string) error {
+		return func(ctx context.Context, f *farm, id string) error {
+			for _, p := range f.procs {
+				if slices.Contains(names, p.name) {
+					p.signal(s)
+				}
+			}
+			return nil
+		}
+	}
+	return []condition{
+		{name: "team_limit", binds: true, rivals: 8, tasks: 2, build: nothingToDo, lift: cancelRival},
+		{name: "no_free_machine", rivals: 4, tasks: 1, build: limit(1), lift: cancelRival},
+		{name: "gang_incomplete", binds: true, rivals: 2, own: protocol.Gang, tasks: 4, build: limit(1), lift: cancelRival},
+		{name: "drained", binds: true, rivals: 1, tasks: 2, build: func(ctx context.Context, f *farm, _ string) error { return holdAll(ctx, f) }, lift: release},
+		{name: "rentals_stopped", tasks: 1, cards: 4, rivals: 1, build: func(ctx context.Context, f *farm, _ string) error { return setPolicy(ctx, f, "stop_rentals", true) }, lift: release},
+		{name: "cloud_refused", tasks: 1, cards: 4, rivals: 1, build: limit(0), lift: limit(24)},
+		{name: "fails_everywhere", tasks: 2, build: func(ctx context.Context, f *farm, id string) error { return post(ctx, f, "/mistaken/"+id+"/true") },
+			lift: func(ctx context.Context, f *farm, id string) error { return post(ctx, f, "/mistaken/"+id+"/false") }},
+		{name: "state_service_down", binds: true, rivals: 1, tasks: 2, build: func(ctx context.Context, f *farm, _ string) error { return holdAll(ctx, f) }, lift: release},
+		{name: "holder_silent", binds: true, rivals: 1, tasks: 2, build: func(ctx context.Context, f *farm, _ string) error { return holdAll(ctx, f) },
+			lift: func(ctx context.Context, f *farm, id string) error {
+				stop(syscall.SIGCONT, "n-0", "n-1")(ctx, f, id)
+				return release(ctx, f, id)
+			}},
+	}
+}
+
+func (c *condition) submission(id string, tasks int, seconds float64) []byte {
+	shape, cards := c.own, c.cards
+	if shape == "" {
+		shape = protocol.Array
+	}
+	if cards == 0 {
+		cards = 1
+	}
+	return fmt.Appendf(nil, `{"id":%q,"lot":"proof","crew":"red","shape":%q,"urgency":"standard","pieces":%d,"vcpus":2.0,"cards":%g,"memGb":8.0,"bundle":"img-1","sizeGb":1.0,"together":false,"scatter":false,"loaners":true,"expectS":%g,"snapshotS":0.0,"storeS":0.0}`, id, shape, tasks, cards, seconds)
+}
+
+func (f *farm) submit(ctx context.Context, id string, body []byte) error {
+	if _, _, err := f.call(ctx, "POST", f.cloud, "/upload", body); err != nil {
+		return err
+	}
+	for try := 0; ; try++ {
+		status, out, err := f.call(ctx, "POST", f.apis[try%2], "/api/jobs", body)
+		if err == nil && status < 300 {
+			return nil
+		}
+		if try > 60 || ctx.Err() != nil {
+			return fmt.Errorf("%s: %d %s %v", id, status, out, err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (f *farm) running(ctx context.Context, id string) int {
+	n := 0
+	events, err := readEvents(f.events)
+	if err != nil {
+		return 0
+	}
+	for _, e := range events {
+		if job, _, ok := protocol.ParseTaskID(e.Task); ok && job == id {
+			switch e.Event {
+			case "start":
+				n++
+			case "error":
+				n--
+			}
+		}
+	}
+	return n
+}
+
+func until(ctx context.Context, most time.Duration, done func() bool) bool {
+	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		if done() {
+			return true
+		}
+	}
+	return false
+}
+
+// whyResult is what a run showed.
+type whyResult struct {
+	checked int
+	wrong   []string
+	starts  []time.Duration // from release to start
+	told    []time.Duration // time to answer
+	err     error
+}
+
+// one builds a condition, holds what both nodes say to it, lifts it and waits for the
+// start.
+func (c *condition) one(ctx context.Context, f *farm, id string, r *whyResult) error {
+	if c.rivals > 0 {
+		rival := condition{}
+		if err := f.submit(ctx, rivalOf(id), rival.submission(rivalOf(id), c.rivals, 600)); err != nil {
+			return err
+		}
+		if !until(ctx, 30*time.Second, func() bool { return f.running(ctx, rivalOf(id)) >= c.rivals }) {
+			return fmt.Errorf("%s: its rival did not start", c.name)
+		}
+	}
+	if err := c.build(ctx, f, id); err != nil {
+		return err
+	}
+	time.Sleep(400 * time.Millisecond) // settings reach the nodes
+	if err := f.submit(ctx, id, c.submission(id, c.tasks, 600)); err != nil {
+		return err
+	}
+	ask := func(api string) (*coordination.Why, error) {
+		var w coordination.Why
+		from := time.Now()
+		status, out, err := f.call(ctx, "GET", api, "/admin/why/"+id, nil)
+		if err == nil {
+			r.told = append(r.told, time.Since(from))
+			if status != 200 {
+				return nil, fmt.Errorf("%d %s", status, out)
+			}
+			err = json.Unmarshal(out, &w)
+		}
+		return &w, err
+	}
+	nodes := f.apis
+	switch c.name {
+	case "state_service_down":
+		time.Sleep(500 * time.Millisecond)
+		f.procs[0].signal(syscall.SIGSTOP)
+		time.Sleep(3 * time.Second)
+		defer f.procs[0].signal(syscall.SIGCONT)
+	case "holder_silent":
+		time.Sleep(500 * time.Millisecond)
+		w, err := ask(f.apis[0])
+		if err != nil {
+			return err
+		}
+		for _, p := range f.procs {
+			if p.name == w.Holder {
+				p.signal(syscall.SIGSTOP)
+				defer p.signal(syscall.SIGCONT)
+			}
+		}
+		nodes = f.apis[:1]
+		if w.Holder == "n-0" {
+			nodes = f.apis[1:]
+		}
+	}
+	for _, api := range nodes {
+		var w *coordination.Why
+		var err error
+		is := func() bool {
+			w, err = ask(api)
+			if err != nil {
+				return false
+			}
+			for i, x := range w.Causes {
+				if x.Kind.String() == c.name {
+					return i == 0 || !c.binds
+				}
+			}
+			return false
+		}
+		// Looks are some hundred milliseconds apart; a mistake takes a few tries to show.
+		patience := 3 * time.Second
+		switch c.name {
+		case "fails_everywhere":
+			patience = 20 * time.Second
+		case "cloud_refused":
+			patience = 12 * time.Second
+		case "holder_silent":
+			patience = 1500 * time.Millisecond
+		}
+		r.checked++
+		if !until(ctx, patience, is) {
+			said := fmt.Sprint(err)
+			if w != nil {
+				data, _ := json.Marshal(w)
+				said = string(data)
+			}
+			r.wrong = append(r.wrong, fmt.Sprintf("%s: %s", c.name, said))
+			continue
+		}
+		switch {
+		case c.name == "holder_silent" && w.Unknown == "":
+			r.wrong = append(r.wrong, c.name+": not told as unknown")
+		case c.name != "holder_silent" && len(w.Release) == 0:
+			r.wrong = append(r.wrong, c.name+": nothing is told to release it")
+		case c.name == "state_service_down" && w.StateAge < 2:
+			r.wrong = append(r.wrong, fmt.Sprintf("%s: told as if it were %.1f s old", c.name, w.StateAge))
+		}
+	}
+	f.procs[0].signal(syscall.SIGCONT)
+	if f.running(ctx, id) > 0 {
+		r.wrong = append(r.wrong, c.name+": started though it was said to wait")
+	}
+	if err := c.lift(ctx, f, id); err != nil {
+		return err
+	}
+	from := time.Now()
+	if !until(ctx, 60*time.Second, func() bool { return f.running(ctx, id) > 0 }) {
+		r.wrong = append(r.wrong, c.name+": not started after its release")
+	} else if c.name != "fails_everywhere" { // that waits for its next try, up to a minute
+		r.starts = append(r.starts, time.Since(from))
+	}
+	// Leave as it was found.
+	for _, job := range []string{id, rivalOf(id)} {
+		f.call(ctx, "POST", f.apis[0], "/api/jobs/"+job+"/cancel", []byte("{}"))
+	}
+	if err := post(ctx, f, "/limit/24"); err != nil {
+		return err
+	}
+	return release(ctx, f, id)
+}
+
+func oneWhyRun(ctx context.Context, bin, dir string, seed uint64) *whyResult {
+	r := &whyResult{}
+	rng := rand.New(rand.NewPCG(seed, 21))
+	cs := conditions()
+	rng.Shuffle(len(cs), func(i, k int) { cs[i], cs[k] = cs[k], cs[i] })
+	for i := range cs {
+		// A farm for each: machines of the one before must not serve the next.
+		var f *farm
+		var err error
+		for try := range 3 {
+			if f, err = newFarm(ctx, bin, fmt.Sprintf("%s/%d-%d", dir, i, try), 0, farmRetries, 24, whyTimes); err == nil {
+				break
+			}
+			f.end()
+		}
+		if err == nil {
+			time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+			err = cs[i].one(ctx, f, fmt.Sprintf("job-%d", 100+i), r)
+		}
+		f.end()
+		if err != nil {
+			r.err = fmt.Errorf("%s: %w", cs[i].name, err)
+			return r
+		}
+	}
+	return r
+}
+
+func whyProof() *cobra.Command {
+	var runs, parallel int
+	var seed uint64
+	var asJSON bool
+	c := &cobra.Command{Use: "why", Short: "Build each reason to wait with real controllers, check what is told, release it and time the start", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := between("runs", runs, 1, 10000); err != nil {
+				return err
+			}
+			if err := between("parallel", parallel, 1, 16); err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return proveWhy(ctx, cmd.OutOrStdout(), runs, parallel, seed, asJSON)
+		}}
+	c.Flags().IntVar(&runs, "runs", 4, "how many runs")
+	c.Flags().IntVar(&parallel, "parallel", 4, "runs at a time")
+	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's seed; the next ones follow")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the last line only")
+	return c
+}
+
+func proveWhy(ctx context.Context, out io.Writer, runs, parallel int, seed uint64, asJSON bool) error {
+	bin, err := build(ctx)
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(bin)
+	sum := struct {
+		Runs     int     `json:"runs"`
+		Broken   int     `json:"broken"`
+		Seed     uint64  `json:"seed"`
+		Failed   int     `json:"failed_to_run"`
+		Checked  int     `json:"answers_checked"`
+		Wrong    int     `json:"wrong"`
+		StartP50 float64 `json:"start_after_release_median_s"`
+		StartMax float64 `json:"start_after_release_max_s"`
+		ToldP99  float64 `json:"answer_p99_ms"`
+	}{Runs: runs, Seed: seed}
+	starts, told := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
+	slots := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i := range runs {
+		slots <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			dir, err := os.MkdirTemp("", "lab-why-")
+			r := &whyResult{err: err}
+			if err == nil {
+				r = oneWhyRun(ctx, bin, dir, seed+uint64(i))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			text := fmt.Sprintf("%d answers checked, %d starts after a release", r.checked, len(r.starts))
+			switch {
+			case r.err != nil:
+				sum.Failed++
+				text = fmt.Sprintf("%v (files in %s)", r.err, dir)
+			case len(r.wrong) > 0:
+				sum.Broken++
+				text = fmt.Sprintf("WRONG %s (files in %s)", strings.Join(r.wrong, "; "), dir)
+			default:
+				os.RemoveAll(dir)
+			}
+			if !asJSON {
+				fmt.Fprintf(out, "run %d, seed %d: %s\n", i+1, seed+uint64(i), text)
+			}
+			sum.Checked, sum.Wrong = sum.Checked+r.checked, sum.Wrong+len(r.wrong)
+			for _, d := range r.starts {
+				starts.RecordValue(max(1, d.Milliseconds()))
+			}
+			for _, d := range r.told {
+				told.RecordValue(max(1, d.Milliseconds()))
+			}
+		}()
+	}
+	wg.Wait()
+	sum.StartP50, sum.StartMax, sum.ToldP99 = float64(starts.ValueAtQuantile(50))/1000, float64(starts.Max())/1000, float64(told.ValueAtQuantile(99))
+	if err := figures(out, sum); err != nil {
+		return err
+	}
+	if sum.Broken > 0 || sum.Failed > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/cmd/lab/world.go
+++ b/cmd/lab/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -220,6 +221,7 @@
 type times struct {
 	lease, controllers, workersLease, report, cancel float64
 	writeRPS                                         float64
+	gpusMax                                          float64 // of each team; 0: 400
 	inFlight                                         int
 }
 
@@ -447,38 +449,38 @@
 
 // controllerSettings is the settings file of one of two controllers of a site.
 func controllerSettings(node, other, zone, api, peer, otherPeer, cloud, state string, t times) string {
-	return fmt.Sprintf(`node = %q
-location = %q
-api_addr = %q
-cluster_listen = %q
+	return fmt.Sprintf(`node = %[1]q
+location = %[2]q
+api_addr = %[3]q
+cluster_listen = %[4]q
 [[siblings]]
-node = %q
-location = %q
-peer_addr = %q
+node = %[5]q
+location = %[6]q
+peer_addr = %[7]q
 [external]
-cloud = %q
-state = %q
+cloud = %[8]q
+state = %[9]q
 [params]
 initial_size = 2
-zones = [%q]
+zones = [%[10]q]
 skew_ms = 100.0
 [[params.teams]]
 name = "red"
 gpus = 4.0
-gpus_max = 400.0
+gpus_max = %[15]g
 [[params.teams]]
 name = "blue"
 gpus = 4.0
-gpus_max = 400.0
+gpus_max = %[15]g
 [params.workers]
-report_s = %g
-lease_s = %g
+report_s = %[11]g
+lease_s = %[12]g
 gang_wait_s = 30.0
 gang_peer_s = 5.0
-cancel_s = %g
+cancel_s = %[13]g
 [params.state]
 rps = 400.0
-write_rps = %g
+write_rps = %[14]g
 value_kb = 8.0
 txn_ops = 12
 [params.cloud]
@@ -488,5 +490,5 @@
 cores = 2.0
 memory_mb = 400.0
 fd_limit = 1000
-`, node, zone, api, peer, other, zone, otherPeer, cloud, state, zone, t.report, t.workersLease, t.cancel, t.writeRPS)
+`, node, zone, api, peer, other, zone, otherPeer, cloud, state, zone, t.report, t.workersLease, t.cancel, t.writeRPS, cmp.Or(t.gpusMax, 400))
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -226,6 +226,21 @@
 		f.Return(r.Context(), q.Machines)
 		send(w, 200, struct{}{})
 	})
+	// For experiments: how many machines there are to give, and jobs with a mistake.
+	r.POST("/limit/:machines", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		if n, err := strconv.Atoi(p.ByName("machines")); err == nil {
+			f.Limit(n)
+		}
+		send(w, 200, struct{}{})
+	})
+	r.POST("/mistaken/:id/:is", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		if p.ByName("is") == "true" {
+			f.Mistaken(p.ByName("id"))
+		} else {
+			f.Fixed(p.ByName("id"))
+		}
+		send(w, 200, struct{}{})
+	})
 	r.POST("/upload", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		data, _ := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody))
 		s, err := protocol.ParseJob(data)
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -24,6 +24,7 @@
 	r.GET("/ready", n.getReady)
 	n.routeAdmin(r)
 	n.routeTickets(r)
+	n.routeWhy(r)
 	n.routeSite(r)
 	return r
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -178,6 +178,7 @@
 		return
 	}
 	n.lastSaid = now
+	n.countWaiting(now)
 	for _, s := range n.shares {
 		if !n.mine(s) {
 			continue
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -19,6 +19,7 @@
 	placed   prometheus.Counter
 	lag      prometheus.Histogram
 	backlog  prometheus.Gauge
+	waiting  *prometheus.GaugeVec
 	classes  map[string]bool
 }
 
@@ -42,7 +43,9 @@
 		Help: "How late the node comes to what is due; late in most cases: too little processor time.", Buckets: []float64{.005, .02, .05, .1, .25, .5, 1, 2}})
 	m.backlog = prometheus.NewGauge(prometheus.GaugeOpts{Name: "dapplestage_backlog",
 		Help: "Changes and reads that wait for the state service."})
-	m.Registry.MustRegister(m.lag, m.backlog, m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
+	m.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "dapplestage_waiting_tasks",
+		Help: "Tasks that wait for a machine, of the shares held, by the cause that binds."}, []string{"cause"})
+	m.Registry.MustRegister(m.waiting, m.lag, m.backlog, m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
 	return m
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -45,11 +45,13 @@
 	// Known, if set, asks the site's daemon whether a job is the gateway's, and how it is.
 	Known    func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error)
 	SetLevel func(l slog.Level, chosen bool)
-	users    *storage.Committer // changes that a user waits for
-	books    *storage.Committer // everything else
-	pace     *storage.Pace      // of both
-	storing  int                // writes of jobs under way
-	rng      *rand.Rand
+	// AskPeer, if set, asks another controller a question and returns its answer.
+	AskPeer func(ctx context.Context, node string, question []byte) ([]byte, error)
+	users   *storage.Committer // changes that a user waits for
+	books   *storage.Committer // everything else
+	pace    *storage.Pace      // of both
+	storing int                // writes of jobs under way
+	rng     *rand.Rand
 
 	started  time.Time
 	contact  atomic.Int64 // when the last answered store call was sent, since started
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -631,3 +631,28 @@
 		time.Sleep(w.between(time.Millisecond, 8*time.Second))
 	}
 }
+
+// submit submits a job until it is accepted.
+func (w *world) submit(s *protocol.JobSpec) {
+	w.fleet.Submitted(s)
+	for range 60 {
+		a, err := w.ask(w.ctx, w.names[0], func(n *Node, reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
+		if err == nil && a.status < 300 {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	w.t.Errorf("%s not accepted", s.ID)
+}
+
+// cancel cancels a job.
+func (w *world) cancel(id string) {
+	for range 60 {
+		a, err := w.ask(w.ctx, w.names[0], func(n *Node, reply chan<- answer) { n.onCancel(id, 5, reply) })
+		if err == nil && a.status == 200 {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	w.t.Errorf("%s not cancelled", id)
+}
--- /dev/null
+++ b/internal/coordination/why_test.go
@@ -0,0 +1,249 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// peers lets the nodes of a world ask one another, unless one is cut off or stands
+// still.
+func (w *world) peers() {
+	for _, name := range w.names {
+		n := w.node(name)
+		n.post(func() {
+			n.AskPeer = func(ctx context.Context, to string, q []byte) ([]byte, error) {
+				ctx, cancel := context.WithTimeout(ctx, AskPatience)
+				defer cancel()
+				out := make(chan []byte, 1)
+				go func() {
+					other := w.node(to)
+					if other == nil || w.is(w.noNet, to) || w.is(w.noNet, n.cfg.Node) {
+						return
+					}
+					w.thaw(to)
+					if a, ok := other.Answer(q); ok {
+						out <- a
+					}
+				}()
+				select {
+				case a := <-out:
+					return a, nil
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+			}
+		})
+	}
+}
+
+// asked is what a node says of a job.
+func (w *world) asked(name, id string) *Why {
+	ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+	defer cancel()
+	a, err := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onWhy(id, time.Now(), reply) })
+	if err != nil || a.status != 200 {
+		return nil
+	}
+	if why, ok := a.body.(*Why); ok {
+		return why
+	}
+	var why Why
+	if err := json.Unmarshal(mustJSON(a.body), &why); err != nil {
+		w.t.Fatal(err)
+	}
+	return &why
+}
+
+// causesOf are the names of causes.
+func causesOf(w *Why) string {
+	var out []string
+	for _, c := range w.Causes {
+		out = append(out, c.Kind.String())
+	}
+	return strings.Join(out, " ")
+}
+
+// begins waits until a task of a job runs, and says how long that took.
+func (w *world) begins(id string, most time.Duration) (time.Duration, bool) {
+	from := time.Now()
+	for time.Since(from) < most {
+		for _, name := range w.names {
+			if why := w.asked(name, id); why != nil && (why.Running > 0 || why.Waiting+why.Starting == 0) {
+				return time.Since(from), true
+			}
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	return 0, false
+}
+
+// Each waiting condition is built with three nodes and stand-in machines, told by all
+// of them, released, and the job starts within seconds.
+func TestWhyAndRelease(t *testing.T) {
+	spec := func(id, team string, tasks int) *protocol.JobSpec {
+		return &protocol.JobSpec{ID: id, Team: team, Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: tasks, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, EstimateS: 10000, Spot: true}
+	}
+	policy := func(change func(p *Policy)) func(w *world) {
+		return func(w *world) {
+			p := DefaultPolicy()
+			change(&p)
+			w.state.Put(protocol.PolicyKey, p)
+		}
+	}
+	for _, c := range []struct {
+		cause   decide.Kind
+		before  func(w *world) // the condition
+		spec    func(s *protocol.JobSpec)
+		release func(w *world)
+		within  time.Duration
+	}{
+		{decide.TeamLimit, func(w *world) { w.submit(spec("job-5", "red", 8)); time.Sleep(40 * time.Second) }, nil, func(w *world) { w.cancel("job-5") }, 15 * time.Second},
+		{decide.Drained, func(w *world) {
+			w.submit(spec("job-5", "red", 2))
+			time.Sleep(40 * time.Second)
+			policy(func(p *Policy) { p.HeldBack, p.NoRents = w.fleet.Names(), true })(w)
+			time.Sleep(time.Second)
+		}, nil, policy(func(p *Policy) {}), 15 * time.Second},
+		{decide.RentalsStopped, policy(func(p *Policy) { p.NoRents = true }), nil, policy(func(p *Policy) {}), 30 * time.Second},
+		{decide.CloudRefused, func(w *world) { w.fleet.Most = 0 }, nil, func(w *world) { w.fleet.Most = 10 }, 40 * time.Second},
+		{decide.NoFreeMachine, func(w *world) {
+			w.fleet.Most = 1
+			w.submit(spec("job-5", "red", 4))
+			time.Sleep(40 * time.Second)
+		}, nil, func(w *world) { w.cancel("job-5") }, 20 * time.Second},
+		{decide.GangIncomplete, func(w *world) {
+			w.fleet.Most = 1
+			w.submit(spec("job-5", "red", 2))
+			time.Sleep(40 * time.Second)
+		}, func(s *protocol.JobSpec) { s.Shape, s.Tasks = protocol.Gang, 4 }, func(w *world) { w.cancel("job-5") }, 20 * time.Second},
+		{decide.Booting, func(w *world) { w.fleet.Boot = 40 * time.Second }, nil, func(w *world) {}, 60 * time.Second},
+		{decide.FailsEverywhere, func(w *world) { w.fleet.Mistaken("job-6") }, nil, func(w *world) { w.fleet.Fixed("job-6") }, 90 * time.Second},
+		{decide.StateLost, func(w *world) {
+			w.submit(spec("job-5", "red", 2))
+			time.Sleep(40 * time.Second)
+			policy(func(p *Policy) { p.NoRents, p.HeldBack = true, w.fleet.Names() })(w)
+		}, nil, policy(func(p *Policy) {}), 15 * time.Second},
+	} {
+		t.Run(c.cause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				w := newWorld(t, ctx, 4, asTheyAre)
+				defer func() { cancel(); time.Sleep(2 * time.Minute); synctest.Wait() }()
+				time.Sleep(6 * time.Second)
+				w.peers()
+				c.before(w)
+				s := spec("job-6", "red", 2)
+				if c.spec != nil {
+					c.spec(s)
+				}
+				w.submit(s)
+				time.Sleep(map[bool]time.Duration{true: 30 * time.Second, false: 4 * time.Second}[c.cause == decide.FailsEverywhere || c.cause == decide.CloudRefused])
+				if c.cause == decide.StateLost {
+					w.set(func() { w.outage = true })
+					time.Sleep(4 * time.Second)
+				}
+				for _, name := range w.names {
+					why := w.asked(name, s.ID)
+					for try := 0; why != nil && why.Unknown == "" && c.cause == decide.FailsEverywhere && !strings.Contains(causesOf(why), c.cause.String()) && try < 40; try++ {
+						time.Sleep(500 * time.Millisecond) // a try is under way
+						why = w.asked(name, s.ID)
+					}
+					if why == nil || !strings.Contains(causesOf(why), c.cause.String()) {
+						t.Errorf("%s says %+v, want %s", name, why, c.cause)
+					} else if len(why.Release) == 0 || why.Holder == "" {
+						t.Errorf("%s names no release: %+v", name, why)
+					} else if c.cause == decide.StateLost && why.StateAge < 3 {
+						t.Errorf("%s does not tell how old what it says is: %v s", name, why.StateAge)
+					}
+				}
+				if c.cause == decide.StateLost {
+					w.set(func() { w.outage = false })
+					w.state.Refill()
+					time.Sleep(time.Second)
+				}
+				c.release(w)
+				if took, ok := w.begins(s.ID, 3*time.Minute); !ok || took > c.within {
+					why := w.asked("n-0", s.ID)
+					t.Errorf("started %v, %v after its release, want %v; %+v", ok, took, c.within, why)
+				}
+			})
+		})
+	}
+}
+
+// A holder that stands still while it is asked is not guessed for: the answer comes
+// within seconds, says unknown, and names what is known of its age.
+func TestWhyOfASilentHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(t, ctx, 4, asTheyAre)
+		defer func() { cancel(); time.Sleep(2 * time.Minute); synctest.Wait() }()
+		time.Sleep(6 * time.Second)
+		w.peers()
+		w.fleet.Most = 0
+		w.submit(&protocol.JobSpec{ID: "job-1", Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 2, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, EstimateS: 10})
+		time.Sleep(2 * time.Second)
+		holder := w.asked("n-0", "job-1").Holder
+		go w.freeze(holder, 30*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		for _, name := range w.names {
+			if name == holder {
+				continue
+			}
+			from := time.Now()
+			why := w.asked(name, "job-1")
+			if why == nil || !strings.Contains(why.Unknown, holder) || causesOf(why) != "holder_silent" && causesOf(why) != "no_holder" || time.Since(from) > 2*AskPatience {
+				t.Errorf("%s says %+v after %v", name, why, time.Since(from))
+			}
+			a, err := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onWhyPage(protocol.Ask{Most: 50}, time.Now(), reply) })
+			if page, ok := a.body.(*WhyPage); err != nil || !ok || len(page.Unknown) == 0 {
+				t.Errorf("%s: a page without what is unknown: %+v", name, a.body)
+			}
+		}
+		time.Sleep(20 * time.Second) // others have taken its share meanwhile
+		if why := w.asked("n-0", "job-1"); why == nil && holder != "n-0" {
+			t.Error("nothing is said after the take-over")
+		}
+	})
+}
+
+// Thousands of jobs with one cause: pages with a cursor, sums over all.
+func TestWhyOfThousands(t *testing.T) {
+	b := newBench(t)
+	for i := range 3000 {
+		spec := &protocol.JobSpec{ID: fmt.Sprintf("job-%06d", i), Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 2, CPUs: 4, GPUs: 1, Image: "i", Types: []string{"none"}}
+		b.put(protocol.JobKey(spec.ID), protocol.JobRecord{Spec: spec, SubmittedMS: int64(i), Next: 1})
+	}
+	now := time.Now()
+	b.Contact(now)
+	b.plan(now)
+	seen, after := 0, ""
+	for {
+		p := b.whyPage(protocol.Ask{Team: "red", After: after, Most: 200}, now)
+		if p.Sums["no_capacity"]+p.Sums["team_limit"] != 6000 {
+			t.Fatalf("%v", p.Sums)
+		}
+		if data := mustJSON(p); len(data) > protocol.MaxAnswer {
+			t.Fatalf("a page of %d bytes", len(data))
+		}
+		seen += len(p.Jobs)
+		if p.After == "" {
+			break
+		}
+		after = p.After
+	}
+	if seen != 3000 {
+		t.Errorf("%d jobs on all pages", seen)
+	}
+	if p := b.whyPage(protocol.Ask{Cause: "drained", Most: 50}, now); len(p.Jobs) != 0 {
+		t.Error("another cause's jobs")
+	}
+}
--- /dev/null
+++ b/internal/protocol/ask.go
@@ -0,0 +1,92 @@
+package protocol
+
+import (
+	"errors"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"dapplestage.example/dapplestage/internal/protocol/peerfb"
+)
+
+// Ask is a controller's question to another one: why jobs wait.
+type Ask struct {
+	Job, Team, Cause string
+	SinceS           float64
+	After            string
+	Most             int
+}
+
+// Told is the answer.
+type Told struct {
+	Node   string
+	Status int
+	Body   []byte // JSON
+}
+
+// askID marks a question among the frames that controllers send one another.
+const askID = "WHY1"
+
+// MaxAnswer bounds the JSON of an answer: it goes in one frame.
+const MaxAnswer = 60 << 10
+
+// Encode writes a question as FlatBuffers.
+func (a Ask) Encode() []byte {
+	b := flatbuffers.NewBuilder(128)
+	job, team, cause, after := b.CreateString(a.Job), b.CreateString(a.Team), b.CreateString(a.Cause), b.CreateString(a.After)
+	peerfb.AskStart(b)
+	peerfb.AskAddJob(b, job)
+	peerfb.AskAddTeam(b, team)
+	peerfb.AskAddCause(b, cause)
+	peerfb.AskAddSinceS(b, float32(a.SinceS))
+	peerfb.AskAddAfter(b, after)
+	peerfb.AskAddMost(b, uint16(a.Most))
+	b.FinishWithFileIdentifier(peerfb.AskEnd(b), []byte(askID))
+	return b.FinishedBytes()
+}
+
+// IsAsk says whether a frame holds a question; other frames are hints.
+func IsAsk(data []byte) bool { return len(data) >= 8 && flatbuffers.BufferHasIdentifier(data, askID) }
+
+// DecodeAsk reads a question.
+func DecodeAsk(data []byte) (a Ask, err error) {
+	defer func() {
+		if recover() != nil {
+			a, err = Ask{}, errors.New("malformed question")
+		}
+	}()
+	if !IsAsk(data) {
+		return a, errors.New("malformed question")
+	}
+	f := peerfb.GetRootAsAsk(data, 0)
+	return Ask{string(f.Job()), string(f.Team()), string(f.Cause()), float64(f.SinceS()), string(f.After()), int(f.Most())}, nil
+}
+
+// Encode writes an answer as FlatBuffers.
+func (t Told) Encode() []byte {
+	b := flatbuffers.NewBuilder(len(t.Body) + 64)
+	node, body := b.CreateString(t.Node), b.CreateByteVector(t.Body)
+	peerfb.ToldStart(b)
+	peerfb.ToldAddNode(b, node)
+	peerfb.ToldAddStatus(b, uint16(t.Status))
+	peerfb.ToldAddBody(b, body)
+	b.Finish(peerfb.ToldEnd(b))
+	return b.FinishedBytes()
+}
+
+// DecodeTold reads an answer.
+func DecodeTold(data []byte) (t Told, err error) {
+	defer func() {
+		if recover() != nil {
+			t, err = Told{}, errors.New("malformed answer")
+		}
+	}()
+	if len(data) < 8 {
+		return t, errors.New("malformed answer")
+	}
+	f := peerfb.GetRootAsTold(data, 0)
+	t = Told{string(f.Node()), int(f.Status()), append([]byte{}, f.BodyBytes()...)}
+	if t.Node == "" || t.Status == 0 {
+		return Told{}, errors.New("answer without a node or a status")
+	}
+	return t, nil
+}
--- a/internal/protocol/peer_test.go
+++ b/internal/protocol/peer_test.go
@@ -23,6 +23,28 @@
 	})
 }
 
+func TestQuestionsRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`[a-z0-9-]{0,20}`)
+		a := Ask{text.Draw(t, "job"), text.Draw(t, "team"), text.Draw(t, "cause"), float64(rapid.IntRange(0, 4000).Draw(t, "since")) / 4, text.Draw(t, "after"), rapid.IntRange(0, 200).Draw(t, "most")}
+		if got, err := DecodeAsk(a.Encode()); err != nil || got != a {
+			t.Fatalf("%+v became %+v, %v", a, got, err)
+		}
+		told := Told{"n-" + text.Draw(t, "node"), rapid.IntRange(200, 599).Draw(t, "status"), append([]byte{}, rapid.SliceOfN(rapid.Byte(), 0, 90).Draw(t, "body")...)}
+		if got, err := DecodeTold(told.Encode()); err != nil || !reflect.DeepEqual(got, told) {
+			t.Fatalf("%+v became %+v, %v", told, got, err)
+		}
+		for _, good := range [][]byte{a.Encode(), told.Encode()} {
+			good[rapid.IntRange(0, len(good)-1).Draw(t, "at")] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+			DecodeAsk(good)
+			DecodeTold(good)
+		}
+	})
+	if IsAsk(Hint{Node: "n-1"}.Encode()) {
+		t.Error("a hint is taken for a question")
+	}
+}
+
 // Whatever arrives, decoding ends without harm.
 func TestMalformedHints(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -98,6 +98,20 @@
 	f.mistaken[id] = true
 }
 
+// Limit changes how many machines there are to give.
+func (f *Fleet) Limit(machines int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Most = machines
+}
+
+// Fixed makes a job fail no more.
+func (f *Fleet) Fixed(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.mistaken, id)
+}
+
 // Errors is how often a task ended with an error.
 func (f *Fleet) Errors(task string) int {
 	f.mu.Lock()
--- a/internal/transport/frames.go
+++ b/internal/transport/frames.go
@@ -39,8 +39,9 @@
 
 // AcceptFrames takes connections on ln until ctx ends, one routine each, and
 // hands over what comes. A connection that take returns an error for, or that
-// is quiet for longer than quiet, is closed.
-func AcceptFrames(ctx context.Context, ln net.Listener, quiet time.Duration, take func([]byte) error) error {
+// is quiet for longer than quiet, is closed. A frame that ask answers is a question:
+// its answer goes back on the connection, which is then closed.
+func AcceptFrames(ctx context.Context, ln net.Listener, quiet time.Duration, take func([]byte) error, ask func([]byte) (answer []byte, is bool)) error {
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	for {
@@ -63,7 +64,15 @@
 			for {
 				c.SetReadDeadline(time.Now().Add(quiet))
 				data, err := ReadFrame(c)
-				if err != nil || take(data) != nil {
+				if err != nil {
+					return
+				}
+				if answer, is := ask(data); is {
+					c.SetWriteDeadline(time.Now().Add(quiet))
+					WriteFrame(c, answer)
+					return
+				}
+				if take(data) != nil {
 					return
 				}
 				c.SetWriteDeadline(time.Now().Add(quiet))
@@ -75,6 +84,23 @@
 	}
 }
 
+// AskFrame sends a question to addr and waits for its answer.
+func AskFrame(ctx context.Context, addr string, timeout time.Duration, question []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	if err := WriteFrame(c, question); err != nil {
+		return nil, err
+	}
+	return ReadFrame(c)
+}
+
 // taken confirms a message.
 var taken = []byte{1}
 
--- a/internal/transport/frames_test.go
+++ b/internal/transport/frames_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,7 +66,7 @@
 		default:
 		}
 		return nil
-	})
+	}, noAsk)
 	select {
 	case m := <-got:
 		if m != "hint" {
@@ -75,3 +76,41 @@
 		t.Error("nothing comes on a new connection")
 	}
 }
+
+func noAsk([]byte) ([]byte, bool) { return nil, false }
+
+// A question is answered on its connection while hints go on on theirs; one that is not
+// answered in time ends for who asked.
+func TestQuestions(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var hints atomic.Int64
+	go AcceptFrames(ctx, ln, time.Second, func([]byte) error { hints.Add(1); return nil }, func(q []byte) ([]byte, bool) {
+		switch string(q) {
+		case "why?":
+			return []byte("because"), true
+		case "never?":
+			<-ctx.Done()
+			return nil, true
+		}
+		return nil, false
+	})
+	go SendFrames(ctx, ln.Addr().String(), 5*time.Millisecond, time.Second, func() []byte { return []byte("hint") }, func() {})
+	for range 5 {
+		if a, err := AskFrame(ctx, ln.Addr().String(), 10*time.Second, []byte("why?")); err != nil || string(a) != "because" {
+			t.Fatalf("%q %v", a, err)
+		}
+	}
+	if a, err := AskFrame(ctx, ln.Addr().String(), 50*time.Millisecond, []byte("never?")); err == nil {
+		t.Errorf("answered %q", a)
+	}
+	for deadline := time.Now().Add(20 * time.Second); hints.Load() < 3; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no hints beside questions")
+		}
+	}
+}
