Node: fields in groups by what they serve, each with the file that may touch it

Change: polls, rate, seen, cloudside, eyes and told are structs of their own; names only, no behaviour. Not done: packages of their own for them.

--- a/internal/coordination/facts.go
+++ b/internal/coordination/facts.go
@@ -26,7 +26,7 @@
 func (n *Node) touch(m *machine) {
 	if m != nil && !m.stale {
 		m.stale = true
-		n.stale = append(n.stale, m)
+		n.seen.stale = append(n.seen.stale, m)
 	}
 }
 
@@ -45,14 +45,14 @@
 
 // syncIndex makes the facts of all machines that were touched anew.
 func (n *Node) syncIndex(now time.Time) {
-	if shut := n.shut(now); shut != n.wasShut {
-		n.wasShut = shut // with the site's lease jobs of the gateway may not run: no event tells
+	if shut := n.shut(now); shut != n.seen.wasShut {
+		n.seen.wasShut = shut // with the site's lease jobs of the gateway may not run: no event tells
 		n.touchAll()
 	}
-	for _, m := range n.stale {
+	for _, m := range n.seen.stale {
 		n.factsOf(m)
 	}
-	n.stale = n.stale[:0]
+	n.seen.stale = n.seen.stale[:0]
 }
 
 // factsOf are a machine's facts as they are now.
@@ -60,11 +60,11 @@
 	if m.stale {
 		m.stale = false
 		if n.machines[m.name] != m {
-			n.index.Remove(&m.facts)
+			n.seen.index.Remove(&m.facts)
 			return &m.facts
 		}
 		f := n.machineFacts(m)
-		n.index.Set(&m.facts, &f)
+		n.seen.index.Set(&m.facts, &f)
 	}
 	return &m.facts
 }
@@ -138,7 +138,7 @@
 // view is one look at a share.
 func (n *Node) view(s *share, now time.Time) *decide.View {
 	n.syncIndex(now)
-	v := &decide.View{Now: now, Share: s.index, Types: n.types, Index: n.index,
+	v := &decide.View{Now: now, Share: s.index, Types: n.types, Index: n.seen.index,
 		Config: decide.Config{ReportS: n.cfg.Params.Workers.ReportS, Aims: n.cfg.Params.Aims, MoveS: n.policy.MoveS}}
 	for _, t := range n.teams {
 		v.Teams = append(v.Teams, &t.Team)
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -32,10 +32,10 @@
 // ask rents machines and records them for the share. The request's name holds
 // the token, which no other node and no other life ever has.
 func (n *Node) ask(s *share, r rental, count int) {
-	n.rentSeq++
-	req := protocol.RentRequest{Request: fmt.Sprintf("r-%d-%d-%d", s.index, s.holder.Token, n.rentSeq),
+	n.cloudside.rentSeq++
+	req := protocol.RentRequest{Request: fmt.Sprintf("r-%d-%d-%d", s.index, s.holder.Token, n.cloudside.rentSeq),
 		Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: count}
-	n.renting[r] = count
+	n.cloudside.renting[r] = count
 	n.spawn(func(ctx context.Context) {
 		names, err := n.cloud.Rent(ctx, req)
 		n.post(func() {
@@ -47,12 +47,12 @@
 				if errors.Is(err, ErrNoCapacity) || err == nil {
 					wait = 8 * time.Second
 				}
-				n.refusedTill[r.offer] = now.Add(wait)
+				n.cloudside.refusedTill[r.offer] = now.Add(wait)
 			}
 			// Until they are recorded they count as asked for, or the share would
 			// rent them once more.
 			n.adopt(s, req, names, func() {
-				delete(n.renting, r)
+				delete(n.cloudside.renting, r)
 				n.replan = true
 			})
 		})
@@ -80,8 +80,8 @@
 }
 
 func (n *Node) noteStray(name string, now time.Time) {
-	if _, ok := n.strays[name]; !ok {
-		n.strays[name] = now
+	if _, ok := n.cloudside.strays[name]; !ok {
+		n.cloudside.strays[name] = now
 	}
 }
 
@@ -91,18 +91,18 @@
 
 // returnStrays gives back what nobody has recorded.
 func (n *Node) returnStrays(now time.Time, back *[]*machine) {
-	for name, first := range n.strays {
+	for name, first := range n.cloudside.strays {
 		m := n.machines[name]
-		_, over := n.returned[name]
+		_, over := n.cloudside.returned[name]
 		switch {
 		case over || m != nil && m.known:
-			delete(n.strays, name)
+			delete(n.cloudside.strays, name)
 		case m == nil && n.leads() && n.sinceContact(now) < 2*time.Second && now.Sub(first) > strayLimit:
 			n.log.Info("stray machine returned", "machine", name)
 			*back = append(*back, &machine{name: name, on: map[taskKey]struct{}{}})
-			delete(n.strays, name)
+			delete(n.cloudside.strays, name)
 		case now.Sub(first) > 4*strayLimit:
-			delete(n.strays, name)
+			delete(n.cloudside.strays, name)
 		}
 	}
 }
@@ -216,7 +216,7 @@
 			boot = max(boot, time.Duration(3*t.BootS*float64(time.Second)))
 		}
 		if len(m.on) == 0 && m.rec.Addr == "" {
-			return now.Sub(m.added) > boot && now.Sub(n.awake) > n.silentLimit()
+			return now.Sub(m.added) > boot && now.Sub(n.eyes.awake) > n.silentLimit()
 		}
 		// It was up under an earlier holder, and needs a moment to find this one.
 	}
@@ -226,7 +226,7 @@
 	if m.heard.IsZero() {
 		last = last.Add(3 * time.Second)
 	}
-	since := later(last, n.cutAt[m.rec.Zone])
+	since := later(last, n.eyes.cutAt[m.rec.Zone])
 	return now.Sub(since) > n.silentLimit() || now.Sub(last) > maxCut ||
 		m.unlisted && n.suspect(m, now) && now.Sub(since) > n.suspectLimit()
 }
@@ -254,7 +254,7 @@
 	for _, z := range n.cfg.Params.Zones {
 		// If most of a zone is silent it is the network, and the machines keep working.
 		if n.quietPart(now, z) >= 0.7 || n.zoneCut(z, now) {
-			n.cutAt[z] = now
+			n.eyes.cutAt[z] = now
 		}
 	}
 }
@@ -327,7 +327,7 @@
 			for _, m := range ms {
 				m.gone = true
 				n.touch(m)
-				n.returned[m.name] = now
+				n.cloudside.returned[m.name] = now
 				if m.known && n.mine(n.shares[m.rec.Share]) || !m.known {
 					n.settleGone(m)
 				}
@@ -348,15 +348,15 @@
 	} else if !n.leads() {
 		return
 	}
-	if n.listing || now.Sub(n.lastList) < pause {
+	if n.cloudside.listing || now.Sub(n.cloudside.lastList) < pause {
 		return
 	}
-	n.lastList = now
-	n.listing = true
+	n.cloudside.lastList = now
+	n.cloudside.listing = true
 	n.spawn(func(ctx context.Context) {
 		ms, err := n.cloud.List(ctx)
 		n.post(func() {
-			n.listing = false
+			n.cloudside.listing = false
 			if err == nil {
 				n.onList(ms, now, time.Now())
 			}
@@ -366,9 +366,9 @@
 
 // onList takes in a list asked for at a time.
 func (n *Node) onList(ms []protocol.ListedMachine, asked, now time.Time) {
-	for name, t := range n.returned {
+	for name, t := range n.cloudside.returned {
 		if now.Sub(t) > 5*time.Minute {
-			delete(n.returned, name)
+			delete(n.cloudside.returned, name)
 		}
 	}
 	var back []*machine
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -38,12 +38,12 @@
 	store   storage.Service
 	cloud   CloudService
 	workers Workers
-	// SetLevel, if set, is told the log level that operators chose, if any.
 	// SiteFrom is the host of the site's daemon, which alone may hand this node jobs of
 	// the gateway; empty: nobody may.
 	SiteFrom string
 	// Known, if set, asks the site's daemon whether a job is the gateway's, and how it is.
 	Known    func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error)
+	// SetLevel, if set, is told the log level that operators chose, if any.
 	SetLevel func(l slog.Level, chosen bool)
 	// AskPeer, if set, asks another controller a question and returns its answer.
 	AskPeer func(ctx context.Context, node string, question []byte) ([]byte, error)
@@ -67,9 +67,6 @@
 	jobs     map[string]*job
 	finals   *finalCache
 	machines map[string]*machine
-	index    *decide.Index     // what decisions see of them; see facts.go
-	stale    []*machine        // those whose facts are to be made anew
-	wasShut  bool              // as the facts have it
 	batches  map[string]*batch // of machines, by key
 	shares   []*share
 	teams    []*team
@@ -83,46 +80,80 @@
 	tombs       map[string]struct{} // keys known to be deleted, until the watch has passed them
 	due         dueHeap             // when parked reports are to be answered
 	replan      bool
-	nextPlan    time.Time // planning takes only a part of the node's time
-	reads       []*read
-	reading     bool
-	lastRead    time.Time
-	asked       int                              // users' changes under way
-	starts      map[*machine]bool                // machines with starts just stored
-	direct      int                              // direct starts under way
-	nextTurn    time.Time                        // when the next user turned away should come back
-	strays      map[string]time.Time             // unrecorded machines that were listed or heard, first seen
-	returned    map[string]time.Time             // machines that are gone for good
-	caches      atomic.Pointer[[]protocol.Cache] // what the next hints tell; read by others
-	lastCaches  time.Time
-	nextCache   int
-	cutAt       map[string]time.Time // zones: when last found unreachable
-	listing     bool
-	lastList    time.Time
+	nextPlan    time.Time         // planning takes only a part of the node's time
+	asked       int               // users' changes under way
+	starts      map[*machine]bool // machines with starts just stored
+	direct      int               // direct starts under way
+	nextTurn    time.Time         // when the next user turned away should come back
 	lastMove    time.Time
 	lastTend    time.Time
 	lastSaid    time.Time
 	lastRelease time.Time
-	rentSeq     uint64
-	nextRent    time.Time // when the cloud's rate allows another request
-	wanted      time.Time // since when machines are wanted that were not asked for
-	refusedTill map[offer]time.Time
-	renting     map[rental]int // machines asked for
-	changes     atomicFloat    // changes a second that this node would make
-	lastPace    time.Time
-	lastAsked   int64
-	lastTurn    time.Time   // when the actor last did something
-	awake       time.Time   // when it last had stood still
-	sight       time.Time   // when a worker was last heard
-	blind       atomic.Bool // no worker is heard
-	probing     int         // workers being asked how they are
-	lastProbe   time.Time
 	gate        *gate  // of jobs of the gateway; nil: none may run
 	tickets     desk   // render-farm tickets; see tickets.go
 	caught      uint64 // revision up to which the replica is complete
 	policy      Policy
 	metrics     *Metrics
 	endedJobs   []EndedJob
+
+	polls     polls     // users.go: questions about jobs that wait to be compared with the store
+	rate      rateParts // shares.go: this node's part of the rate of changes
+	seen      seen      // facts.go: what decisions see
+	cloudside cloudside // machines.go: what is under way with the cloud
+	eyes      eyes      // sight.go, peers.go: whom this node hears
+	told      told      // peers.go: what it tells of machines' caches
+}
+
+// polls are users' questions about jobs that wait to be compared with the store.
+type polls struct {
+	waiting []*read
+	reading bool
+	last    time.Time
+}
+
+// rateParts is what this node's part of the rate of changes is made of.
+type rateParts struct {
+	changes   atomicFloat // changes a second that this node would make
+	last      time.Time
+	lastAsked int64
+}
+
+// seen is what decisions see of the machines; see facts.go.
+type seen struct {
+	index   *decide.Index
+	stale   []*machine // those whose facts are to be made anew
+	wasShut bool       // as the facts have it
+}
+
+// cloudside is what is under way with the cloud.
+type cloudside struct {
+	rentSeq     uint64
+	nextRent    time.Time // when the cloud's rate allows another request
+	wanted      time.Time // since when machines are wanted that were not asked for
+	refusedTill map[offer]time.Time
+	renting     map[rental]int // machines asked for
+	listing     bool
+	lastList    time.Time
+	strays      map[string]time.Time // unrecorded machines that were listed or heard, first seen
+	returned    map[string]time.Time // machines that are gone for good
+}
+
+// eyes are whom this node hears.
+type eyes struct {
+	lastTurn  time.Time   // when the actor last did something
+	awake     time.Time   // when it last had stood still
+	heard     time.Time   // when a worker was last heard
+	blind     atomic.Bool // no worker is heard
+	probing   int         // workers being asked how they are
+	lastProbe time.Time
+	cutAt     map[string]time.Time // zones: when last found unreachable
+}
+
+// told is what the next hints tell of machines' caches.
+type told struct {
+	caches atomic.Pointer[[]protocol.Cache] // read by other routines
+	last   time.Time
+	next   int
 }
 
 // atomicFloat is a number that other routines read.
@@ -161,9 +192,11 @@
 		started: time.Now(), inbox: make(chan func(), 1024),
 		ver: map[string]uint64{}, orphans: map[string]protocol.Chunk{}, jobs: map[string]*job{}, finals: newFinalCache(50000),
 		machines: map[string]*machine{}, batches: map[string]*batch{}, teamOf: map[string]int{}, nodes: map[string]time.Time{},
-		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, starts: map[*machine]bool{}, tombs: map[string]struct{}{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}, cutAt: map[string]time.Time{},
-		refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, policy: DefaultPolicy(),
+		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, starts: map[*machine]bool{}, tombs: map[string]struct{}{},
+		policy:    DefaultPolicy(),
+		cloudside: cloudside{refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}},
 	}
+	n.eyes.cutAt = map[string]time.Time{}
 	n.siblings = map[string]*sibling{}
 	for _, s := range cfg.Siblings {
 		n.siblings[s.Node] = &sibling{zone: s.Zone}
@@ -175,7 +208,7 @@
 	n.metrics = newMetrics(classes)
 	n.tickets = newDesk(cfg.Params.State.TxnOps)
 	n.contact.Store(-int64(time.Hour))
-	n.caches.Store(&[]protocol.Cache{})
+	n.told.caches.Store(&[]protocol.Cache{})
 	var guarantees []float64
 	for _, t := range cfg.Params.Teams {
 		guarantees = append(guarantees, max(t.GPUs, t.CPUs/8))
@@ -190,7 +223,7 @@
 	for i := range count {
 		n.shares = append(n.shares, &share{index: i, window: decide.NewWindow(n.policy.Window)})
 	}
-	n.index, n.wasShut = decide.NewIndex(count, len(n.teams)), true
+	n.seen.index, n.seen.wasShut = decide.NewIndex(count, len(n.teams)), true
 	return n
 }
 
@@ -253,12 +286,12 @@
 				}
 			}
 			n.settle(time.Now())
-			n.lastTurn = time.Now()
+			n.eyes.lastTurn = time.Now()
 		case due := <-tick.C:
 			now := time.Now()
 			n.turn(now)
 			n.metrics.lag.Observe(now.Sub(due).Seconds())
-			n.metrics.backlog.Set(float64(n.storing + n.asked + len(n.reads)))
+			n.metrics.backlog.Set(float64(n.storing + n.asked + len(n.polls.waiting)))
 			n.tick(now)
 			n.settle(now)
 		}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -26,7 +26,7 @@
 
 // Hint is what this node tells its siblings now. Any routine may call it.
 func (n *Node) Hint() []byte {
-	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Blind: n.blind.Load(), Changes: float32(n.changes.Load()), Revision: atomic.LoadUint64(&n.followed), Caches: *n.caches.Load()}.Encode()
+	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Blind: n.eyes.blind.Load(), Changes: float32(n.rate.changes.Load()), Revision: atomic.LoadUint64(&n.followed), Caches: *n.told.caches.Load()}.Encode()
 }
 
 // cachesPerHint is how many machines one hint tells of.
@@ -36,10 +36,10 @@
 // shares held. A node that takes a share over, or gets a machine moved, then
 // knows where the images are; without it every take-over made all jobs fetch.
 func (n *Node) tellCaches(now time.Time) {
-	if now.Sub(n.lastCaches) < HintPeriod {
+	if now.Sub(n.told.last) < HintPeriod {
 		return
 	}
-	n.lastCaches = now
+	n.told.last = now
 	var ours []*machine
 	for _, s := range n.shares {
 		if n.mine(s) {
@@ -48,12 +48,12 @@
 	}
 	told := []protocol.Cache{}
 	for range min(cachesPerHint, len(ours)) {
-		n.nextCache = (n.nextCache + 1) % len(ours)
-		if m := ours[n.nextCache]; len(m.images) > 0 {
+		n.told.next = (n.told.next + 1) % len(ours)
+		if m := ours[n.told.next]; len(m.images) > 0 {
 			told = append(told, protocol.Cache{Machine: m.name, Images: slices.Clone(m.images)})
 		}
 	}
-	n.caches.Store(&told)
+	n.told.caches.Store(&told)
 }
 
 // learnCaches takes in what a sibling tells of the machines that it commands.
@@ -97,7 +97,7 @@
 // hears says whether a sibling's hints arrive.
 func (n *Node) hears(node string, now time.Time) bool {
 	s := n.siblings[node]
-	return s != nil && now.Sub(later(s.heard, n.awake)) < 3500*time.Millisecond
+	return s != nil && now.Sub(later(s.heard, n.eyes.awake)) < 3500*time.Millisecond
 }
 
 // ready says whether users should come here. A node that alone has lost the
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -178,8 +178,8 @@
 	if len(n.types) == 0 {
 		return
 	}
-	market := &decide.Market{Refused: n.refusedTill}
-	for r, k := range n.renting {
+	market := &decide.Market{Refused: n.cloudside.refusedTill}
+	for r, k := range n.cloudside.renting {
 		if r.share == s.index {
 			market.Asked = append(market.Asked, decide.Asked{Offer: r.offer, Count: k})
 		}
@@ -213,28 +213,28 @@
 // one now. Asking later, not queueing, lets a request cover all that is wanted
 // when it goes out.
 func (n *Node) askLargest(s *share, want map[offer]int, now time.Time) {
-	if now.Before(n.nextRent) {
+	if now.Before(n.cloudside.nextRent) {
 		return
 	}
 	var best rental
 	most := 0
 	for o, k := range want {
 		r := rental{s.index, o}
-		if n.renting[r] == 0 && (k > most || k == most && compareNames(o.Zone, best.Zone) < 0) {
+		if n.cloudside.renting[r] == 0 && (k > most || k == most && compareNames(o.Zone, best.Zone) < 0) {
 			best, most = r, k
 		}
 	}
 	if most == 0 {
 		return
 	}
-	if n.wanted.IsZero() {
-		n.wanted = now // jobs come in bursts: look again in a moment
+	if n.cloudside.wanted.IsZero() {
+		n.cloudside.wanted = now // jobs come in bursts: look again in a moment
 	}
-	if now.Sub(n.wanted) < 300*time.Millisecond {
+	if now.Sub(n.cloudside.wanted) < 300*time.Millisecond {
 		return
 	}
-	n.wanted = time.Time{}
-	n.nextRent = now.Add(time.Duration(float64(n.cfg.Params.Nodes) / n.cfg.Params.Cloud.RPS * float64(time.Second)))
+	n.cloudside.wanted = time.Time{}
+	n.cloudside.nextRent = now.Add(time.Duration(float64(n.cfg.Params.Nodes) / n.cfg.Params.Cloud.RPS * float64(time.Second)))
 	n.ask(s, best, min(most, 50))
 }
 
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -165,7 +165,7 @@
 // up the part of the node that had just come back, to which the load balancer sent
 // all of it, and of the holder of their share, while the others had plenty.
 func (n *Node) partPace(now time.Time) {
-	gone := now.Sub(n.lastPace).Seconds()
+	gone := now.Sub(n.rate.last).Seconds()
 	if gone < 1 {
 		return
 	}
@@ -176,10 +176,10 @@
 			behind++
 		}
 	}
-	would := float64(asked-n.lastAsked)/gone + float64(behind)/3
-	n.lastPace, n.lastAsked = now, asked
-	n.changes.Store((n.changes.Load() + min(would, n.pace.Total())) / 2)
-	own := leastChanges + n.changes.Load()
+	would := float64(asked-n.rate.lastAsked)/gone + float64(behind)/3
+	n.rate.last, n.rate.lastAsked = now, asked
+	n.rate.changes.Store((n.rate.changes.Load() + min(would, n.pace.Total())) / 2)
+	own := leastChanges + n.rate.changes.Load()
 	all := own
 	for name, s := range n.siblings {
 		if n.hears(name, now) {
@@ -204,7 +204,7 @@
 	if now.Sub(n.started) < 6*time.Second && turn > 0 {
 		d += 1500 * time.Millisecond
 	}
-	if n.blind.Load() {
+	if n.eyes.blind.Load() {
 		d += blindDelay
 	}
 	return d
--- a/internal/coordination/sight.go
+++ b/internal/coordination/sight.go
@@ -16,12 +16,12 @@
 
 // turn notes that the actor runs, and whether it stood still before.
 func (n *Node) turn(now time.Time) {
-	if gap := now.Sub(n.lastTurn); !n.lastTurn.IsZero() && gap > stallGap {
+	if gap := now.Sub(n.eyes.lastTurn); !n.eyes.lastTurn.IsZero() && gap > stallGap {
 		n.log.Info("this node stood still", "seconds", round(gap.Seconds()))
-		n.awake = now
+		n.eyes.awake = now
 		n.replan = true
 	}
-	n.lastTurn = now
+	n.eyes.lastTurn = now
 }
 
 // later is the latest of some times.
@@ -38,9 +38,9 @@
 // since this node took its share, but not while this node stood still.
 func (n *Node) lastHeard(m *machine) time.Time {
 	if m.heard.IsZero() {
-		return later(m.added, n.awake)
+		return later(m.added, n.eyes.awake)
 	}
-	return later(m.heard, n.awake)
+	return later(m.heard, n.eyes.awake)
 }
 
 // wasUp says whether a machine is known to have booted, by this node or by an
@@ -73,18 +73,18 @@
 		}
 	}
 	few := len(up) < fewWorkers
-	n.blind.Store(!few && now.Sub(n.sight) > n.blindAfter())
-	if few || n.probing > 0 || now.Sub(n.sight) < probePause || now.Sub(n.lastProbe) < probePause {
+	n.eyes.blind.Store(!few && now.Sub(n.eyes.heard) > n.blindAfter())
+	if few || n.eyes.probing > 0 || now.Sub(n.eyes.heard) < probePause || now.Sub(n.eyes.lastProbe) < probePause {
 		return
 	}
-	n.lastProbe = now
+	n.eyes.lastProbe = now
 	for range fewWorkers {
 		addr := up[n.rng.IntN(len(up))].addr
-		n.probing++
+		n.eyes.probing++
 		n.spawn(func(ctx context.Context) {
 			_, err := n.workers.Inspect(ctx, addr)
 			n.post(func() {
-				n.probing--
+				n.eyes.probing--
 				if err == nil {
 					n.saw(time.Now())
 				}
@@ -95,8 +95,8 @@
 
 // saw notes that a worker was heard.
 func (n *Node) saw(now time.Time) {
-	n.sight = now
-	n.blind.Store(false)
+	n.eyes.heard = now
+	n.eyes.blind.Store(false)
 }
 
 // served says whether a sibling could take a share over: it is heard, has the state
@@ -112,7 +112,7 @@
 	if n.sinceContact(now) > 2*time.Second || now.Sub(n.lastRelease) < 5*time.Second || len(n.nodes) < 2 || n.heldShares() == 0 {
 		return
 	}
-	blind := n.blind.Load() && now.Sub(later(n.sight, n.awake)) > n.blindAfter()
+	blind := n.eyes.blind.Load() && now.Sub(later(n.eyes.heard, n.eyes.awake)) > n.blindAfter()
 	other, unknown := false, false
 	for name := range n.siblings {
 		_, lives := n.nodes[name]
--- a/internal/coordination/sight_test.go
+++ b/internal/coordination/sight_test.go
@@ -42,7 +42,7 @@
 	for _, m := range b.shares[0].machines[2:] {
 		m.heard = now
 	}
-	b.cutAt = map[string]time.Time{}
+	b.eyes.cutAt = map[string]time.Time{}
 	b.noteCuts(now)
 	if m := b.machines["host-100"]; !b.dead(m, now) {
 		t.Fatal("a machine that was silent for 80 s among others that report is kept")
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -139,11 +139,11 @@
 		then(true, finalStatus(id, r), nil)
 		return
 	}
-	if len(n.reads) > 2000 {
+	if len(n.polls.waiting) > 2000 {
 		then(false, protocol.JobStatus{}, storage.ErrRefused)
 		return
 	}
-	n.reads = append(n.reads, &read{id: id, then: then})
+	n.polls.waiting = append(n.polls.waiting, &read{id: id, then: then})
 }
 
 // readPause bundles reads, so that many polls cost one request.
@@ -152,17 +152,17 @@
 // startRead compares what the replica says of all jobs asked for with the
 // store, in one request: a compare-only transaction on their stamps.
 func (n *Node) startRead(now time.Time) {
-	if n.reading || len(n.reads) == 0 || now.Sub(n.lastRead) < readPause {
+	if n.polls.reading || len(n.polls.waiting) == 0 || now.Sub(n.polls.last) < readPause {
 		return
 	}
-	n.reading = true
-	n.lastRead = now
+	n.polls.reading = true
+	n.polls.last = now
 	var batch []*read
 	var conds []storage.Cond
 	keys := map[string]bool{}
-	for len(n.reads) > 0 && len(conds)+2 <= 4*n.cfg.Params.State.TxnOps {
-		r := n.reads[0]
-		n.reads = n.reads[1:]
+	for len(n.polls.waiting) > 0 && len(conds)+2 <= 4*n.cfg.Params.State.TxnOps {
+		r := n.polls.waiting[0]
+		n.polls.waiting = n.polls.waiting[1:]
 		batch = append(batch, r)
 		c := n.cond(protocol.JobKey(r.id))
 		r.known = c.Stamp != 0
@@ -178,7 +178,7 @@
 	n.spawn(func(ctx context.Context) {
 		ok, _, failed, err := n.store.Txn(ctx, conds, nil)
 		n.post(func() {
-			n.reading = false
+			n.polls.reading = false
 			n.finishRead(batch, ok, failed, err)
 		})
 	})
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -271,7 +271,7 @@
 
 // around is what holds a job beside its share's machines and its team.
 func (n *Node) around(s *share, j *job, now time.Time) *decide.Around {
-	a := &decide.Around{StateAge: min(n.sinceContact(now), now.Sub(n.started)), NoRents: n.policy.NoRents, Claimed: n.anyClaimed(now), Market: &decide.Market{Refused: n.refusedTill}}
+	a := &decide.Around{StateAge: min(n.sinceContact(now), now.Sub(n.started)), NoRents: n.policy.NoRents, Claimed: n.anyClaimed(now), Market: &decide.Market{Refused: n.cloudside.refusedTill}}
 	for _, o := range s.jobs {
 		if o == j {
 			break
