--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -42,7 +42,7 @@
 	// the gateway; empty: nobody may.
 	SiteFrom string
 	// Known, if set, asks the site's daemon whether a job is the gateway's, and how it is.
-	Known    func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error)
+	Known func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error)
 	// SetLevel, if set, is told the log level that operators chose, if any.
 	SetLevel func(l slog.Level, chosen bool)
 	// AskPeer, if set, asks another controller a question and returns its answer.
