--- /dev/null
+++ b/cmd/dapplestage/report.go
@@ -0,0 +1,348 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	tea "github.com/charmbracelet/bubbletea"
+	"github.com/spf13/cobra"
+
+	"dapplestage.example/dapplestage/internal/console"
+	"dapplestage.example/dapplestage/internal/coordination"
+	"dapplestage.example/dapplestage/internal/coordination/ledger"
+	"dapplestage.example/dapplestage/internal/report"
+)
+
+// site is a site as a person asks it: any of its controllers, the next one if one does
+// not answer.
+type site struct{ addrs []string }
+
+func (s *site) flags(c *cobra.Command) {
+	c.Flags().StringSliceVar(&s.addrs, "addr", nil, "nodes' api_addr, as IP:PORT,...; the first that answers is asked")
+}
+
+func (s *site) check() error {
+	if len(s.addrs) == 0 {
+		return fmt.Errorf("%w: --addr IP:PORT is needed", errUsage)
+	}
+	return nil
+}
+
+// get asks the first node that answers, and remembers it.
+func (s *site) get(ctx context.Context, path string, into any) (err error) {
+	var errs []error
+	for i, a := range s.addrs {
+		if err = call(ctx, a, "GET", path, nil, into); err == nil {
+			s.addrs[0], s.addrs[i] = s.addrs[i], s.addrs[0]
+			return nil
+		}
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+func (s *site) page(ctx context.Context, q ledger.Query, since float64) (*ledger.Page, error) {
+	v := url.Values{"limit": {strconv.Itoa(q.Most)}}
+	for k, x := range map[string]string{"state": q.State, "team": q.Team, "class": q.Class, "zone": q.Zone, "image": q.Image, "q": q.Text, "after": q.After} {
+		if x != "" {
+			v.Set(k, x)
+		}
+	}
+	if since > 0 {
+		v.Set("since", strconv.FormatFloat(since, 'f', 3, 64))
+	}
+	p := &ledger.Page{}
+	return p, s.get(ctx, "/admin/account?"+v.Encode(), p)
+}
+
+// gather makes a report. since, if not 0, is how far back rows go.
+func (s *site) gather(ctx context.Context, q ledger.Query, since time.Duration) (*report.Data, error) {
+	began := time.Now()
+	var view coordination.SamplesView
+	if err := s.get(ctx, "/admin/samples", &view); err != nil {
+		return nil, err
+	}
+	q.Most = ledger.MostRows
+	d, err := report.Gather(func(after string) (*ledger.Page, error) {
+		q.After = after
+		// The time that pages take must not let rows fall out between two of them.
+		at := time.Duration(0)
+		if since > 0 {
+			at = since + time.Since(began)
+		}
+		return s.page(ctx, q, at.Seconds())
+	}, view.Samples, report.MostRows)
+	if err != nil {
+		return nil, err
+	}
+	if since > 0 {
+		d.Since = d.AsOf - since.Milliseconds()
+	}
+	d.Unknown = append(d.Unknown, view.Unknown...)
+	if q.Team != "" || q.Class != "" || q.State != "" || since > 0 {
+		d.Recount()
+	}
+	return d, nil
+}
+
+// reportCommand is `dapplestage report`.
+func reportCommand() *cobra.Command {
+	s := &site{}
+	var q ledger.Query
+	var out, compare string
+	var since time.Duration
+	var asJSON, asCSV bool
+	c := &cobra.Command{Use: "report -o FILE --addr IP:PORT", Short: "Write what ran, what did not and whose work is stuck, as one HTML page", Args: usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := s.check(); err != nil {
+				return failed(err)
+			}
+			if asJSON && asCSV {
+				return failed(fmt.Errorf("%w: --json and --csv can't both be given", errUsage))
+			}
+			return failed(func() error {
+				d, err := s.gather(cmd.Context(), q, since)
+				if err != nil {
+					return err
+				}
+				if compare != "" {
+					return printChanges(cmd.OutOrStdout(), compare, d, asJSON)
+				}
+				return writeWhole(cmd.OutOrStdout(), out, func(w io.Writer) error {
+					switch {
+					case asJSON:
+						return json.NewEncoder(w).Encode(d)
+					case asCSV:
+						return d.CSV(w)
+					}
+					return d.HTML(w)
+				})
+			}())
+		}}
+	s.flags(c)
+	f := c.Flags()
+	f.StringVarP(&out, "output", "o", "-", "the file; - for standard output")
+	f.DurationVar(&since, "since", 0, "only jobs that were submitted, lost something or ended since so long ago, and all that are open")
+	f.StringVar(&q.Team, "team", "", "only this team's jobs")
+	f.StringVar(&q.Class, "class", "", "only this class's jobs")
+	f.StringVar(&q.State, "state", "", "only jobs in this state")
+	f.BoolVar(&asJSON, "json", false, "write JSON, which --compare reads")
+	f.BoolVar(&asCSV, "csv", false, "write CSV")
+	f.StringVar(&compare, "compare", "", "print what has changed since an earlier report written with --json")
+	return c
+}
+
+// writeWhole writes a file whole or not at all: a full disk leaves the earlier one.
+func writeWhole(stdout io.Writer, path string, write func(io.Writer) error) error {
+	if path == "-" {
+		return write(stdout)
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(path), ".report-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name())
+	err = write(tmp)
+	if err == nil {
+		err = tmp.Chmod(0o644)
+	}
+	if e := tmp.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return fmt.Errorf("%s: not written: %w", path, err)
+	}
+	return os.Rename(tmp.Name(), path)
+}
+
+func printChanges(out io.Writer, path string, now *report.Data, asJSON bool) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var old report.Data
+	if err := json.Unmarshal(data, &old); err != nil {
+		return fmt.Errorf("%s: not a report written with --json: %v", path, err)
+	}
+	changes := report.Compare(&old, now)
+	if asJSON {
+		return printJSON(out, changes)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "%d jobs differ since %s\n", len(changes), time.UnixMilli(old.AsOf).UTC().Format(time.RFC3339))
+	if len(changes) > 0 {
+		fmt.Fprintln(w, "JOB\tTEAM\tCLASS\tWAS\tIS\tWHY")
+	}
+	for _, c := range changes {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", plain(c.Job), plain(c.Team), plain(c.Class), orNone(c.Was), orNone(c.Is), plain(c.Why))
+	}
+	return w.Flush()
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// plain keeps names from moving the cursor or breaking a table.
+func plain(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f || r >= 0x80 && r < 0xa0 {
+			return '?'
+		}
+		return r
+	}, s)
+}
+
+// accountCommand is `dapplestage account`.
+func accountCommand() *cobra.Command {
+	s := &site{}
+	var since time.Duration
+	var asJSON, all bool
+	c := &cobra.Command{Use: "account --since 1h --addr IP:PORT", Short: "After a loss: what each job it touched was doing, what is saved, where it is now, and sums that add up", Args: usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := s.check(); err != nil {
+				return failed(err)
+			}
+			if since <= 0 || since > 100*24*time.Hour {
+				return failed(fmt.Errorf("%w: --since %v is not within 1s and 2400h", errUsage, since))
+			}
+			return failed(func() error {
+				d, err := s.gather(cmd.Context(), ledger.Query{}, since)
+				if err != nil {
+					return err
+				}
+				if asJSON {
+					return printJSON(cmd.OutOrStdout(), d)
+				}
+				return printAccount(cmd.OutOrStdout(), d, all)
+			}())
+		}}
+	s.flags(c)
+	f := c.Flags()
+	f.DurationVar(&since, "since", time.Hour, "since the loss, or a little longer")
+	f.BoolVar(&all, "all", false, "list all jobs, not only those that lost something or are not known")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+func printAccount(out io.Writer, d *report.Data, all bool) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "as of %s, told by %s; what ended is remembered since %s\n", time.UnixMilli(d.AsOf).UTC().Format(time.RFC3339), d.Node, time.UnixMilli(d.Remembers).UTC().Format(time.RFC3339))
+	for _, u := range d.Unknown {
+		fmt.Fprintln(w, "not known:", plain(u))
+	}
+	if d.Remembers > d.Since {
+		fmt.Fprintln(w, "not known: what ended before that")
+	}
+	fmt.Fprintln(w, "\nSTATE\tJOBS\tOF THESE LOST RUNS\tRUNS LOST")
+	total, totalLost, runs := 0, 0, 0
+	for _, st := range ledger.States {
+		n, lost, r := 0, 0, 0
+		for i := range d.Rows {
+			if d.Rows[i].State == st {
+				n++
+				r += d.Rows[i].Lost
+				if d.Rows[i].Lost > 0 {
+					lost++
+				}
+			}
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", st, n, lost, r)
+		total, totalLost, runs = total+n, totalLost+lost, runs+r
+	}
+	fmt.Fprintf(w, "all\t%d\t%d\t%d\n", total, totalLost, runs)
+	if d.Left > 0 {
+		fmt.Fprintf(w, "and %d more, beyond what one account holds\n", d.Left)
+	}
+	fmt.Fprintln(w, "\nJOB\tTEAM\tCLASS\tSTATE\tDONE\tRUNNING\tLOST\tSAVED\tNOW IN\tWHY")
+	for i := range d.Rows {
+		r := &d.Rows[i]
+		if !all && r.Lost == 0 && r.State != ledger.Unknown {
+			continue
+		}
+		saved := ""
+		if r.SavedS > 0 {
+			saved = fmt.Sprintf("%.0f s", r.SavedS)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d/%d\t%d\t%d\t%s\t%s\t%s\n", plain(r.Job), plain(r.Team), plain(r.Class), r.State, r.Done, r.Tasks, r.Running, r.Lost, saved, plain(strings.Join(r.Zones, ",")), plain(r.Why))
+	}
+	return w.Flush()
+}
+
+// consoleCommand is `dapplestage console`.
+func consoleCommand() *cobra.Command {
+	s := &site{}
+	c := &cobra.Command{Use: "console --addr IP:PORT,...", Short: "Watch what runs, what does not and whose work is stuck, in the terminal", Args: usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := s.check(); err != nil {
+				return failed(err)
+			}
+			ctx, stop := context.WithCancel(cmd.Context())
+			defer stop()
+			m := console.New(func(a console.Ask) console.Answer { return s.consoleAsk(ctx, a) }, time.Now)
+			_, err := tea.NewProgram(m, tea.WithAltScreen(), tea.WithContext(ctx), tea.WithFPS(10)).Run()
+			return failed(err)
+		}}
+	s.flags(c)
+	return c
+}
+
+func (s *site) consoleAsk(ctx context.Context, a console.Ask) console.Answer {
+	out := console.Answer{Ask: a}
+	if a.Job == "" {
+		out.Page, out.Err = s.page(ctx, a.Query, 0)
+		if out.Err == nil {
+			out.Node = out.Page.Node
+		}
+		return out
+	}
+	p, err := s.page(ctx, ledger.Query{Text: a.Job, Most: 5}, 0)
+	if err != nil {
+		out.Err = err
+		return out
+	}
+	out.Node = p.Node
+	var b textBuffer
+	for _, r := range p.Rows {
+		if r.Job != a.Job {
+			continue
+		}
+		fmt.Fprintf(&b, "%s  %s\n\nteam %s, class %s, %s, image %s\n", r.Job, r.State, r.Team, r.Class, r.Shape, r.Image)
+		if r.Ticket != "" {
+			fmt.Fprintf(&b, "a step of ticket %s\n", r.Ticket)
+		}
+		fmt.Fprintf(&b, "%d tasks: %d done, %d running, %d starting, %d waiting, %d failed\n", r.Tasks, r.Done, r.Running, r.Starting, r.Waiting, r.Failed)
+		fmt.Fprintf(&b, "submitted %s ago", time.Since(time.UnixMilli(r.Submitted)).Round(time.Second))
+		if r.Since > 0 {
+			fmt.Fprintf(&b, ", %s for %s", r.State, time.Since(time.UnixMilli(r.Since)).Round(time.Second))
+		}
+		fmt.Fprintf(&b, "\nlost %d runs; saved up to %.0f s; in %s on %s\n", r.Lost, r.SavedS, strings.Join(r.Zones, ", "), strings.Join(r.Machines, ", "))
+		if r.Why != "" {
+			fmt.Fprintf(&b, "%s\n", r.Why)
+		}
+	}
+	var w coordination.Why
+	switch err := s.get(ctx, "/admin/why/"+a.Job, &w); {
+	case err != nil && strings.Contains(err.Error(), "answers 404"):
+	case err != nil:
+		fmt.Fprintf(&b, "\nwhy it waits is not known: %v\n", err)
+	default:
+		b = append(b, '\n')
+		printWhy(&b, &w)
+	}
+	out.Job = strings.Split(strings.TrimRight(string(b), "\n"), "\n")
+	return out
+}
--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,166 @@
+package console
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	tea "github.com/charmbracelet/bubbletea"
+	"pgregory.net/rapid"
+
+	"dapplestage.example/dapplestage/internal/coordination/ledger"
+)
+
+// rig is a console with a clock and a node of its own.
+type rig struct {
+	*Model
+	now   time.Time
+	asked []Ask
+	fail  error
+	rows  int
+}
+
+func newRig(rows int) *rig {
+	r := &rig{now: time.Unix(1e9, 0), rows: rows}
+	r.Model = New(func(a Ask) Answer {
+		r.asked = append(r.asked, a)
+		if r.fail != nil {
+			return Answer{Ask: a, Err: r.fail}
+		}
+		if a.Job != "" {
+			return Answer{Ask: a, Job: []string{a.Job + " waits", "because: team limit"}, Node: "n-0"}
+		}
+		p := ledger.NewPage("n-0", r.now)
+		for i := range r.rows {
+			p.Add(&a.Query, ledger.Row{Job: fmt.Sprintf("job-%06d", i), Team: fmt.Sprint("shop-", i%7), Class: "album", State: ledger.States[i%len(ledger.States)], Why: "\x1b[2Jbecause\nof", Tasks: 5, Zones: []string{"a"}})
+		}
+		p.Zones["a"] = ledger.ZoneSums{Up: 4}
+		p.Finish(&a.Query)
+		return Answer{Ask: a, Page: p, Node: "n-0"}
+	}, func() time.Time { return r.now })
+	r.do(r.question())
+	return r
+}
+
+// do runs what an update asks for: questions only, time is the test's.
+func (r *rig) do(c tea.Cmd) {
+	if c == nil {
+		return
+	}
+	if a, ok := c().(Answer); ok {
+		_, c := r.Update(a)
+		r.do(c)
+	}
+}
+
+func (r *rig) press(keys ...string) {
+	for _, k := range keys {
+		msg := tea.KeyMsg{Type: tea.KeyRunes, Runes: []rune(k)}
+		switch k {
+		case "enter":
+			msg = tea.KeyMsg{Type: tea.KeyEnter}
+		case "esc":
+			msg = tea.KeyMsg{Type: tea.KeyEsc}
+		case "tab":
+			msg = tea.KeyMsg{Type: tea.KeyTab}
+		case "down":
+			msg = tea.KeyMsg{Type: tea.KeyDown}
+		case "up":
+			msg = tea.KeyMsg{Type: tea.KeyUp}
+		case "backspace":
+			msg = tea.KeyMsg{Type: tea.KeyBackspace}
+		}
+		_, c := r.Update(msg)
+		r.do(c)
+	}
+}
+
+func (r *rig) pass(d time.Duration) {
+	for range int(d / (250 * time.Millisecond)) {
+		r.now = r.now.Add(250 * time.Millisecond)
+		r.do(r.question())
+	}
+}
+
+func TestViews(t *testing.T) {
+	r := newRig(300)
+	for _, c := range []struct {
+		keys []string
+		want string
+	}{
+		{nil, "stuck "}, {[]string{"2"}, "shop-3"}, {[]string{"4"}, "SILENT"}, {[]string{"5"}, "job-000000"},
+		{[]string{"n"}, "job-000100"}, {[]string{"n"}, "page 3"}, {[]string{"p", "p"}, "job-000000"},
+		{[]string{"s"}, "state=stuck"}, {[]string{"c", "/", "0", "1", "7", "enter"}, "job-000017"},
+		{[]string{"enter"}, "because: team limit"}, {[]string{"esc"}, "search=017"}, {[]string{"c", "2", "enter"}, "team=shop-"},
+		{[]string{"c", "tab"}, "[1:overview]"},
+	} {
+		r.press(c.keys...)
+		r.pass(3 * time.Second)
+		if v := r.View(); !strings.Contains(v, c.want) {
+			t.Errorf("after %v: %q is not on\n%s", c.keys, c.want, v)
+		}
+	}
+}
+
+// Whatever is pressed: a node is asked at most every two seconds unless something else
+// is asked for, one question at a time; the screen is never too wide or too high and
+// holds no control characters; and old answers are not shown as the new question's.
+func TestAnyKeys(t *testing.T) {
+	keys := []string{"1", "2", "3", "4", "5", "tab", "/", "s", "u", "f", "c", "up", "down", "n", "p", "enter", "esc", "backspace", "x", "é", "0", "a"}
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(rapid.SampledFrom([]int{0, 1, 30, 250}).Draw(t, "rows"))
+		w, h := rapid.IntRange(1, 200).Draw(t, "width"), rapid.IntRange(1, 60).Draw(t, "height")
+		r.Update(tea.WindowSizeMsg{Width: w, Height: h})
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				r.pass(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			case 1:
+				r.fail = errors.New("n-0 does not answer")
+			case 2:
+				r.fail = nil
+			default:
+				r.press(rapid.SampledFrom(keys).Draw(t, "key"))
+			}
+			lines := strings.Split(r.View(), "\n")
+			if len(lines) > max(8, h) {
+				t.Fatalf("%d lines on %d", len(lines), h)
+			}
+			for _, l := range lines {
+				if utf8.RuneCountInString(l) > max(20, w) || strings.ContainsAny(l, "\x1b\r\t") {
+					t.Fatalf("%q on %d columns", l, w)
+				}
+			}
+		}
+	})
+}
+
+func TestAskingIsBounded(t *testing.T) {
+	r := newRig(10)
+	for range 200 {
+		r.press("down", "up", "2", "5")
+		r.now = r.now.Add(50 * time.Millisecond)
+	}
+	if n := len(r.asked); n > 7 {
+		t.Errorf("%d questions in 10 s", n)
+	}
+}
+
+// A node that dies while the console runs: what was known stays, marked with its age,
+// and is not shown as fine.
+func TestDeadNode(t *testing.T) {
+	r := newRig(10)
+	r.fail = errors.New("n-0 does not answer")
+	r.pass(10 * time.Second)
+	if v := r.View(); !strings.Contains(v, "NOT KNOWN since 10 s: n-0 does not answer") || !strings.Contains(v, "running") {
+		t.Error(v)
+	}
+	r.fail = nil
+	r.pass(3 * time.Second)
+	if v := r.View(); strings.Contains(v, "NOT KNOWN since") {
+		t.Error(v)
+	}
+}
--- /dev/null
+++ b/internal/coordination/account_test.go
@@ -0,0 +1,245 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/coordination/ledger"
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// told is the whole account as a node tells it, page by page.
+func (w *world) told(name string) (rows map[string]ledger.Row, last *ledger.Page) {
+	rows = map[string]ledger.Row{}
+	q := ledger.Query{Most: 3}
+	for {
+		ctx, cancel := context.WithTimeout(w.ctx, 10*time.Second)
+		a, err := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onAccount(q, time.Now(), reply) })
+		cancel()
+		p, ok := a.body.(*ledger.Page)
+		if err != nil || !ok {
+			return rows, nil
+		}
+		for _, r := range p.Rows {
+			if _, twice := rows[r.Job]; twice {
+				w.t.Errorf("%s is on two pages", r.Job)
+			}
+			rows[r.Job] = r
+		}
+		if last = p; p.After == "" {
+			return rows, p
+		}
+		q.After = p.After
+	}
+}
+
+func albumOf(id string, tasks int, seconds float64) *protocol.JobSpec {
+	return &protocol.JobSpec{ID: id, Team: "red", Class: "album", Shape: protocol.Array, Priority: "standard", Tasks: tasks, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, EstimateS: seconds, Spot: true}
+}
+
+// inWorld runs a test among three nodes that ask one another.
+func inWorld(t *testing.T, set func(n *Node), f func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		setAccount = set
+		defer func() { setAccount = nil }()
+		w := newWorld(t, ctx, 11, asTheyAre)
+		time.Sleep(6 * time.Second)
+		w.peers()
+		f(w)
+		cancel()
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+	})
+}
+
+// A worker whose machine reports on while its task does not move: the job is shown as
+// stuck within a minute, by every node, and is not when it moves again.
+func TestStalledWorkerIsShownWithinAMinute(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		w.submit(albumOf("job-1", 2, 8))
+		w.submit(albumOf("job-2", 2, 8))
+		for !w.ran("job-1") {
+			time.Sleep(time.Second)
+		}
+		w.fleet.Stall("job-1", true)
+		from := time.Now()
+		for time.Since(from) < 2*time.Minute {
+			if rows, _ := w.told("n-1"); rows["job-1"].State == ledger.Stuck {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		if took := time.Since(from); took > time.Minute {
+			t.Errorf("shown after %v", took)
+		}
+		for _, name := range w.names {
+			rows, p := w.told(name)
+			if r := rows["job-1"]; r.State != ledger.Stuck || !strings.Contains(r.Why, "a task runs for") || rows["job-2"].State != ledger.Done || p.Sums[ledger.Stuck] != 1 {
+				t.Errorf("%s: %+v, %+v, %v", name, r, rows["job-2"], p.Sums)
+			}
+		}
+		w.fleet.Stall("job-1", false)
+		time.Sleep(30 * time.Second)
+		if rows, _ := w.told("n-0"); rows["job-1"].State != ledger.Done {
+			t.Errorf("after it moved: %+v", rows["job-1"])
+		}
+	})
+}
+
+// A share whose holder stands still, a holder without the state service, machines that
+// are not heard: not known, never fine, and each job still in one row.
+func TestUnknownIsNotFine(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		for i := range 7 {
+			s := albumOf(fmt.Sprintf("job-%d", i), 1, 10000)
+			s.Team = []string{"red", "blue", "green"}[i%3]
+			w.submit(s)
+		}
+		time.Sleep(40 * time.Second)
+		rows, p := w.told("n-0")
+		if p.Sums[ledger.Running] != 7 || len(p.Unknown) != 0 {
+			t.Fatalf("%v %v", p.Sums, p.Unknown)
+		}
+		holder := rows["job-0"].Node
+		go w.freeze(holder, 20*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		asked := w.names[0]
+		if holder == asked {
+			asked = w.names[1]
+		}
+		rows, p = w.told(asked)
+		if len(rows) != 7 || rows["job-0"].State != ledger.Unknown || p.Sums[ledger.Unknown] == 0 || len(p.Unknown) == 0 || !strings.Contains(strings.Join(p.Unknown, " "), holder) {
+			t.Errorf("with %s standing still: %+v; %v %v", holder, rows["job-0"], p.Sums, p.Unknown)
+		}
+		if p.Zones["a"].Unknown+p.Zones["b"].Unknown == 0 {
+			t.Errorf("its machines are shown as known: %v", p.Zones)
+		}
+		time.Sleep(40 * time.Second) // taken over, and it is back
+		if rows, p = w.told(asked); rows["job-0"].State != ledger.Running || len(p.Unknown) != 0 {
+			t.Errorf("afterwards: %+v %v", rows["job-0"], p.Unknown)
+		}
+		w.set(func() {
+			for _, n := range w.names {
+				w.deaf[n] = true
+			}
+		})
+		time.Sleep(8 * time.Second)
+		if rows, p = w.told(asked); rows["job-0"].State != ledger.Unknown || p.Zones["a"].Silent+p.Zones["b"].Silent+p.Zones["a"].Unknown+p.Zones["b"].Unknown == 0 {
+			t.Errorf("machines not heard: %+v %v", rows["job-0"], p.Zones)
+		}
+		w.set(func() { clear(w.deaf); w.outage = true })
+		time.Sleep(5 * time.Second)
+		if _, p = w.told(asked); p.StateAge < 3 || len(p.Unknown) == 0 {
+			t.Errorf("without the state service: %v s, %v", p.StateAge, p.Unknown)
+		}
+		w.set(func() { w.outage = false })
+		w.state.Refill()
+	})
+}
+
+// Many machines lost at once: every accepted job is in exactly one column, and those
+// that lost something say so, before and after they run again.
+func TestAccountOfAMassLoss(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		for i := range 6 {
+			s := albumOf(fmt.Sprintf("job-%d", i), 2, 60)
+			s.Team = []string{"red", "blue", "green"}[i%3]
+			w.submit(s)
+		}
+		time.Sleep(35 * time.Second)
+		for _, m := range w.fleet.Names() {
+			w.fleet.Kill(m)
+		}
+		for i := range 90 {
+			time.Sleep(2 * time.Second)
+			rows, p := w.told(w.names[i%3])
+			if p == nil {
+				continue
+			}
+			total := 0
+			for _, c := range p.Sums {
+				total += c
+			}
+			if len(rows) != 6 || total != 6 {
+				t.Fatalf("%d rows, sums %v", len(rows), p.Sums)
+			}
+		}
+		rows, _ := w.told("n-0")
+		lost := 0
+		for id, r := range rows {
+			if r.State != ledger.Done {
+				t.Errorf("%s: %+v", id, r)
+			}
+			lost += r.Lost
+		}
+		if lost < 6 {
+			t.Errorf("%d runs are said to be lost, of 12: %+v", lost, rows)
+		}
+	})
+}
+
+// What ended is remembered by every node, also by one that starts later, and, stored,
+// over the end of all of them.
+func TestEndsOutliveAllNodes(t *testing.T) {
+	settings := func(n *Node) {
+		n.KeepAccount(AccountSettings{Entries: 1000, Keep: 24 * time.Hour, Every: 10 * time.Second})
+	}
+	inWorld(t, settings, func(w *world) {
+		for i := range 5 {
+			w.submit(albumOf(fmt.Sprintf("job-%d", i), 1, 5))
+		}
+		w.submit(albumOf("job-9", 1, 1000))
+		time.Sleep(40 * time.Second)
+		w.cancel("job-9")
+		time.Sleep(30 * time.Second)
+		for _, name := range w.names {
+			go w.crash(name)
+		}
+		time.Sleep(20 * time.Second)
+		w.peers()
+		for _, name := range w.names {
+			rows, _ := w.told(name)
+			for i := range 5 {
+				if r := rows[fmt.Sprintf("job-%d", i)]; r.State != ledger.Done || r.Ended == 0 {
+					t.Errorf("%s: %+v", name, r)
+				}
+			}
+			if rows["job-9"].State != ledger.Withdrawn {
+				t.Errorf("%s: %+v", name, rows["job-9"])
+			}
+		}
+		items, _, _ := w.state.List(w.ctx, protocol.BookRoot)
+		bytes := 0
+		for _, it := range items {
+			bytes += len(it.Value)
+			var s ledger.Segment
+			if err := json.Unmarshal(it.Value, &s); err != nil {
+				t.Error(err)
+			}
+		}
+		if len(items) == 0 || len(items) > 8 || bytes > 4000 {
+			t.Errorf("%d segments, %d bytes", len(items), bytes)
+		}
+	})
+}
+
+// Ten thousand open jobs: a page costs what it shows and one pass over the jobs.
+func BenchmarkAccountPage(b *testing.B) {
+	n := newBench(b)
+	n.fleetOf(1600, 8400)
+	now := time.Now()
+	n.Contact(now)
+	q := ledger.Query{Most: 200}
+	b.ReportAllocs()
+	for b.Loop() {
+		if p := n.accountPart(&q, now); len(p.Rows) != 200 {
+			b.Fatal(len(p.Rows))
+		}
+	}
+}
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -25,6 +25,7 @@
 	n.routeAdmin(r)
 	n.routeTickets(r)
 	n.routeWhy(r)
+	n.routeAccount(r)
 	n.routeSite(r)
 	return r
 }
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -45,6 +45,7 @@
 	machine *machine
 	since   time.Time // when it began to wait, or was recorded
 	sent    time.Time // when a start was last commanded by this node
+	began   time.Time // when this node first saw it run
 	graceS  float64   // grace of the stop
 }
 
@@ -101,6 +102,7 @@
 	notBefore time.Time    // start nothing before, after errors
 	waits     decide.Kind  // why its tasks wait, as the last look had it
 	facts     decide.Job   // what decisions see of it; see facts.go
+	story     story        // what this node saw of its runs; see account.go
 	taskChunk map[int]bool // chunks to be written by the next change
 }
 
@@ -154,6 +156,7 @@
 		j.claim = r.Claim
 		n.reclaimed(id, r.Claim)
 	}
+	j.story.learn(r)
 	j.failed = j.failed || r.Failed
 	if (r.Cancelled || r.Failed) && !j.cancelled {
 		j.cancelled, j.facts.Cancelled = true, true
@@ -344,7 +347,7 @@
 			t.machine.used = t.machine.used.Add(j.need, 1)
 		}
 		t.fact, t.storing, t.stop, t.erred = noFact, false, false, false
-		t.seen, t.sent = unseen, time.Time{}
+		t.seen, t.sent, t.began = unseen, time.Time{}, time.Time{}
 		n.touch(t.machine)
 	}
 }
@@ -358,6 +361,7 @@
 	if j.step != nil {
 		n.ticketChanged(j.step.Ticket)
 	}
+	n.noteEnd(j)
 	for i := range j.tasks {
 		n.setPhase(j, i, waiting, nil, 0, time.Time{})
 	}
@@ -532,7 +536,7 @@
 
 // head builds a job's head as it is to be stored.
 func (j *job) head() protocol.JobRecord {
-	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim, Step: j.step, Failed: j.failed, Chunk: j.record(0)}
+	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim, Step: j.step, Failed: j.failed, Lost: j.story.lost, LostMS: j.story.lostMS(), Chunk: j.record(0)}
 }
 
 func mustJSON(v any) json.RawMessage {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -170,6 +170,7 @@
 	n.list(now)
 	n.sayHow(now)
 	n.tellCaches(now)
+	n.keepAccount(now)
 }
 
 // sayHow logs now and then how the shares held are doing.
@@ -290,7 +291,16 @@
 // settleGone notes that the tasks of a machine that is gone are so too. Its
 // record goes with the batch's next change.
 func (n *Node) settleGone(m *machine) {
+	now := time.Now()
 	for k := range m.on {
+		t := &k.job.tasks[k.task]
+		if t.seen == unseen && t.sent.IsZero() {
+			// An earlier holder recorded it there, and this one never heard of it: as far
+			// as anybody can tell it ran. (Found with a fleet lost at once: each node took
+			// itself for blind, and who took the shares over counted nothing as lost.)
+			t.seen = seenRunning
+		}
+		n.runLost(k.job, t, now)
 		n.note(k.job, k.task, gone)
 	}
 	if m.known {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -101,6 +101,7 @@
 	seen      seen      // facts.go: what decisions see
 	cloudside cloudside // machines.go: what is under way with the cloud
 	eyes      eyes      // sight.go, peers.go: whom this node hears
+	account   account   // account.go: what ended, and how it went
 	told      told      // peers.go: what it tells of machines' caches
 }
 
@@ -197,6 +198,7 @@
 		cloudside: cloudside{refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}},
 	}
 	n.eyes.cutAt = map[string]time.Time{}
+	n.account = newAccount(AccountSettings{}, time.Now())
 	n.siblings = map[string]*sibling{}
 	for _, s := range cfg.Siblings {
 		n.siblings[s.Node] = &sibling{zone: s.Zone}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -121,6 +121,9 @@
 	fs := &faultyState{w: w, node: name}
 	n := New(ctx, w.cfg[name], log, fs, &faultyCloud{w.fleet, w, name}, &faultyWorkers{w, name}, 1)
 	fs.contact = n.Contact
+	if setAccount != nil {
+		setAccount(n)
+	}
 	if w.lease != nil {
 		n.SiteFrom = "the daemon"
 	}
@@ -193,6 +196,19 @@
 
 var errNoAnswer = errors.New("no answer")
 
+// setAccount, if a test sets it, gives each node that starts its settings.
+var setAccount func(n *Node)
+
+// ran says whether a task of a job has started.
+func (w *world) ran(job string) bool {
+	for _, m := range w.fleet.Names() {
+		if w.fleet.Runs(m, job) {
+			return true
+		}
+	}
+	return false
+}
+
 // ask runs one request on a node's actor.
 func (w *world) ask(ctx context.Context, name string, f func(n *Node, reply chan<- answer)) (answer, error) {
 	n := w.node(name)
--- a/internal/coordination/ticketapi.go
+++ b/internal/coordination/ticketapi.go
@@ -137,7 +137,7 @@
 }
 
 // taskBytes is what an open task takes of a node's memory.
-const taskBytes = 100
+const taskBytes = 125
 
 // mostTasks is how many tasks may be open for another ticket to be taken: they take a
 // fifth of the node's memory at the most.
--- a/internal/coordination/tickets.go
+++ b/internal/coordination/tickets.go
@@ -94,6 +94,9 @@
 
 // dropTicket forgets a ticket whose record is gone: it is over.
 func (n *Node) dropTicket(id string) {
+	if t := n.tickets.byID[id]; t != nil {
+		n.noteTicketEnd(t)
+	}
 	delete(n.tickets.byID, id)
 	delete(n.tickets.dirty, id)
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -417,7 +417,7 @@
 // stored is a job's head as it is stored now, without what is only proposed
 // or noted: whoever changes it must not store another's pending decisions.
 func (j *job) stored() protocol.JobRecord {
-	r := protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim, Step: j.step, Failed: j.failed}
+	r := protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled, Next: j.next, Tries: j.trouble.tries, Claim: j.claim, Step: j.step, Failed: j.failed, Lost: j.story.lost, LostMS: j.story.lostMS()}
 	lo, hi := j.chunkRange(0)
 	for i := lo; i < hi; i++ {
 		if e := int(j.tasks[i].errs); e > 0 && j.tasks[i].phase != done {
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -186,7 +186,15 @@
 
 func (n *Node) answerAsk(q protocol.Ask, now time.Time) protocol.Told {
 	t := protocol.Told{Node: n.cfg.Node, Status: 200}
-	if q.Job == "" {
+	if q.Kind == protocol.AskAccount {
+		query := queryOf(q)
+		for t.Body = mustJSON(n.accountPart(&query, now)); len(t.Body) > protocol.MaxAnswer && query.Most > 1; {
+			query.Most /= 2 // long names: fewer rows, and the cursor says so
+			t.Body = mustJSON(n.accountPart(&query, now))
+		}
+	} else if q.Kind == protocol.AskSamples {
+		t.Body = mustJSON(n.account.samples)
+	} else if q.Job == "" {
 		t.Body = mustJSON(n.whyPage(q, now))
 	} else if j := n.jobs[q.Job]; j == nil {
 		t.Status, t.Body = 404, mustJSON(errorBody{"no such job, or it is over"})
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -283,8 +283,10 @@
 			// A gang starts only once all of it is stored.
 		case j.spec.Shape == protocol.Gang && t.seen >= seenRunning:
 			// It ran and was lost with its lease: the gang must start anew.
+			n.runLost(j, t, now)
 			n.note(j, k.task, gone)
 		default:
+			n.runLost(j, t, now)
 			t.sent = now
 			t.seen = unseen
 			cmds = append(cmds, protocol.Command{Op: protocol.OpStart, Task: protocol.TaskID(j.id, k.task), Attempt: t.attempt})
@@ -321,6 +323,9 @@
 			m.fetchSince[j.spec.Image] = now
 		}
 	case protocol.TaskWaiting, protocol.TaskRunning:
+		if was != seenRunning && t.seen == seenRunning {
+			n.runBegan(j, t, now)
+		}
 		if j.started.IsZero() && tr.State == protocol.TaskRunning {
 			j.started = now
 			if !t.sent.IsZero() { // else it ran before this node took the share over
@@ -336,12 +341,14 @@
 		}
 	case protocol.TaskExited:
 		if tr.Cause == protocol.CauseDone {
+			n.runEnded(j, t, now)
 			n.note(j, i, finished)
 			m.fetched(j.spec.Image, j.spec.ImageGB, n.types[m.rec.Type], now)
 			n.doesWell(j, m, true, now)
 			return
 		}
 		if t.fact == noFact {
+			j.story.inVain(tr.Cause)
 			n.log.Info("task exited", "task", tr.Task, "machine", m.name, "cause", tr.Cause, "saved", tr.Saved)
 			if j.step != nil && ticket.Counts(tr.Cause) {
 				// Counted with the end itself: both are in one change, and a repeated
--- a/internal/protocol/ask.go
+++ b/internal/protocol/ask.go
@@ -14,8 +14,18 @@
 	SinceS           float64
 	After            string
 	Most             int
+
+	Kind                            string // empty: why jobs wait; AskAccount, AskSamples
+	State, Zone, Image, Text, Class string // of the account
+	SinceMS                         int64
 }
 
+// Kinds of questions beside why jobs wait.
+const (
+	AskAccount = "account"
+	AskSamples = "samples"
+)
+
 // Told is the answer.
 type Told struct {
 	Node   string
@@ -33,7 +43,15 @@
 func (a Ask) Encode() []byte {
 	b := flatbuffers.NewBuilder(128)
 	job, team, cause, after := b.CreateString(a.Job), b.CreateString(a.Team), b.CreateString(a.Cause), b.CreateString(a.After)
+	kind, state, zone, image, text, class := b.CreateString(a.Kind), b.CreateString(a.State), b.CreateString(a.Zone), b.CreateString(a.Image), b.CreateString(a.Text), b.CreateString(a.Class)
 	peerfb.AskStart(b)
+	peerfb.AskAddKind(b, kind)
+	peerfb.AskAddState(b, state)
+	peerfb.AskAddZone(b, zone)
+	peerfb.AskAddImage(b, image)
+	peerfb.AskAddText(b, text)
+	peerfb.AskAddClass(b, class)
+	peerfb.AskAddSinceMs(b, a.SinceMS)
 	peerfb.AskAddJob(b, job)
 	peerfb.AskAddTeam(b, team)
 	peerfb.AskAddCause(b, cause)
@@ -58,7 +76,8 @@
 		return a, errors.New("malformed question")
 	}
 	f := peerfb.GetRootAsAsk(data, 0)
-	return Ask{string(f.Job()), string(f.Team()), string(f.Cause()), float64(f.SinceS()), string(f.After()), int(f.Most())}, nil
+	return Ask{Job: string(f.Job()), Team: string(f.Team()), Cause: string(f.Cause()), SinceS: float64(f.SinceS()), After: string(f.After()), Most: int(f.Most()),
+		Kind: string(f.Kind()), State: string(f.State()), Zone: string(f.Zone()), Image: string(f.Image()), Text: string(f.Text()), Class: string(f.Class()), SinceMS: f.SinceMs()}, nil
 }
 
 // Encode writes an answer as FlatBuffers.
--- a/internal/protocol/peerfb/Ask.go
+++ b/internal/protocol/peerfb/Ask.go
@@ -89,8 +89,68 @@
 	return rcv._tab.MutateUint16Slot(14, n)
 }
 
+func (rcv *Ask) Kind() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Ask) State() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Ask) Zone() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Ask) Image() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Ask) Text() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Ask) Class() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Ask) SinceMs() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Ask) MutateSinceMs(n int64) bool {
+	return rcv._tab.MutateInt64Slot(28, n)
+}
+
 func AskStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(13)
 }
 func AskAddJob(builder *flatbuffers.Builder, job flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(job), 0)
@@ -110,6 +170,27 @@
 func AskAddMost(builder *flatbuffers.Builder, most uint16) {
 	builder.PrependUint16Slot(5, most, 0)
 }
+func AskAddKind(builder *flatbuffers.Builder, kind flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(kind), 0)
+}
+func AskAddState(builder *flatbuffers.Builder, state flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(7, flatbuffers.UOffsetT(state), 0)
+}
+func AskAddZone(builder *flatbuffers.Builder, zone flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(8, flatbuffers.UOffsetT(zone), 0)
+}
+func AskAddImage(builder *flatbuffers.Builder, image flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(9, flatbuffers.UOffsetT(image), 0)
+}
+func AskAddText(builder *flatbuffers.Builder, text flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(10, flatbuffers.UOffsetT(text), 0)
+}
+func AskAddClass(builder *flatbuffers.Builder, class flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(class), 0)
+}
+func AskAddSinceMs(builder *flatbuffers.Builder, sinceMs int64) {
+	builder.PrependInt64Slot(12, sinceMs, 0)
+}
 func AskEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -16,6 +16,7 @@
 	ClassesKey  = Root + "classes"
 	FinalRoot   = "f/"
 	TicketRoot  = "t/"
+	BookRoot    = "l/"
 )
 
 // ChunkTasks is how many tasks share one stored value: 128 placements with
@@ -75,6 +76,10 @@
 	Claim       uint32   `json:"g,omitempty"` // of a job that came through the gateway: the site's claim on it
 	Step        *StepRef `json:"k,omitempty"` // of a ticket's step
 	Failed      bool     `json:"f,omitempty"` // of a ticket's step: it is to end, since the ticket or it has failed
+	// Lost is how many runs were lost with their machine or lease, and when the last was:
+	// written with the changes that a loss takes anyway.
+	Lost   int   `json:"l,omitempty"`
+	LostMS int64 `json:"u,omitempty"`
 	// Ticket makes this a ticket's record, which has no Spec and no tasks of its own: a
 	// version that knows no tickets leaves it alone.
 	Ticket *TicketRecord `json:"w,omitempty"`
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -48,6 +48,7 @@
 	mistaken  map[string]bool
 	errors    map[string]int // by task
 	began     map[string]bool
+	stalled   map[string]bool // jobs
 	Started   int
 	Broken    []string
 }
@@ -81,7 +82,7 @@
 
 // NewFleet makes a fleet that lives until ctx ends.
 func NewFleet(ctx context.Context) *Fleet {
-	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}}
+	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}}
 }
 
 // Submitted tells the workers of a job, as users do.
@@ -98,6 +99,28 @@
 	f.mistaken[id] = true
 }
 
+// Stall makes a job's tasks run on without getting anywhere, while their machines
+// report.
+func (f *Fleet) Stall(job string, is bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stalled[job] = is
+}
+
+// Runs says whether a task of a job runs on a machine.
+func (f *Fleet) Runs(machine, job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.machines[machine]; m != nil {
+		for _, p := range m.tasks {
+			if p.job.ID == job && p.state == protocol.TaskRunning {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Limit changes how many machines there are to give.
 func (f *Fleet) Limit(machines int) {
 	f.mu.Lock()
@@ -424,7 +447,9 @@
 					m.changed()
 				}
 			case protocol.TaskRunning:
-				p.ran += step
+				if !m.f.stalled[p.job.ID] {
+					p.ran += step
+				}
 				if at, ok := m.f.cancelled[p.job.ID]; ok && time.Since(at).Seconds() > m.f.Workers.CancelS {
 					m.f.broken("ran_cancelled %s", id)
 				}
