--- /dev/null
+++ b/cmd/dapplestage/console_test.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/creack/pty"
+
+	"dapplestage.example/dapplestage/internal/coordination/ledger"
+)
+
+// The test's own program is the command line when it is told so.
+func TestMain(m *testing.M) {
+	if os.Getenv("RUN_AS_DAPPLESTAGE") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// node answers as a controller's account does.
+func node(t *testing.T, rows int) (*httptest.Server, *sync.Map) {
+	asked := &sync.Map{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Store(r.URL.Path, true)
+		switch {
+		case r.URL.Path == "/admin/samples":
+			io.WriteString(w, `{"samples":[{"t":0,"r":3},{"t":60000,"r":5}]}`)
+		case strings.HasPrefix(r.URL.Path, "/admin/why/"):
+			io.WriteString(w, `{"job":"job-000003","team":"shop","class":"album","waiting_tasks":2,"causes":[{"cause":"team_limit","text":"team limit: its team uses 8 of 8 cards"}],"release":["1 more cards of the team's limit"],"enough":true,"holder":"n-0"}`)
+		default:
+			v := r.URL.Query()
+			q := ledger.Query{State: v.Get("state"), Text: v.Get("q"), After: v.Get("after"), Most: 100}
+			p := ledger.NewPage("n-0", time.Now())
+			p.Since = time.Now().Add(-time.Hour).UnixMilli()
+			for i := range rows {
+				p.Add(&q, ledger.Row{Job: fmt.Sprintf("job-%06d", i), Team: "shop", Class: "<i>album", State: ledger.States[i%len(ledger.States)], Why: "a task runs for 90 s", Tasks: 4, Lost: i % 2, LostMS: time.Now().UnixMilli()})
+			}
+			p.Finish(&q)
+			json.NewEncoder(w).Encode(p)
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s, asked
+}
+
+// The console in a terminal of 80 columns and 24 lines: it shows what is stuck, opens a
+// job, says so when its node dies, and gives the terminal back.
+func TestConsoleInATerminal(t *testing.T) {
+	s, _ := node(t, 40)
+	cmd := exec.Command(os.Args[0], "console", "--addr", strings.TrimPrefix(s.URL, "http://"))
+	cmd.Env = append(os.Environ(), "RUN_AS_DAPPLESTAGE=1", "TERM=xterm", "NO_COLOR=1")
+	tty, err := pty.StartWithSize(cmd, &pty.Winsize{Rows: 24, Cols: 80})
+	if err != nil {
+		t.Skip("no pseudo-terminals here: ", err)
+	}
+	defer func() { cmd.Process.Kill(); cmd.Wait(); tty.Close() }()
+	var mu sync.Mutex
+	var all strings.Builder
+	go func() {
+		buf := make([]byte, 4096)
+		for {
+			n, err := tty.Read(buf)
+			mu.Lock()
+			all.Write(buf[:n])
+			mu.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+	escapes := regexp.MustCompile("\x1b\\[[0-9;?]*[a-zA-Z]")
+	shows := func(want string) {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			mu.Lock()
+			text := escapes.ReplaceAllString(all.String(), "")
+			mu.Unlock()
+			if strings.Contains(text, want) {
+				return
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		t.Fatalf("%q is not shown in\n%s", want, escapes.ReplaceAllString(all.String(), ""))
+	}
+	shows("<- look")
+	tty.Write([]byte("s"))
+	shows("state=stuck")
+	shows("a task runs for 90 s")
+	tty.Write([]byte("\r"))
+	shows("because: team limit")
+	shows("until:   1 more cards")
+	s.CloseClientConnections()
+	s.Close()
+	shows("NOT KNOWN since")
+	mu.Lock()
+	if colours := regexp.MustCompile("\x1b\\[[0-9;]*m").FindString(all.String()); colours != "" && colours != "\x1b[0m" && colours != "\x1b[m" {
+		t.Errorf("colour %q though none is wanted", colours)
+	}
+	mu.Unlock()
+	tty.Write([]byte("q"))
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Error("q does not end it")
+	}
+}
+
+// The commands as people run them: exit codes, files, and an earlier file kept when the
+// new one can't be written whole.
+func TestReportCommands(t *testing.T) {
+	s, _ := node(t, 250)
+	addr := strings.TrimPrefix(s.URL, "http://")
+	dir := t.TempDir()
+	run := func(args ...string) (string, int) {
+		cmd := exec.Command(os.Args[0], args...)
+		cmd.Env = append(os.Environ(), "RUN_AS_DAPPLESTAGE=1")
+		out, err := cmd.CombinedOutput()
+		if err != nil && cmd.ProcessState == nil {
+			t.Fatal(err)
+		}
+		return string(out), cmd.ProcessState.ExitCode()
+	}
+	html, old := filepath.Join(dir, "r.html"), filepath.Join(dir, "a.json")
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"report", "-o", html, "--addr", "127.0.0.1:1," + addr}, 0, ""},
+		{[]string{"report", "--json", "-o", old, "--addr", addr}, 0, ""},
+		{[]string{"report", "--compare", old, "--addr", addr}, 0, "0 jobs differ"},
+		{[]string{"report", "--csv", "--addr", addr}, 0, "job-000249,"},
+		{[]string{"account", "--since", "10m", "--addr", addr}, 0, "250   125"},
+		{[]string{"report", "--addr", "127.0.0.1:1"}, 1, "does not answer"},
+		{[]string{"report", "-o", "/nowhere/r.html", "--addr", addr}, 1, "/nowhere"},
+		{[]string{"report", "--csv", "--json", "--addr", addr}, 2, "can't both"},
+		{[]string{"account", "--since", "-1s", "--addr", addr}, 2, "--since"},
+		{[]string{"console"}, 2, "--addr"},
+		{[]string{"why", "x", "--addr", addr}, 2, "not the id of a job"},
+		{[]string{"why", "job-000003", "--addr", addr}, 0, "because: team limit"},
+	} {
+		out, code := run(c.args...)
+		if code != c.code || !strings.Contains(out, c.want) {
+			t.Errorf("%v: exit %d, want %d and %q\n%s", c.args, code, c.code, c.want, out)
+		}
+	}
+	page, err := os.ReadFile(html)
+	if err != nil || !strings.Contains(string(page), "are stuck") || strings.Contains(string(page), "<i>album") {
+		t.Errorf("%v, %d bytes", err, len(page))
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, ".report-*")); len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -241,6 +241,14 @@
 		}
 		send(w, 200, struct{}{})
 	})
+	r.POST("/stall/:id/:is", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		f.Stall(p.ByName("id"), p.ByName("is") == "true")
+		send(w, 200, struct{}{})
+	})
+	r.POST("/kill/:machine", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		f.Kill(p.ByName("machine"))
+		send(w, 200, struct{}{})
+	})
 	r.POST("/upload", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		data, _ := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody))
 		s, err := protocol.ParseJob(data)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -318,7 +318,7 @@
 			lines = append(lines, "")
 		}
 	}
-	lines = append(lines, m.chosenLine(), "1-5 tab views  enter open  esc back  / search  f state  s stuck  u unknown  c all  n p pages  q quit")
+	lines = append(lines, m.chosenLine(), "1-5 tab  enter esc  / search  f state  s stuck  u unknown  c all  n p page  q quit")
 	for i, l := range lines {
 		if i > 0 {
 			b.WriteByte('\n')
--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -122,8 +122,14 @@
 	}
 }
 
-func (n *Node) runBegan(j *job, t *task, now time.Time) {
-	if t.began.IsZero() {
+func (n *Node) runBegan(t *task, now time.Time) {
+	switch {
+	case !t.began.IsZero():
+	case t.sent.IsZero():
+		// An earlier holder started it. Every node heard when it was recorded, and a
+		// stall must not begin anew with each take-over. (Found by the lab.)
+		t.began = t.since
+	default:
 		t.began = now
 	}
 }
--- a/internal/coordination/account_test.go
+++ b/internal/coordination/account_test.go
@@ -92,6 +92,34 @@
 	})
 }
 
+// A stall that began under an earlier holder is not young again with each take-over.
+// (Found by the lab: with a controller that stood still twice a stall was never shown.)
+func TestStallIsAsOldAsItIs(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		w.submit(albumOf("job-1", 2, 8))
+		for !w.ran("job-1") {
+			time.Sleep(time.Second)
+		}
+		w.fleet.Stall("job-1", true)
+		from := time.Now()
+		rows, _ := w.told("n-1")
+		go w.freeze(rows["job-1"].Node, 12*time.Second)
+		time.Sleep(25 * time.Second)
+		rows, _ = w.told("n-1")
+		go w.freeze(rows["job-1"].Node, 12*time.Second)
+		for time.Since(from) < 2*time.Minute {
+			if rows, _ := w.told("n-1"); rows["job-1"].State == ledger.Stuck {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		if took := time.Since(from); took > time.Minute {
+			t.Errorf("shown after %v", took)
+		}
+		w.fleet.Stall("job-1", false)
+	})
+}
+
 // A share whose holder stands still, a holder without the state service, machines that
 // are not heard: not known, never fine, and each job still in one row.
 func TestUnknownIsNotFine(t *testing.T) {
--- a/internal/coordination/ledger/row.go
+++ b/internal/coordination/ledger/row.go
@@ -126,6 +126,17 @@
 	if r.Job > q.After && q.Takes(&r) {
 		p.Rows = append(p.Rows, r)
 	}
+	// Of thousands only the first by job stay; twice as many as asked for, since some
+	// may be there twice.
+	if keep := 2*q.Most + 2; len(p.Rows) > 4*keep {
+		slices.SortFunc(p.Rows, byJob)
+		clear(p.Rows[keep:])
+		p.Rows = p.Rows[:keep]
+	}
+}
+
+func byJob(a, b Row) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(late(b), late(a)))
 }
 
 func (p *Page) count(state, team, class string, n int) {
@@ -173,9 +184,7 @@
 // twice, since its share went from one node to another meanwhile, the row that is over
 // stays, else the later one.
 func (p *Page) Finish(q *Query) {
-	slices.SortFunc(p.Rows, func(a, b Row) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(late(b), late(a)))
-	})
+	slices.SortFunc(p.Rows, byJob)
 	kept := p.Rows[:0]
 	for _, r := range p.Rows {
 		if len(kept) > 0 && kept[len(kept)-1].Job == r.Job {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -324,7 +324,7 @@
 		}
 	case protocol.TaskWaiting, protocol.TaskRunning:
 		if was != seenRunning && t.seen == seenRunning {
-			n.runBegan(j, t, now)
+			n.runBegan(t, now)
 		}
 		if j.started.IsZero() && tr.State == protocol.TaskRunning {
 			j.started = now
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -5,6 +5,7 @@
 	"encoding/csv"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -79,6 +80,9 @@
 		t.Fatal(err)
 	}
 	t.Logf("%d bytes in %v", b.Len(), time.Since(from))
+	if path := os.Getenv("REPORT_OUT"); path != "" { // to look at
+		os.WriteFile(path, b.Bytes(), 0o644)
+	}
 	if b.Len() > 4<<20 || strings.Count(b.String(), "<tr class=") < 10000 {
 		t.Errorf("%d bytes, %d rows", b.Len(), strings.Count(b.String(), "<tr class="))
 	}
