--- a/cmd/dapplestage/report.go
+++ b/cmd/dapplestage/report.go
@@ -25,19 +25,68 @@
 
 // site is a site as a person asks it: any of its controllers, the next one if one does
 // not answer.
-type site struct{ addrs []string }
+type site struct {
+	name  string
+	addrs []string
+}
+
+// sites are those of the command line: one by --addr, or several by name.
+type sites struct {
+	addrs []string
+	named []string
+	all   []*site
+}
 
-func (s *site) flags(c *cobra.Command) {
+func (s *sites) flags(c *cobra.Command) {
 	c.Flags().StringSliceVar(&s.addrs, "addr", nil, "nodes' api_addr, as IP:PORT,...; the first that answers is asked")
+	c.Flags().StringArrayVar(&s.named, "site", nil, "instead of --addr, several sites: NAME=IP:PORT,...; may be repeated")
 }
 
-func (s *site) check() error {
-	if len(s.addrs) == 0 {
-		return fmt.Errorf("%w: --addr IP:PORT is needed", errUsage)
+func (s *sites) check() error {
+	s.all = nil
+	if (len(s.addrs) == 0) == (len(s.named) == 0) {
+		return fmt.Errorf("%w: --addr IP:PORT or --site NAME=IP:PORT is needed, and not both", errUsage)
+	}
+	if len(s.addrs) > 0 {
+		s.all = []*site{{addrs: s.addrs}}
+	}
+	for _, n := range s.named {
+		name, addrs, ok := strings.Cut(n, "=")
+		if !ok || name == "" || addrs == "" {
+			return fmt.Errorf("%w: --site %q is not NAME=IP:PORT,...", errUsage, n)
+		}
+		s.all = append(s.all, &site{name: name, addrs: strings.Split(addrs, ",")})
 	}
 	return nil
 }
 
+// gather makes the reports of all sites. One that does not answer is told as not known;
+// if none does there is nothing to report.
+func (s *sites) gather(ctx context.Context, q ledger.Query, since time.Duration) ([]*report.Data, error) {
+	var out []*report.Data
+	var errs []error
+	for _, one := range s.all {
+		d, err := one.gather(ctx, q, since)
+		if err != nil {
+			errs = append(errs, err)
+			d = report.LostSite(one.name, time.Now(), err)
+		}
+		d.Site = one.name
+		out = append(out, d)
+	}
+	if len(errs) == len(s.all) {
+		return nil, errors.Join(errs...)
+	}
+	return out, nil
+}
+
+func (s *sites) names() (out []string) {
+	for _, one := range s.all {
+		out = append(out, one.name)
+	}
+	return out
+}
+
 // get asks the first node that answers, and remembers it.
 func (s *site) get(ctx context.Context, path string, into any) (err error) {
 	var errs []error
@@ -97,7 +146,7 @@
 
 // reportCommand is `dapplestage report`.
 func reportCommand() *cobra.Command {
-	s := &site{}
+	s := &sites{}
 	var q ledger.Query
 	var out, compare string
 	var since time.Duration
@@ -111,21 +160,24 @@
 				return failed(fmt.Errorf("%w: --json and --csv can't both be given", errUsage))
 			}
 			return failed(func() error {
-				d, err := s.gather(cmd.Context(), q, since)
+				if (compare != "" || asJSON || asCSV) && len(s.all) > 1 {
+					return fmt.Errorf("%w: --json, --csv and --compare take one site at a time", errUsage)
+				}
+				ds, err := s.gather(cmd.Context(), q, since)
 				if err != nil {
 					return err
 				}
 				if compare != "" {
-					return printChanges(cmd.OutOrStdout(), compare, d, asJSON)
+					return printChanges(cmd.OutOrStdout(), compare, ds[0], asJSON)
 				}
 				return writeWhole(cmd.OutOrStdout(), out, func(w io.Writer) error {
 					switch {
 					case asJSON:
-						return json.NewEncoder(w).Encode(d)
+						return json.NewEncoder(w).Encode(ds[0])
 					case asCSV:
-						return d.CSV(w)
+						return ds[0].CSV(w)
 					}
-					return d.HTML(w)
+					return report.HTML(w, ds...)
 				})
 			}())
 		}}
@@ -208,7 +260,7 @@
 
 // accountCommand is `dapplestage account`.
 func accountCommand() *cobra.Command {
-	s := &site{}
+	s := &sites{}
 	var since time.Duration
 	var asJSON, all bool
 	c := &cobra.Command{Use: "account --since 1h --addr IP:PORT", Short: "After a loss: what each job it touched was doing, what is saved, where it is now, and sums that add up", Args: usage(cobra.NoArgs),
@@ -220,14 +272,26 @@
 				return failed(fmt.Errorf("%w: --since %v is not within 1s and 2400h", errUsage, since))
 			}
 			return failed(func() error {
-				d, err := s.gather(cmd.Context(), ledger.Query{}, since)
+				ds, err := s.gather(cmd.Context(), ledger.Query{}, since)
 				if err != nil {
 					return err
 				}
 				if asJSON {
-					return printJSON(cmd.OutOrStdout(), d)
+					return printJSON(cmd.OutOrStdout(), ds)
+				}
+				for _, d := range ds {
+					if d.Site != "" {
+						fmt.Fprintf(cmd.OutOrStdout(), "site %s\n", plain(d.Site))
+					}
+					if d.Lost != "" {
+						fmt.Fprintf(cmd.OutOrStdout(), "not known: %s\n\n", d.Lost)
+						continue
+					}
+					if err := printAccount(cmd.OutOrStdout(), d, all); err != nil {
+						return err
+					}
 				}
-				return printAccount(cmd.OutOrStdout(), d, all)
+				return nil
 			}())
 		}}
 	s.flags(c)
@@ -284,7 +348,7 @@
 
 // consoleCommand is `dapplestage console`.
 func consoleCommand() *cobra.Command {
-	s := &site{}
+	s := &sites{}
 	c := &cobra.Command{Use: "console --addr IP:PORT,...", Short: "Watch what runs, what does not and whose work is stuck, in the terminal", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := s.check(); err != nil {
@@ -292,7 +356,7 @@
 			}
 			ctx, stop := context.WithCancel(cmd.Context())
 			defer stop()
-			m := console.New(func(a console.Ask) console.Answer { return s.consoleAsk(ctx, a) }, time.Now)
+			m := console.New(func(a console.Ask) console.Answer { return s.all[a.Site].consoleAsk(ctx, a) }, time.Now, s.names()...)
 			_, err := tea.NewProgram(m, tea.WithAltScreen(), tea.WithContext(ctx), tea.WithFPS(10)).Run()
 			return failed(err)
 		}}
--- a/cmd/lab/report.go
+++ b/cmd/lab/report.go
@@ -7,10 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/url"
-	"os"
-	"os/signal"
-	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -216,6 +212,21 @@
 			}
 		}
 	}
+	// A run that is lost meanwhile stalls anew on another machine: then that is the cause.
+	until(ctx, 70*time.Second, func() bool {
+		ask()
+		events, _ := readEvents(f.events)
+		open := false
+		for _, j := range stalls {
+			for _, e := range events {
+				if job, _, ok := protocol.ParseTaskID(e.Task); ok && job == j.id && e.Event == "start" && time.Unix(0, e.At).After(j.stalled) && j.shown.IsZero() {
+					j.stalled = time.Unix(0, e.At)
+				}
+			}
+			open = open || j.shown.IsZero() && time.Since(j.stalled) < time.Minute
+		}
+		return !open
+	})
 	for _, j := range stalls {
 		post(ctx, f, "/stall/"+j.id+"/false")
 		switch {
@@ -263,93 +274,36 @@
 }
 
 func reportProof() *cobra.Command {
-	var runs, parallel int
-	var seed uint64
-	var asJSON bool
-	c := &cobra.Command{Use: "report", Short: "Stall workers, lose machines, stop controllers, and hold the account to what machines ran", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := between("runs", runs, 1, 10000); err != nil {
-				return err
-			}
-			if err := between("parallel", parallel, 1, 16); err != nil {
-				return err
-			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			return proveReport(ctx, cmd.OutOrStdout(), runs, parallel, seed, asJSON)
-		}}
-	c.Flags().IntVar(&runs, "runs", 6, "how many runs")
-	c.Flags().IntVar(&parallel, "parallel", 6, "runs at a time")
-	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's seed; the next ones follow")
-	c.Flags().BoolVar(&asJSON, "json", false, "print the last line only")
-	return c
+	return runsProof("report", "Stall workers, lose machines, stop controllers, and hold the account to what machines ran", 6, 6, proveReport)
 }
 
-func proveReport(ctx context.Context, out io.Writer, runs, parallel int, seed uint64, asJSON bool) error {
-	bin, err := build(ctx)
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(bin)
+func proveReport(ctx context.Context, out io.Writer, o runOptions) error {
 	hist := hdrhistogram.New(1, 120_000, 3)
 	s := struct {
-		Runs    int     `json:"runs"`
-		Broken  int     `json:"broken"`
-		Seed    uint64  `json:"seed"`
-		Failed  int     `json:"failed_to_run"`
+		runTotals
 		Rows    int     `json:"rows_checked"`
 		Unknown int     `json:"rows_not_known"`
 		Wrong   int     `json:"wrong"`
 		Shown   int64   `json:"stalls_shown"`
 		Median  float64 `json:"shown_after_median_s"`
 		Max     float64 `json:"shown_after_max_s"`
-	}{Runs: runs, Seed: seed}
-	slots := make(chan struct{}, parallel)
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	for i := range runs {
-		slots <- struct{}{}
-		if ctx.Err() != nil {
-			break
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			defer func() { <-slots }()
-			dir, err := os.MkdirTemp("", "lab-report-")
-			r := &reportResult{err: err}
-			if err == nil {
-				r = oneReportRun(ctx, bin, dir, seed+uint64(i))
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			text := fmt.Sprintf("%d rows checked, %d of them not known", r.rows, r.unknown)
-			switch {
-			case r.err != nil:
-				s.Failed++
-				text = fmt.Sprintf("%v (files in %s)", r.err, dir)
-			case len(r.wrong) > 0:
-				s.Broken++
-				text = fmt.Sprintf("WRONG %s (files in %s)", strings.Join(r.wrong[:min(8, len(r.wrong))], "; "), dir)
-			default:
-				os.RemoveAll(dir)
-			}
-			if !asJSON {
-				fmt.Fprintf(out, "run %d, seed %d: %s\n", i+1, seed+uint64(i), text)
-			}
+	}{}
+	var err error
+	s.runTotals, err = o.each(ctx, out, "report", func(bin, dir string, seed uint64) (func(), runOutcome) {
+		r := oneReportRun(ctx, bin, dir, seed)
+		return func() {
 			s.Rows, s.Unknown, s.Wrong = s.Rows+r.rows, s.Unknown+r.unknown, s.Wrong+len(r.wrong)
 			for _, d := range r.shown {
 				hist.RecordValue(max(1, d.Milliseconds()))
 			}
-		}()
+		}, runOutcome{fmt.Sprintf("%d rows checked, %d of them not known", r.rows, r.unknown), r.wrong, r.err}
+	})
+	if err != nil {
+		return err
 	}
-	wg.Wait()
 	s.Shown, s.Median, s.Max = hist.TotalCount(), float64(hist.ValueAtQuantile(50))/1000, float64(hist.Max())/1000
 	if err := figures(out, s); err != nil {
 		return err
 	}
-	if s.Broken > 0 || s.Failed > 0 {
-		return errBroken
-	}
-	return nil
+	return s.err()
 }
--- a/cmd/lab/tickets.go
+++ b/cmd/lab/tickets.go
@@ -9,12 +9,10 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -598,40 +596,13 @@
 }
 
 func ticketsProof() *cobra.Command {
-	var runs, parallel int
-	var seed uint64
-	var asJSON bool
-	c := &cobra.Command{Use: "tickets", Short: "Submit the same tickets both ways to render servers that fail, drain and vanish, and compare", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := between("runs", runs, 1, 10000); err != nil {
-				return err
-			}
-			if err := between("parallel", parallel, 1, 16); err != nil {
-				return err
-			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			return proveTickets(ctx, cmd.OutOrStdout(), runs, parallel, seed, asJSON)
-		}}
-	c.Flags().IntVar(&runs, "runs", 8, "how many runs")
-	c.Flags().IntVar(&parallel, "parallel", 8, "runs at a time")
-	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's seed; the next ones follow")
-	c.Flags().BoolVar(&asJSON, "json", false, "print the last line only")
-	return c
+	return runsProof("tickets", "Submit the same tickets both ways to render servers that fail, drain and vanish, and compare", 8, 8, proveTickets)
 }
 
-func proveTickets(ctx context.Context, out io.Writer, runs, parallel int, seed uint64, asJSON bool) error {
-	bin, err := build(ctx)
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(bin)
+func proveTickets(ctx context.Context, out io.Writer, o runOptions) error {
 	hist := hdrhistogram.New(1, 120_000, 3)
 	sum := struct {
-		Runs    int     `json:"runs"`
-		Broken  int     `json:"broken"`
-		Seed    uint64  `json:"seed"`
-		Failed  int     `json:"failed_to_run"`
+		runTotals
 		Tickets int     `json:"tickets_each_way"`
 		Lines   int     `json:"lines_compared"`
 		Starts  int     `json:"starts"`
@@ -639,56 +610,24 @@
 		Lost    int     `json:"ended_otherwise"`
 		Median  float64 `json:"accept_median_ms"`
 		P99     float64 `json:"accept_p99_ms"`
-	}{Runs: runs, Seed: seed}
-	slots := make(chan struct{}, parallel)
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	for i := range runs {
-		slots <- struct{}{}
-		if ctx.Err() != nil {
-			break
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			defer func() { <-slots }()
-			dir, err := os.MkdirTemp("", "lab-tickets-")
-			var r *farmResult
-			if err == nil {
-				r = compareWays(ctx, bin, dir, seed+uint64(i), farmRetries)
-			} else {
-				r = &farmResult{err: err}
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			text := fmt.Sprintf("%d lines equal, %d starts, %d errors, %d ended otherwise", r.lines, r.starts, r.errors, r.lost)
-			switch {
-			case r.err != nil:
-				sum.Failed++
-				text = fmt.Sprintf("%v (files in %s)", r.err, dir)
-			case len(r.broken) > 0:
-				sum.Broken++
-				text = fmt.Sprintf("BROKEN %s (files in %s)", strings.Join(r.broken, "; "), dir)
-			default:
-				os.RemoveAll(dir)
-			}
-			if !asJSON {
-				fmt.Fprintf(out, "run %d, seed %d: %s\n", i+1, seed+uint64(i), text)
-			}
+	}{}
+	var err error
+	sum.runTotals, err = o.each(ctx, out, "tickets", func(bin, dir string, seed uint64) (func(), runOutcome) {
+		r := compareWays(ctx, bin, dir, seed, farmRetries)
+		return func() {
 			sum.Tickets += 6
 			sum.Lines, sum.Starts, sum.Errors, sum.Lost = sum.Lines+r.lines, sum.Starts+r.starts, sum.Errors+r.errors, sum.Lost+r.lost
 			for _, d := range r.accepts {
 				hist.RecordValue(max(1, d.Milliseconds()))
 			}
-		}()
+		}, runOutcome{fmt.Sprintf("%d lines equal, %d starts, %d errors, %d ended otherwise", r.lines, r.starts, r.errors, r.lost), r.broken, r.err}
+	})
+	if err != nil {
+		return err
 	}
-	wg.Wait()
 	sum.Median, sum.P99 = float64(hist.ValueAtQuantile(50)), float64(hist.ValueAtQuantile(99))
 	if err := figures(out, sum); err != nil {
 		return err
 	}
-	if sum.Broken > 0 || sum.Failed > 0 {
-		return errBroken
-	}
-	return nil
+	return sum.err()
 }
--- a/cmd/lab/why.go
+++ b/cmd/lab/why.go
@@ -6,11 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
-	"os/signal"
 	"slices"
-	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -363,79 +359,23 @@
 }
 
 func whyProof() *cobra.Command {
-	var runs, parallel int
-	var seed uint64
-	var asJSON bool
-	c := &cobra.Command{Use: "why", Short: "Build each reason to wait with real controllers, check what is told, release it and time the start", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := between("runs", runs, 1, 10000); err != nil {
-				return err
-			}
-			if err := between("parallel", parallel, 1, 16); err != nil {
-				return err
-			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			return proveWhy(ctx, cmd.OutOrStdout(), runs, parallel, seed, asJSON)
-		}}
-	c.Flags().IntVar(&runs, "runs", 4, "how many runs")
-	c.Flags().IntVar(&parallel, "parallel", 4, "runs at a time")
-	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's seed; the next ones follow")
-	c.Flags().BoolVar(&asJSON, "json", false, "print the last line only")
-	return c
+	return runsProof("why", "Build each reason to wait with real controllers, check what is told, release it and time the start", 4, 4, proveWhy)
 }
 
-func proveWhy(ctx context.Context, out io.Writer, runs, parallel int, seed uint64, asJSON bool) error {
-	bin, err := build(ctx)
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(bin)
+func proveWhy(ctx context.Context, out io.Writer, o runOptions) error {
 	sum := struct {
-		Runs     int     `json:"runs"`
-		Broken   int     `json:"broken"`
-		Seed     uint64  `json:"seed"`
-		Failed   int     `json:"failed_to_run"`
+		runTotals
 		Checked  int     `json:"answers_checked"`
 		Wrong    int     `json:"wrong"`
 		StartP50 float64 `json:"start_after_release_median_s"`
 		StartMax float64 `json:"start_after_release_max_s"`
 		ToldP99  float64 `json:"answer_p99_ms"`
-	}{Runs: runs, Seed: seed}
+	}{}
 	starts, told := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
-	slots := make(chan struct{}, parallel)
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	for i := range runs {
-		slots <- struct{}{}
-		if ctx.Err() != nil {
-			break
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			defer func() { <-slots }()
-			dir, err := os.MkdirTemp("", "lab-why-")
-			r := &whyResult{err: err}
-			if err == nil {
-				r = oneWhyRun(ctx, bin, dir, seed+uint64(i))
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			text := fmt.Sprintf("%d answers checked, %d starts after a release", r.checked, len(r.starts))
-			switch {
-			case r.err != nil:
-				sum.Failed++
-				text = fmt.Sprintf("%v (files in %s)", r.err, dir)
-			case len(r.wrong) > 0:
-				sum.Broken++
-				text = fmt.Sprintf("WRONG %s (files in %s)", strings.Join(r.wrong, "; "), dir)
-			default:
-				os.RemoveAll(dir)
-			}
-			if !asJSON {
-				fmt.Fprintf(out, "run %d, seed %d: %s\n", i+1, seed+uint64(i), text)
-			}
+	var err error
+	sum.runTotals, err = o.each(ctx, out, "why", func(bin, dir string, seed uint64) (func(), runOutcome) {
+		r := oneWhyRun(ctx, bin, dir, seed)
+		return func() {
 			sum.Checked, sum.Wrong = sum.Checked+r.checked, sum.Wrong+len(r.wrong)
 			for _, d := range r.starts {
 				starts.RecordValue(max(1, d.Milliseconds()))
@@ -443,15 +383,14 @@
 			for _, d := range r.told {
 				told.RecordValue(max(1, d.Milliseconds()))
 			}
-		}()
+		}, runOutcome{fmt.Sprintf("%d answers checked, %d starts after a release", r.checked, len(r.starts)), r.wrong, r.err}
+	})
+	if err != nil {
+		return err
 	}
-	wg.Wait()
 	sum.StartP50, sum.StartMax, sum.ToldP99 = float64(starts.ValueAtQuantile(50))/1000, float64(starts.Max())/1000, float64(told.ValueAtQuantile(99))
 	if err := figures(out, sum); err != nil {
 		return err
 	}
-	if sum.Broken > 0 || sum.Failed > 0 {
-		return errBroken
-	}
-	return nil
+	return sum.err()
 }
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -19,6 +19,7 @@
 
 // Ask is a question: a page of the account, or one job.
 type Ask struct {
+	Site  int // by number
 	Query ledger.Query
 	Job   string // one job's reasons, instead of a page
 }
@@ -60,21 +61,29 @@
 	typing  bool
 	cursor  int
 	cursors []string // pages before this one
-	page    *ledger.Page
+	sites   []string // names; empty: one without a name
+	at      int      // the site that is shown
+	known   []shown  // what was last known of each
+	shown            // of the site that is shown
 	job     string
 	lines   []string
-	err     error
-	node    string
-	got     time.Time // when the page came
 	asking  bool
 	next    time.Time // when to ask again
 	width   int
 	height  int
 }
 
-// New makes a console.
-func New(ask Asker, now func() time.Time) *Model {
-	return &Model{ask: ask, now: now, query: ledger.Query{Most: 100}, width: 80, height: 24}
+// shown is what is known of a site, and since when.
+type shown struct {
+	page *ledger.Page
+	err  error
+	node string
+	got  time.Time // when the page came
+}
+
+// New makes a console of some sites.
+func New(ask Asker, now func() time.Time, sites ...string) *Model {
+	return &Model{ask: ask, now: now, sites: sites, known: make([]shown, max(1, len(sites))), query: ledger.Query{Most: 100}, width: 80, height: 24}
 }
 
 // tick says that time has passed.
@@ -93,7 +102,7 @@
 		return nil
 	}
 	m.asking, m.next = true, m.now().Add(Pause)
-	a := Ask{Query: m.query}
+	a := Ask{Site: m.at, Query: m.query}
 	if m.view == oneJob {
 		a.Job = m.job
 	}
@@ -109,6 +118,10 @@
 		return m, tea.Batch(m.question(), later())
 	case Answer:
 		m.asking = false
+		if msg.Ask.Site != m.at {
+			m.next = time.Time{} // another site is shown now
+			return m, m.question()
+		}
 		if msg.Err != nil {
 			m.err = msg.Err
 			return m, nil
@@ -162,6 +175,15 @@
 		m.view, m.cursor = int(key[0]-'1'), 0
 	case "tab":
 		m.view, m.cursor = (min(m.view, jobs)+1)%len(views), 0
+	case "x":
+		// What was known of the other site is shown with its age until it answers.
+		m.known[m.at] = m.shown
+		m.at = (m.at + 1) % len(m.known)
+		m.shown = m.known[m.at]
+		if m.view == oneJob {
+			m.view = m.back
+		}
+		m.first()
 	case "/":
 		m.view, m.typing = jobs, true
 	case "s":
@@ -282,6 +304,9 @@
 func (m *Model) View() string {
 	var b strings.Builder
 	head := "dapplestage"
+	if len(m.sites) > 1 {
+		head = "" // the sites' name takes its place
+	}
 	for i, v := range views {
 		mark := fmt.Sprintf(" %d:%s", i+1, v)
 		if i == m.view || m.view == oneJob && i == m.back {
@@ -289,6 +314,9 @@
 		}
 		head += mark
 	}
+	if len(m.sites) > 1 {
+		head += "  " + m.sites[m.at] + " (x: next)"
+	}
 	lines := []string{head, m.stateLine()}
 	body := m.height - 4
 	var rows []string
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -149,6 +149,39 @@
 	}
 }
 
+// Of a site that is lost what was known stays, with its age, and the other one is a key
+// away.
+func TestTwoSites(t *testing.T) {
+	r := newRig(5)
+	inner := r.ask
+	lost := false
+	r.Model = New(func(a Ask) Answer {
+		if a.Site == 1 && lost {
+			return Answer{Ask: a, Err: errors.New("no controller of xela answers")}
+		}
+		return inner(a)
+	}, func() time.Time { return r.now }, "quito", "xela")
+	r.pass(3 * time.Second)
+	r.press("x")
+	r.pass(3 * time.Second)
+	if v := r.View(); !strings.Contains(v, "xela (x: next)") || !strings.Contains(v, "stuck ") {
+		t.Error(v)
+	}
+	lost = true
+	r.press("x")
+	r.pass(20 * time.Second)
+	r.press("x")
+	r.pass(3 * time.Second)
+	if v := r.View(); !strings.Contains(v, "NOT KNOWN since 2") || !strings.Contains(v, "no controller of xela") || !strings.Contains(v, "running") {
+		t.Error(v)
+	}
+	r.press("x")
+	r.pass(3 * time.Second)
+	if v := r.View(); strings.Contains(v, "NOT KNOWN since") || !strings.Contains(v, "quito") {
+		t.Error(v)
+	}
+}
+
 // A node that dies while the console runs: what was known stays, marked with its age,
 // and is not shown as fine.
 func TestDeadNode(t *testing.T) {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -33,6 +33,12 @@
 	Left      int                        `json:"left_out,omitempty"` // rows beyond the limit
 	Samples   []ledger.Sample            `json:"samples"`
 	Unknown   []string                   `json:"unknown,omitempty"`
+	Lost      string                     `json:"not_known,omitempty"` // nothing is known of the site, and why
+}
+
+// LostSite is what there is to say of a site that does not answer.
+func LostSite(name string, now time.Time, err error) *Data {
+	return &Data{Site: name, AsOf: now.UnixMilli(), Lost: err.Error(), Sums: map[string]int{}}
 }
 
 // MostRows bounds a report.
@@ -168,6 +174,9 @@
 
 // Words say in plain words how things stand.
 func (d *Data) Words() []string {
+	if d.Lost != "" {
+		return []string{"Nothing is known of this site: " + d.Lost + ". It is not said to be fine."}
+	}
 	n := func(state string) int { return d.Sums[state] }
 	jobs := func(c int, is, are string) string {
 		if c == 1 {
@@ -220,8 +229,20 @@
 
 func clock(ms int64) string { return time.UnixMilli(ms).UTC().Format("2006-01-02 15:04:05 UTC") }
 
-// HTML writes the page: readable without scripts, on a phone and printed.
-func (d *Data) HTML(out io.Writer) error {
+// HTML writes the page of one site: readable without scripts, on a phone and printed.
+func (d *Data) HTML(out io.Writer) error { return HTML(out, d) }
+
+// HTML writes a page of several sites.
+func HTML(out io.Writer, sites ...*Data) error {
+	var bodies []map[string]any
+	for i, d := range sites {
+		bodies = append(bodies, d.body(i))
+	}
+	return page.Execute(out, map[string]any{"Sites": bodies, "Many": len(sites) > 1, "AsOf": clock(sites[0].AsOf)})
+}
+
+// body is what the page's template shows of one site.
+func (d *Data) body(site int) map[string]any {
 	type group struct {
 		State string
 		Rows  []ledger.Row
@@ -251,8 +272,12 @@
 			plots = append(plots, plot(p.title, d.Samples, p.lines))
 		}
 	}
-	return page.Execute(out, map[string]any{"D": d, "Words": d.Words(), "Groups": groups, "Plots": plots, "AsOf": clock(d.AsOf), "States": ledger.States,
-		"Teams": tableOf(d.Teams), "Classes": tableOf(d.Classes)})
+	id := ""
+	if site > 0 {
+		id = strconv.Itoa(site) + "-"
+	}
+	return map[string]any{"D": d, "Words": d.Words(), "Groups": groups, "Plots": plots, "AsOf": clock(d.AsOf), "States": ledger.States,
+		"Teams": tableOf(d.Teams), "Classes": tableOf(d.Classes), "ID": id}
 }
 
 // tableRow is a line of sums.
@@ -295,11 +320,15 @@
 nav a{margin-right:1em}summary{cursor:pointer;font-weight:600;margin:.6em 0}input{font:inherit;padding:.2em .4em;width:16em;max-width:100%}
 @media print{details{display:block}details>*{display:block!important}nav,input{display:none}th{position:static}body{max-width:none}}
 </style></head><body>
-<h1>What ran, what did not{{with .D.Site}}: {{.}}{{end}}</h1>
+{{if .Many}}<h1>What ran, what did not: {{range $i, $s := .Sites}}{{if $i}}, {{end}}{{$s.D.Site}}{{end}}</h1>
+{{range .Sites}}<div class="words"><h2>{{.D.Site}}</h2>{{range .Words}}<p>{{.}}</p>{{end}}</div>{{end}}{{end}}
+{{range .Sites}}{{$id := .ID}}
+<h1>{{with .D.Site}}{{.}}: {{end}}what ran, what did not</h1>
+{{if .D.Lost}}<div class="bad"><b>Not known:</b> {{.D.Lost}} (asked {{.AsOf}})</div>{{else}}
 <p>As of {{.AsOf}}, told by {{.D.Node}}.{{if .D.Since}} Only jobs that changed since {{clock .D.Since}}.{{end}}{{if gt .D.StateAge 3.0}} <b>The state service last answered {{printf "%.0f" .D.StateAge}} s before.</b>{{end}}</p>
 <div class="words">{{range .Words}}<p>{{.}}</p>{{end}}</div>
 {{if .D.Unknown}}<div class="bad"><b>Not known:</b><ul>{{range .D.Unknown}}<li>{{.}}</li>{{end}}</ul></div>{{end}}
-<nav>{{range .Groups}}<a href="#{{.State}}">{{.State}} {{n (len .Rows)}}</a>{{end}}</nav>
+<nav>{{range .Groups}}<a href="#{{$id}}{{.State}}">{{.State}} {{n (len .Rows)}}</a>{{end}}</nav>
 <h2>Whose work</h2><div class="scroll"><table><tr><th>team{{range .States}}<th class="n">{{.}}{{end}}</tr>
 {{range .Teams}}<tr><td>{{.Name}}{{range .Sums}}<td class="n{{if not .}} z{{end}}">{{n .}}{{end}}</tr>{{end}}</table></div>
 <h2>Which classes</h2><div class="scroll"><table><tr><th>class{{range .States}}<th class="n">{{.}}{{end}}</tr>
@@ -308,14 +337,14 @@
 {{range $z, $s := .D.Zones}}<tr{{if or $s.Silent $s.Unknown}} class="unknown"{{end}}><td>{{$z}}<td class="n">{{n $s.Up}}<td class="n">{{n $s.Booting}}<td class="n">{{n $s.Drained}}<td class="n">{{n $s.Silent}}<td class="n">{{n $s.Unknown}}<td class="n">{{$s.Used}}<td class="n">{{$s.GPUs}}</tr>{{end}}</table></div>
 {{if .Plots}}<h2>The last hours</h2><div class="plots">{{range .Plots}}<figure>{{.}}</figure>{{end}}</div>{{end}}
 <h2>Jobs</h2>{{if .D.Left}}<p class="bad">{{n .D.Left}} more are not on this page: ask for a team, a class or a shorter time.</p>{{end}}
-<p><input id="f" placeholder="filter" hidden></p>
-{{range .Groups}}<details id="{{.State}}"{{if or (eq .State "stuck") (eq .State "unknown") (eq .State "failed") (eq .State "waiting")}} open{{end}}><summary>{{.State}}: {{n (len .Rows)}}</summary>
+<p><input class="f" placeholder="filter" hidden></p>
+{{range .Groups}}<details id="{{$id}}{{.State}}"{{if or (eq .State "stuck") (eq .State "unknown") (eq .State "failed") (eq .State "waiting")}} open{{end}}><summary>{{.State}}: {{n (len .Rows)}}</summary>
 <div class="scroll"><table><thead><tr><th>job<th>team<th>class<th class="n">tasks<th class="n">done<th class="n">running<th class="n">waiting<th class="n">lost<th>where<th>since<th>why</tr></thead><tbody>
 {{range .Rows}}<tr class="{{.State}}"><td>{{.Job}}{{with .Ticket}} (of {{.}}){{end}}<td>{{.Team}}<td>{{.Class}}<td class="n">{{n .Tasks}}<td class="n">{{n .Done}}<td class="n">{{n .Running}}<td class="n">{{n .Waiting}}<td class="n">{{if .Lost}}{{n .Lost}}{{end}}<td>{{join .Zones ", "}}<td>{{clock .Since}}<td>{{.Why}}{{if .SavedS}} (saved up to {{printf "%.0f" .SavedS}} s){{end}}
 {{end}}</tbody></table></div></details>
-{{end}}
+{{end}}{{end}}{{end}}
 <script>
-"use strict";var f=document.getElementById("f");f.hidden=false;f.oninput=function(){var t=f.value.toLowerCase();document.querySelectorAll("tbody tr").forEach(function(r){r.hidden=t&&r.textContent.toLowerCase().indexOf(t)<0})};
+"use strict";document.querySelectorAll(".f").forEach(function(f){f.hidden=false;f.oninput=function(){var t=f.value.toLowerCase();document.querySelectorAll("tbody tr").forEach(function(r){r.hidden=t&&r.textContent.toLowerCase().indexOf(t)<0})}});
 document.querySelectorAll("th").forEach(function(h){h.onclick=function(){var i=[].indexOf.call(h.parentNode.children,h),b=h.closest("table").tBodies[0];if(!b)return;
 var rows=[].slice.call(b.rows).filter(function(r){return !r.contains(h)}),d=h.dataset.d=h.dataset.d==="1"?"-1":"1";
 rows.sort(function(x,y){var a=x.cells[i].textContent,c=y.cells[i].textContent,m=parseFloat(a.replace(/,/g,"")),n=parseFloat(c.replace(/,/g,""));return d*(isNaN(m)||isNaN(n)?a.localeCompare(c):m-n)});
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// A site that does not answer is on the page as not known, beside one that does.
+func TestLostSite(t *testing.T) {
+	here := dataOf(9, "red")
+	here.Site = "quito"
+	var b bytes.Buffer
+	if err := HTML(&b, here, LostSite("xela", time.UnixMilli(5), fmt.Errorf("no controller answers"))); err != nil {
+		t.Fatal(err)
+	}
+	if p := b.String(); strings.Count(p, "Nothing is known of this site: no controller answers") != 1 || !strings.Contains(p, "1 job is stuck") || strings.Count(p, "<h2>Whose work") != 1 {
+		t.Error(p)
+	}
+}
+
 // A full disk is told, and no half report is called whole.
 func TestFullDisk(t *testing.T) {
 	d := dataOf(1000, "red")
