Tickets: no starving of stops by changes of their jobs; old ends removed with new ones

Cause, on rereading: a ticket was tended only while none of its up to eight open jobs had a change under way, which under load may be never; and the leader listed all segments of what ended each minute to find old ones. Change: only stops wait for changes under way, and no new one begins meanwhile; segments are known from one reading and go with the change that stores the next.

--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -74,7 +74,7 @@
 	led       bool // this node was the leader when it last looked
 	loaded    bool
 	lastStore time.Time
-	lastTrim  time.Time
+	segments  []string  // stored, the oldest first, while this node is the leader
 	lastRow   time.Time // of samples
 }
 
@@ -213,9 +213,10 @@
 		n.loadBook()
 	}
 	if leads := n.leads(); !leads || !a.led {
-		if a.led = leads; leads {
-			a.book.Begin(now, 2*a.set.Every)
-			a.lastStore = now
+		if a.led = leads; leads && !a.storing {
+			n.lead(now)
+		} else if leads {
+			a.led = false // a change of an earlier time is still under way
 		}
 		return
 	}
@@ -226,54 +227,53 @@
 	n.storeBook(now)
 }
 
-// storeBook stores what ended since the last time in one change, and removes what is
-// too old in another, at most once each round.
+// storeBook stores what ended since the last time in one change, and with it removes
+// the oldest segment if that is too old.
 func (n *Node) storeBook(now time.Time) {
 	a := &n.account
 	key, data, done := a.book.Unstored(now, int(n.cfg.Params.State.ValueKB*1024)-64)
-	var writes []storage.Write
-	if key != "" {
-		writes = append(writes, storage.Write{Put: protocol.BookRoot + key, Value: data})
-	}
 	if key == "" {
 		return
 	}
+	key = protocol.BookRoot + key
+	op := &storage.Op{Conds: []storage.Cond{n.cond(protocol.HolderKey(0))}, Writes: []storage.Write{{Put: key, Value: data}}}
+	oldest := protocol.BookRoot + ledger.SegmentKey(now.Add(-a.set.Keep).UnixMilli())
+	trimmed := a.segments
+	for len(trimmed) > 0 && trimmed[0] < oldest && len(op.Writes) < 3 {
+		op.Writes = append(op.Writes, storage.Write{Delete: trimmed[0]})
+		trimmed = trimmed[1:]
+	}
 	a.storing = true
-	op := &storage.Op{Conds: []storage.Cond{n.cond(protocol.HolderKey(0))}, Writes: writes}
 	op.Done = func(r storage.Result) {
 		n.post(func() {
 			if a.storing = false; r.OK {
 				done()
+				a.segments = append(trimmed, key)
 			}
 		})
 	}
 	if !n.books.Submit(op) {
 		a.storing = false
-		return
-	}
-	if now.Sub(a.lastTrim) > time.Minute {
-		a.lastTrim = now
-		n.trimBook(now)
 	}
 }
 
-// trimBook removes stored segments that are too old.
-func (n *Node) trimBook(now time.Time) {
-	oldest := protocol.BookRoot + ledger.SegmentKey(now.Add(-n.account.set.Keep).UnixMilli())
+// lead makes this node the one that stores. Which segments there are is read once: then
+// only this node adds and removes any.
+func (n *Node) lead(now time.Time) {
+	a := &n.account
+	a.book.Begin(now, 2*a.set.Every)
+	a.lastStore, a.segments, a.storing = now, nil, true
 	n.spawn(func(ctx context.Context) {
 		items, _, err := n.store.List(ctx, protocol.BookRoot)
-		if err != nil {
-			return
-		}
-		var old []storage.Write
-		for _, it := range items {
-			if it.Key < oldest && len(old) < 4 {
-				old = append(old, storage.Write{Delete: it.Key})
+		n.post(func() {
+			if a.storing = false; err != nil {
+				a.led = false // again, later
+				return
 			}
-		}
-		if len(old) > 0 {
-			n.books.Submit(&storage.Op{Writes: old, Done: func(storage.Result) {}})
-		}
+			for _, it := range items {
+				a.segments = append(a.segments, it.Key)
+			}
+		})
 	})
 }
 
--- a/internal/coordination/account_test.go
+++ b/internal/coordination/account_test.go
@@ -257,6 +257,32 @@
 	})
 }
 
+// Segments that are too old go with the changes that store new ones, also those that an
+// earlier leader stored; nothing else of the state service is touched.
+func TestOldEndsAreRemoved(t *testing.T) {
+	settings := func(n *Node) {
+		n.KeepAccount(AccountSettings{Entries: 1000, Keep: 3 * time.Minute, Every: 10 * time.Second})
+	}
+	inWorld(t, settings, func(w *world) {
+		for i := range 40 {
+			w.submit(albumOf(fmt.Sprintf("job-%d", i), 1, 2))
+			time.Sleep(10 * time.Second)
+			if i == 12 {
+				w.crash("n-0")
+			}
+		}
+		items, _, _ := w.state.List(w.ctx, protocol.BookRoot)
+		oldest := protocol.BookRoot + ledger.SegmentKey(time.Now().Add(-4*time.Minute).UnixMilli())
+		if len(items) < 5 || len(items) > 30 || items[0].Key < oldest {
+			t.Errorf("%d segments, the oldest %v", len(items), items)
+		}
+		rows, p := w.told("n-1")
+		if len(rows) < 10 || len(rows) > 25 || p.Since < time.Now().Add(-4*time.Minute).UnixMilli() {
+			t.Errorf("%d jobs are remembered since %v", len(rows), time.UnixMilli(p.Since))
+		}
+	})
+}
+
 // Ten thousand open jobs: a page costs what it shows and one pass over the jobs.
 func BenchmarkAccountPage(b *testing.B) {
 	n := newBench(b)
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -435,7 +435,7 @@
 	ample := n.pace.Ample()
 	var turn []candidate
 	for j := range n.dirty {
-		if j.busy {
+		if j.busy || n.quieted(j) {
 			continue
 		}
 		if !n.mine(n.shares[j.share]) {
--- a/internal/coordination/tickets.go
+++ b/internal/coordination/tickets.go
@@ -43,6 +43,7 @@
 	cancelled bool
 	steps     []string  // the ids of its steps' jobs
 	busy      bool      // a change of it is being stored
+	quiet     bool      // no change of its jobs begins: they are about to be stopped
 	notBefore time.Time // when to try again what could not be stored
 }
 
@@ -143,17 +144,23 @@
 			delete(n.tickets.dirty, id)
 			continue
 		}
-		if t.busy || now.Before(t.notBefore) || slices.ContainsFunc(n.openJobs(t), func(j *job) bool { return j.busy }) {
+		if t.busy || now.Before(t.notBefore) {
 			continue // looked at again when that is stored
 		}
+		d := ticket.Decide(t.rec, t.cancelled, n.stepsNow(t, nil), n.tickets.most)
+		// To stop jobs their records must stand still: no more changes of them begin until
+		// those under way are stored.
+		if t.quiet = d.Fail != "" || d.Stop != nil; t.quiet && slices.ContainsFunc(n.openJobs(t), func(j *job) bool { return j.busy }) {
+			continue
+		}
 		delete(n.tickets.dirty, id)
-		op := n.ticketOp(t, ticket.Decide(t.rec, t.cancelled, n.stepsNow(t, nil), n.tickets.most), now)
+		op := n.ticketOp(t, d, now)
 		if op == nil {
 			continue
 		}
 		t.busy = true
 		n.submit(op, func(r storage.Result) {
-			t.busy = false
+			t.busy, t.quiet = false, false
 			if !r.OK {
 				t.notBefore = time.Now().Add(200 * time.Millisecond)
 			}
@@ -264,6 +271,15 @@
 	return true
 }
 
+// quieted says whether no change of a job may begin now.
+func (n *Node) quieted(j *job) bool {
+	if j.step == nil {
+		return false
+	}
+	t := n.tickets.byID[j.step.Ticket]
+	return t != nil && t.quiet
+}
+
 // stepEnded: a change of a job is stored, or refused. If it was its end, the ticket
 // may change again.
 func (n *Node) stepEnded(j *job) {
