One job's story; a drain that begins after a ticket was accepted has a test

Need: the console shows one job's history (issue of console and report); the hard case of a drain between accept and start. Change: the holder remembers the last 12 things that happened to an open job and tells them when it alone is asked for. Tests only otherwise.

--- a/cmd/dapplestage/report.go
+++ b/cmd/dapplestage/report.go
@@ -397,6 +397,12 @@
 		if r.Why != "" {
 			fmt.Fprintf(&b, "%s\n", r.Why)
 		}
+		for i, e := range r.Story {
+			if i == 0 {
+				fmt.Fprintf(&b, "\nas %s saw it:\n", r.Node)
+			}
+			fmt.Fprintf(&b, "  %s  %s\n", time.UnixMilli(e.AtMS).UTC().Format("15:04:05"), e.Text)
+		}
 	}
 	var w coordination.Why
 	switch err := s.get(ctx, "/admin/why/"+a.Job, &w); {
--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -98,6 +98,18 @@
 	vain     int // starts in a row that came to nothing
 	state    string
 	since    time.Time // when that state was first seen
+	events   []ledger.Event
+}
+
+// tell remembers something of a job; of the same thing again and again the last time.
+func (s *story) tell(now time.Time, text string) {
+	if l := len(s.events); l > 0 && s.events[l-1].Text == text {
+		s.events[l-1].AtMS = now.UnixMilli()
+		return
+	}
+	if s.events = append(s.events, ledger.Event{AtMS: now.UnixMilli(), Text: text}); len(s.events) > ledger.MostEvents {
+		s.events = s.events[1:]
+	}
 }
 
 // lostMS is when the last run was lost; 0: none was.
@@ -122,7 +134,9 @@
 	}
 }
 
-func (n *Node) runBegan(t *task, now time.Time) {
+func (n *Node) runBegan(j *job, i int, now time.Time) {
+	t := &j.tasks[i]
+	j.story.tell(now, "a task runs on "+t.machine.name)
 	switch {
 	case !t.began.IsZero():
 	case t.sent.IsZero():
@@ -156,6 +170,7 @@
 	}
 	j.story.lost++
 	j.story.lastLost = now
+	j.story.tell(now, "a run was lost on "+t.machine.name)
 	n.account.lost++
 }
 
@@ -359,6 +374,11 @@
 		}
 	}
 	if j.story.state != r.State {
+		text := r.State
+		if r.Why != "" {
+			text += ": " + r.Why
+		}
+		j.story.tell(now, text)
 		if j.story.state != "" && (r.State == ledger.Stuck || j.story.state == ledger.Stuck) {
 			n.log.Info("job is "+r.State, "job", j.id, "was", j.story.state, "why", r.Why)
 		}
@@ -368,6 +388,15 @@
 	return r
 }
 
+// storyOf adds a job's story to its row, where it alone was asked for.
+func (n *Node) storyOf(p *ledger.Page, q *ledger.Query) {
+	for i := range p.Rows {
+		if j := n.jobs[p.Rows[i].Job]; j != nil && j.id == q.Text {
+			p.Rows[i].Story = j.story.events
+		}
+	}
+}
+
 // baseRow is what any node can tell of a job: what is stored.
 func (n *Node) baseRow(j *job, now time.Time) ledger.Row {
 	r := ledger.Row{Job: j.id, Team: j.spec.Team, Class: j.spec.Class, Shape: j.spec.Shape, Image: j.spec.Image, Tasks: len(j.tasks), Done: j.nDone, Failed: j.nSpent,
@@ -508,6 +537,7 @@
 		}
 	}
 	p.Finish(q)
+	n.storyOf(p, q)
 	return p
 }
 
--- a/internal/coordination/account_test.go
+++ b/internal/coordination/account_test.go
@@ -17,6 +17,13 @@
 func (w *world) told(name string) (rows map[string]ledger.Row, last *ledger.Page) {
 	rows = map[string]ledger.Row{}
 	q := ledger.Query{Most: 3}
+	defer func() {
+		for id, r := range rows { // a job's story is told when it is asked for alone
+			if r.Story != nil {
+				w.t.Errorf("%s: a story in a list", id)
+			}
+		}
+	}()
 	for {
 		ctx, cancel := context.WithTimeout(w.ctx, 10*time.Second)
 		a, err := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onAccount(q, time.Now(), reply) })
@@ -38,6 +45,12 @@
 	}
 }
 
+// rowsNode is the node that tells a job's row.
+func rowsNode(w *world, id string) string {
+	rows, _ := w.told(w.names[0])
+	return rows[id].Node
+}
+
 func albumOf(id string, tasks int, seconds float64) *protocol.JobSpec {
 	return &protocol.JobSpec{ID: id, Team: "red", Class: "album", Shape: protocol.Array, Priority: "standard", Tasks: tasks, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, EstimateS: seconds, Spot: true}
 }
@@ -78,6 +91,16 @@
 		if took := time.Since(from); took > time.Minute {
 			t.Errorf("shown after %v", took)
 		}
+		a, _ := w.ask(w.ctx, rowsNode(w, "job-1"), func(n *Node, reply chan<- answer) {
+			n.onAccount(ledger.Query{Text: "job-1", Most: 3}, time.Now(), reply)
+		})
+		var story []string
+		for _, e := range a.body.(*ledger.Page).Rows[0].Story {
+			story = append(story, e.Text)
+		}
+		if s := strings.Join(story, "; "); !strings.HasPrefix(s, "accepted; ") || !strings.Contains(s, "a task runs on host-") || !strings.Contains(s, "stuck: a task runs for") {
+			t.Errorf("its story: %s", s)
+		}
 		for _, name := range w.names {
 			rows, p := w.told(name)
 			if r := rows["job-1"]; r.State != ledger.Stuck || !strings.Contains(r.Why, "a task runs for") || rows["job-2"].State != ledger.Done || p.Sums[ledger.Stuck] != 1 {
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -140,6 +140,7 @@
 			j.tasks[i].since = now
 		}
 		j.facts = newJobFacts(j)
+		j.story.tell(j.submitted, "accepted")
 		n.jobs[id] = j
 		list := &n.shares[j.share].jobs
 		at, _ := slices.BinarySearchFunc(*list, j, byUrgency)
@@ -160,6 +161,7 @@
 	j.failed = j.failed || r.Failed
 	if (r.Cancelled || r.Failed) && !j.cancelled {
 		j.cancelled, j.facts.Cancelled = true, true
+		j.story.tell(time.Now(), map[bool]string{true: "to end: it or its ticket failed", false: "cancelled"}[j.failed])
 		n.log.Info("job is cancelled", "job", id, "placed", j.nPlaced, "failed", j.failed)
 		n.wakeMachines(j)
 		n.dirty[j] = true
--- a/internal/coordination/ledger/row.go
+++ b/internal/coordination/ledger/row.go
@@ -52,10 +52,20 @@
 	Submitted int64    `json:"submitted_ms"`
 	Since     int64    `json:"since_ms,omitempty"` // when its state began, as far as is known
 	Ended     int64    `json:"ended_ms,omitempty"`
-	AsOf      int64    `json:"as_of_ms"` // the moment that the row is true for
-	Node      string   `json:"node"`     // that told it
+	Story     []Event  `json:"story,omitempty"` // of a job that was asked for alone: the last of it
+	AsOf      int64    `json:"as_of_ms"`        // the moment that the row is true for
+	Node      string   `json:"node"`            // that told it
 }
 
+// Event is something that happened to a job, as the node that tells it saw it.
+type Event struct {
+	AtMS int64  `json:"t"`
+	Text string `json:"e"`
+}
+
+// MostEvents bounds what is remembered of an open job.
+const MostEvents = 12
+
 // Query chooses rows.
 type Query struct {
 	State, Team, Class, Zone, Image string
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -107,6 +107,7 @@
 			j.abandon = j.spec.Shape == protocol.Gang && j.nPlaced > 0 && j.nWaiting() > 0
 			n.dirty[j] = true
 			n.forgetFacts(j)
+			j.story.tell(now, "its share was taken by "+n.cfg.Node)
 		}
 		n.tickets.takenOver(s.index)
 		for _, m := range s.machines {
--- a/internal/coordination/tickets_test.go
+++ b/internal/coordination/tickets_test.go
@@ -545,6 +545,12 @@
 // A ticket whose machines are all held back waits and says why; when they are given
 // free it starts. Held back after it was accepted, too.
 func TestTicketWaitsForADrain(t *testing.T) {
+	for _, afterwards := range []bool{false, true} {
+		t.Run(fmt.Sprintf("after it was accepted %v", afterwards), func(t *testing.T) { waitsForADrain(t, afterwards) })
+	}
+}
+
+func waitsForADrain(t *testing.T, afterwards bool) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		w := newWorld(t, ctx, 8, asTheyAre)
@@ -559,9 +565,19 @@
 			w.state.Put(protocol.PolicyKey, p)
 			time.Sleep(time.Second)
 		}
-		hold(w.fleet.Names())
 		u := newTicketUser(w, ticketBody("job-99", "render", "red", "", "a 2"))
-		u.submit("n-1")
+		if afterwards {
+			// The machines are full while it is accepted, and held back before they are not.
+			full := newTicketUser(w, ticketBody("job-97", "render", "red", "", "a 8"))
+			full.submit("n-0")
+			time.Sleep(3 * time.Second)
+			u.submit("n-1")
+			hold(w.fleet.Names())
+			time.Sleep(10 * time.Second)
+		} else {
+			hold(w.fleet.Names())
+			u.submit("n-1")
+		}
 		time.Sleep(8 * time.Second)
 		why := ""
 		for _, name := range w.names {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -324,7 +324,7 @@
 		}
 	case protocol.TaskWaiting, protocol.TaskRunning:
 		if was != seenRunning && t.seen == seenRunning {
-			n.runBegan(t, now)
+			n.runBegan(j, i, now)
 		}
 		if j.started.IsZero() && tr.State == protocol.TaskRunning {
 			j.started = now
@@ -349,6 +349,7 @@
 		}
 		if t.fact == noFact {
 			j.story.inVain(tr.Cause)
+			j.story.tell(now, "a task ended on "+m.name+": "+tr.Cause)
 			n.log.Info("task exited", "task", tr.Task, "machine", m.name, "cause", tr.Cause, "saved", tr.Saved)
 			if j.step != nil && ticket.Counts(tr.Cause) {
 				// Counted with the end itself: both are in one change, and a repeated
