What a big job leaves behind is removed: chunks beyond the head of jobs that are over

Cause, on rereading: a job's end removes its head only. The other values of an array or step of more than 128 tasks stayed for ever among the keys that every node reads at its start: 781 of a ticket of 100,000 tasks. Change: the leader removes them a minute later, four at a time, while changes are ample and nobody waits for one, on condition that the job's record does not exist.

--- a/internal/coordination/node/account_test.go
+++ b/internal/coordination/node/account_test.go
@@ -320,3 +320,33 @@
 		}
 	}
 }
+
+// A job of more tasks than one value holds leaves nothing behind in what every node
+// reads at its start: the chunks beyond its head go when there is time for it.
+func TestChunksOfEndedJobsAreRemoved(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		big := albumOf("job-1", 300, 1)
+		big.CPUs, big.GPUs, big.MemoryGB = 0.5, 0.1, 1
+		w.submit(big)
+		open := albumOf("job-2", 200, 10000) // goes on, and keeps its own
+		open.Team, open.CPUs, open.GPUs, open.MemoryGB = "blue", 0.25, 0.02, 0.5
+		w.submit(open)
+		chunks := func(id string) (n int) {
+			items, _, _ := w.state.List(w.ctx, protocol.JobKey(id))
+			return len(items)
+		}
+		time.Sleep(60 * time.Second)
+		w.crash("n-0") // who leads next must know of them too
+		time.Sleep(2 * time.Minute)
+		if rows, _ := w.told("n-1"); rows["job-1"].State != ledger.Done {
+			t.Fatalf("%+v", rows["job-1"])
+		}
+		time.Sleep(3 * time.Minute)
+		if a, b := chunks("job-1"), chunks("job-2"); a != 0 || b != 2 {
+			t.Errorf("%d keys are left of a job that is over, %d of one that is not", a, b)
+		}
+		if rows, _ := w.told("n-2"); rows["job-2"].Running == 0 {
+			t.Errorf("%+v", rows["job-2"])
+		}
+	})
+}
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -378,6 +378,53 @@
 	}
 }
 
+// sweep is what is left of jobs that are over: their chunks beyond the head.
+type sweep struct {
+	keys []string // orphans for a while
+	last time.Time
+}
+
+const (
+	// sweepPause is for how long a chunk must be without its job.
+	sweepPause = time.Minute
+	// mostSwept is how many go at a time.
+	mostSwept = 4
+)
+
+// sweepChunks lets the leader remove chunks of jobs that are over, when changes are
+// ample and nobody waits for any. A job's end removes its head only, in one change with
+// its final record; what it leaves would be read at every start, for ever: 781 keys of
+// a ticket of 100,000 tasks.
+func (n *Node) sweepChunks(now time.Time) {
+	if !n.leads() || n.sinceContact(now) > 2*time.Second || n.asked > 0 || n.storing > 0 || !n.pace.Ample() {
+		return
+	}
+	s := &n.swept
+	if len(s.keys) == 0 {
+		if now.Sub(s.last) >= sweepPause {
+			s.last = now
+			for key := range n.orphans {
+				s.keys = append(s.keys, key)
+			}
+		}
+		return
+	}
+	if now.Sub(s.last) < sweepPause {
+		return
+	}
+	for range min(mostSwept, len(s.keys)) {
+		key := s.keys[0]
+		s.keys = s.keys[1:]
+		if _, still := n.orphans[key]; !still {
+			continue
+		}
+		id, _ := splitJobKey(key)
+		// Should the job be there after all, or come again, nothing is removed.
+		n.submit(&storage.Op{Conds: []storage.Cond{n.cond(protocol.HolderKey(0)), {Key: protocol.JobKey(id)}, n.cond(key)},
+			Writes: []storage.Write{{Delete: key}}}, func(storage.Result) {})
+	}
+}
+
 // note records a fact about a placed task, to be stored with the next flush.
 func (n *Node) note(j *job, i int, f fact) {
 	t := &j.tasks[i]
--- a/internal/coordination/node/machines.go
+++ b/internal/coordination/node/machines.go
@@ -171,6 +171,7 @@
 	n.sayHow(now)
 	n.tellCaches(now)
 	n.keepAccount(now)
+	n.sweepChunks(now)
 }
 
 // sayHow logs now and then how the shares held are doing.
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -64,6 +64,7 @@
 	loaded   bool // the replica has been read once
 	ver      map[string]uint64
 	orphans  map[string]protocol.Chunk // chunks whose head is not there (yet)
+	swept    sweep                     // of those whose job is over
 	jobs     map[string]*job
 	finals   *finalCache
 	machines map[string]*machine
