--- a/cmd/lab/tickets.go
+++ b/cmd/lab/tickets.go
@@ -105,6 +105,9 @@
 			status, _, err := f.call(ctx, "GET", api, "/ready", nil)
 			ok = ok && err == nil && status == 200
 		}
+		// Controllers are ready without the cloud, and the run begins with an upload there.
+		status, _, err := f.call(ctx, "GET", f.cloud, "/hosts", nil)
+		ok = ok && err == nil && status == 200
 		if ok {
 			return f, nil
 		}
