One gather over other holders serves why, account and samples

Cause: onWhyPage, onAccount and onSamples each sorted shares by holder, asked every holder, counted the answers open and finished, in three loops of the same shape. Change: othersShares (by holder, and vacant) and askHolders (asks, decodes, hands over a part or why it is unknown, finishes after the last). Answers and their words are as before; tests unchanged. Not touched: the pages' cut of /admin/why, which would change what is answered.

--- a/internal/coordination/node/account.go
+++ b/internal/coordination/node/account.go
@@ -3,10 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -572,80 +570,43 @@
 	if p.StateAge > stateLost.Seconds() {
 		p.Unknown = append(p.Unknown, fmt.Sprintf("the state service last answered %s %.0f s ago: what others accepted or ended since is not known", n.cfg.Node, p.StateAge))
 	}
-	byHolder := map[string][]*share{}
-	for _, s := range n.shares {
-		switch {
-		case n.mine(s):
-		case s.holder.Token == 0:
-			n.addUnknown(p, &q, []*share{s}, fmt.Sprintf("share %d has no holder since %.0f s", s.index, now.Sub(s.vacant).Seconds()), s.vacant, now)
-		default:
-			byHolder[s.holder.Node] = append(byHolder[s.holder.Node], s)
-		}
+	held, vacant := n.othersShares()
+	for _, s := range vacant {
+		n.addUnknown(p, &q, []*share{s}, fmt.Sprintf("share %d has no holder since %.0f s", s.index, now.Sub(s.vacant).Seconds()), s.vacant, now)
 	}
-	open := len(byHolder)
-	if open == 0 {
+	ask := protocol.Ask{Kind: protocol.AskAccount, State: q.State, Team: q.Team, Class: q.Class, Zone: q.Zone, Image: q.Image, Text: q.Text, SinceMS: q.Since, After: q.After, Most: q.Most}
+	askHolders(n, held, ask, func(holder string, part ledger.Page, unknown string) {
+		if unknown == "" && part.Sums == nil {
+			unknown = answeredBadly(holder, http.StatusOK)
+		}
+		if unknown == "" {
+			p.Join(&part)
+			return
+		}
+		since := now
+		if sib := n.siblings[holder]; sib != nil && !sib.heard.IsZero() {
+			since = sib.heard
+		}
+		n.addUnknown(p, &q, held[holder], unknown, since, time.Now())
+	}, func() {
 		p.Finish(&q)
 		reply <- answer{status: 200, body: p}
-		return
-	}
-	ask := protocol.Ask{Kind: protocol.AskAccount, State: q.State, Team: q.Team, Class: q.Class, Zone: q.Zone, Image: q.Image, Text: q.Text, SinceMS: q.Since, After: q.After, Most: q.Most}
-	for _, holder := range slices.Sorted(maps.Keys(byHolder)) {
-		shares := byHolder[holder]
-		n.askHolder(shares[0], ask, func(t protocol.Told, unknown string) {
-			part := &ledger.Page{}
-			if unknown == "" && (t.Status != 200 || json.Unmarshal(t.Body, part) != nil || part.Sums == nil) {
-				unknown = fmt.Sprintf("unknown: %s answered %d", holder, t.Status)
-			}
-			if unknown != "" {
-				since := now
-				if sib := n.siblings[holder]; sib != nil && !sib.heard.IsZero() {
-					since = sib.heard
-				}
-				n.addUnknown(p, &q, shares, unknown, since, time.Now())
-			} else {
-				p.Join(part)
-			}
-			if open--; open == 0 {
-				p.Finish(&q)
-				reply <- answer{status: 200, body: p}
-			}
-		})
-	}
+	})
 }
 
 // onSamples adds up how all nodes' shares were.
 func (n *Node) onSamples(reply chan<- answer) {
 	all := [][]ledger.Sample{n.account.samples}
-	others := map[string]*share{}
-	for _, s := range n.shares {
-		if !n.mine(s) && s.holder.Token != 0 {
-			others[s.holder.Node] = s
-		}
-	}
-	open := len(others)
+	held, _ := n.othersShares()
 	var unknown []string
-	finish := func() {
+	askHolders(n, held, protocol.Ask{Kind: protocol.AskSamples}, func(_ string, part []ledger.Sample, why string) {
+		if why != "" {
+			unknown = append(unknown, why)
+		}
+		all = append(all, part)
+	}, func() {
 		reply <- answer{status: 200, body: SamplesView{Samples: ledger.SumSamples(all...), Unknown: unknown}}
-	}
-	if open == 0 {
-		finish()
-		return
-	}
-	for _, s := range others {
-		n.askHolder(s, protocol.Ask{Kind: protocol.AskSamples}, func(t protocol.Told, why string) {
-			var part []ledger.Sample
-			if why == "" && (t.Status != 200 || json.Unmarshal(t.Body, &part) != nil) {
-				why = fmt.Sprintf("unknown: %s answered %d", s.holder.Node, t.Status)
-			}
-			if why != "" {
-				unknown = append(unknown, why)
-			}
-			all = append(all, part)
-			if open--; open == 0 {
-				finish()
-			}
-		})
-	}
+	})
 }
 
 // SamplesView is how the site was, a minute a row.
--- a/internal/coordination/node/why.go
+++ b/internal/coordination/node/why.go
@@ -164,6 +164,48 @@
 	})
 }
 
+// othersShares is the shares that other controllers hold, by holder, and those without
+// one.
+func (n *Node) othersShares() (held map[string][]*share, vacant []*share) {
+	held = map[string][]*share{}
+	for _, s := range n.shares {
+		switch {
+		case n.mine(s):
+		case s.holder.Token == 0:
+			vacant = append(vacant, s)
+		default:
+			held[s.holder.Node] = append(held[s.holder.Node], s)
+		}
+	}
+	return held, vacant
+}
+
+// askHolders asks each holder the same, hands over each one's part or why it is unknown,
+// and calls done after the last; at once where there is none.
+func askHolders[T any](n *Node, held map[string][]*share, q protocol.Ask, add func(holder string, part T, unknown string), done func()) {
+	open := len(held)
+	if open == 0 {
+		done()
+		return
+	}
+	for _, holder := range slices.Sorted(maps.Keys(held)) {
+		n.askHolder(held[holder][0], q, func(t protocol.Told, unknown string) {
+			var part T
+			if unknown == "" && (t.Status != http.StatusOK || json.Unmarshal(t.Body, &part) != nil) {
+				unknown = answeredBadly(holder, t.Status)
+			}
+			add(holder, part, unknown)
+			if open--; open == 0 {
+				done()
+			}
+		})
+	}
+}
+
+func answeredBadly(holder string, status int) string {
+	return fmt.Sprintf("unknown: %s answered %d", holder, status)
+}
+
 // Answer answers another controller's question. Any routine may call it.
 func (n *Node) Answer(data []byte) ([]byte, bool) {
 	if !protocol.IsAsk(data) {
@@ -386,51 +428,30 @@
 		return
 	}
 	sum := n.whyPage(ask, now)
-	holders := map[string]*share{} // one share of each
-	for _, s := range n.shares {
-		switch {
-		case n.mine(s):
-		case s.holder.Token == 0:
-			sum.Unknown = append(sum.Unknown, fmt.Sprintf("share %d has no holder", s.index))
-		default:
-			holders[s.holder.Node] = s
-		}
+	held, vacant := n.othersShares()
+	for _, s := range vacant {
+		sum.Unknown = append(sum.Unknown, fmt.Sprintf("share %d has no holder", s.index))
 	}
-	open := len(holders)
-	finish := func() {
+	askHolders(n, held, ask, func(_ string, part WhyPage, unknown string) {
+		if unknown != "" {
+			sum.Unknown = append(sum.Unknown, unknown)
+			return
+		}
+		for k, c := range part.Sums {
+			sum.Sums[k] += c
+		}
+		sum.Jobs = append(sum.Jobs, part.Jobs...)
+		if part.After != "" && (sum.After == "" || part.After < sum.After) {
+			sum.After = part.After
+		}
+	}, func() {
 		slices.SortFunc(sum.Jobs, func(a, b WhyLine) int { return compareNames(a.Job, b.Job) })
 		if len(sum.Jobs) > ask.Most {
 			sum.Jobs = sum.Jobs[:ask.Most]
 			sum.After = sum.Jobs[ask.Most-1].Job
 		}
 		reply <- answer{status: 200, body: sum}
-	}
-	if open == 0 {
-		finish()
-		return
-	}
-	for _, name := range slices.Sorted(maps.Keys(holders)) {
-		n.askHolder(holders[name], ask, func(t protocol.Told, unknown string) {
-			var part WhyPage
-			switch {
-			case unknown != "":
-				sum.Unknown = append(sum.Unknown, unknown)
-			case t.Status != 200 || json.Unmarshal(t.Body, &part) != nil:
-				sum.Unknown = append(sum.Unknown, fmt.Sprintf("unknown: %s answered %d", name, t.Status))
-			default:
-				for k, c := range part.Sums {
-					sum.Sums[k] += c
-				}
-				sum.Jobs = append(sum.Jobs, part.Jobs...)
-				if part.After != "" && (sum.After == "" || part.After < sum.After) {
-					sum.After = part.After
-				}
-			}
-			if open--; open == 0 {
-				finish()
-			}
-		})
-	}
+	})
 }
 
 // countWaiting keeps the metric of waiting tasks by cause.
