After a take-over the machines are squared under a budget, and the many wait their turn

Each take-over made all jobs of the share dirty and looked at them in every turn, made the facts of the whole fleet anew, called each machine at once, and new connections ran before the own lease. Change: package start (pure: squares, a budget that adapts to the actor's lateness), reports first and paced calls after, facts of the share only, only unfinished jobs dirty, a front that lets workers' new connections through some at a time.

--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -207,8 +207,10 @@
 	for _, s := range cfg.Siblings {
 		go transport.SendFrames(ctx, s.Addr, node.HintPeriod, node.HintQuiet, n.Hint, func() { n.Refused(s.Node) })
 	}
+	front := transport.NewFront(ctx, ln, frontLimits(cfg.Params.Quota), n.FromWorker)
+	n.OnLoaded = front.Ready
 	go func() {
-		if err := transport.Serve(ctx, ln, n.API()); err != nil {
+		if err := transport.Serve(ctx, front, n.API()); err != nil {
 			cancel(err)
 		}
 	}()
@@ -220,6 +222,18 @@
 	return nil
 }
 
+// frontLimits fits what is let through at once to the machine: workers' first requests
+// that one turn's processor time covers, as many waiting as a second covers (at 0.4 ms
+// each, as measured on the bench's simulated machines), and sockets enough for calls to
+// the state service, the cloud, workers and siblings.
+func frontLimits(q protocol.MachineQuota) transport.FrontLimits {
+	l := transport.FrontLimits{Young: 16, Waiting: int(min(512, max(64, q.Cores/0.0004))), Early: 20}
+	if q.FDLimit > 0 {
+		l.Open = max(q.FDLimit/2, q.FDLimit-130-q.FDLimit/32)
+	}
+	return l
+}
+
 // planMachine fits the runtime to the machine: one thread at a time, and memory
 // returned well before the limit at which the process would be killed.
 func planMachine(q protocol.MachineQuota) {
--- a/internal/coordination/decide/explain.go
+++ b/internal/coordination/decide/explain.go
@@ -71,7 +71,7 @@
 		return fmt.Sprintf("gang incomplete: %d of its %d tasks fit at once", c.Count, c.Need)
 	case NoFreeMachine:
 		return fmt.Sprintf("no free machine: %d that it may use lack %s", c.Count, c.Lacks)
-	case Drained, NotReady, Silent, KeptForGang, Booting:
+	case Drained, NotReady, Silent, KeptForGang, Booting, Unheard:
 		return of(c.Kind.Text())
 	case ZoneBound:
 		return "where its other tasks are leaves no room in " + strings.Join(c.Zones, ", ")
@@ -236,6 +236,8 @@
 	switch {
 	case m.Block&(HeldBack|Notice) != 0:
 		return Drained
+	case m.Heard.IsZero() && m.Block&(Gone|Returning|Moving) == 0 && m.Addressed:
+		return Unheard
 	case m.Heard.IsZero() && m.Block&(Gone|Returning|Moving) == 0:
 		return Booting
 	case m.Block&(Unfenced|Doubt|Moving|Faulty|Returning|Gone) != 0 || v.Now.Before(m.AvoidTill):
@@ -304,7 +306,7 @@
 			out = append(out, Cause{Kind: GangIncomplete, Count: min(have, j.Tasks), Need: j.Tasks})
 		}
 	}
-	for _, k := range []Kind{Drained, Silent, KeptForGang, ZoneBound, NoFreeMachine, NotReady, Booting} {
+	for _, k := range []Kind{Drained, Silent, KeptForGang, ZoneBound, NoFreeMachine, NotReady, Booting, Unheard} {
 		c := count[k]
 		if c == nil {
 			continue
@@ -355,7 +357,7 @@
 		return "heard again: " + any
 	case KeptForGang:
 		return "no longer kept for a gang: " + any
-	case NotReady, Booting:
+	case NotReady, Booting, Unheard:
 		return "ready: " + any
 	case NoCapacity:
 		return fmt.Sprintf("%d machines more of %s", c.Need, c.Offer)
@@ -480,7 +482,7 @@
 		switch k := v.state(m, j); k {
 		case None:
 			have += m.Free().Times(j.Need)
-		case Drained, Silent, KeptForGang, NotReady, Booting:
+		case Drained, Silent, KeptForGang, NotReady, Booting, Unheard:
 			if m.Free().Times(j.Need) == 0 || m.Block&(Gone|Returning) != 0 {
 				continue
 			}
@@ -502,7 +504,7 @@
 	}
 	var out []Change
 	need := max(1, n-have)
-	for _, k := range []Kind{KeptForGang, Drained, Booting, NotReady, Silent} {
+	for _, k := range []Kind{KeptForGang, Drained, Booting, Unheard, NotReady, Silent} {
 		if c := byKind[k]; c != nil {
 			c.Need = min(need, len(c.Machines))
 			out = append(out, *c)
--- a/internal/coordination/decide/explain_test.go
+++ b/internal/coordination/decide/explain_test.go
@@ -42,7 +42,9 @@
 	silent := up("m1", "a", 0)
 	silent.Heard = start.Add(-time.Minute)
 	booting := up("m1", "a", 0)
-	booting.Heard = time.Time{}
+	booting.Heard, booting.Addressed = time.Time{}, false
+	unheard := up("m1", "a", 0) // it was up, and its share was just taken
+	unheard.Heard = time.Time{}
 	avoided := up("m1", "a", 0)
 	avoided.AvoidTill = start.Add(time.Second)
 	for _, c := range []struct {
@@ -61,6 +63,7 @@
 		{"kept", []*Machine{kept}, nil, Around{}, nil, "kept_for_gang", "no longer kept for a gang: m1"},
 		{"silent", []*Machine{silent}, nil, Around{}, nil, "silent", "heard again: m1"},
 		{"booting", []*Machine{booting}, nil, Around{}, nil, "booting", "ready: m1"},
+		{"unheard", []*Machine{unheard}, nil, Around{}, nil, "unheard", "ready: m1"},
 		{"avoided", []*Machine{avoided}, nil, Around{}, nil, "not_ready", "ready: m1"},
 		{"moving", []*Machine{blocked("m1", Moving)}, nil, Around{}, nil, "not_ready", "ready: m1"},
 		{"none", nil, nil, Around{}, nil, "no_capacity", "1 machines more of g4 in a"},
--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -337,6 +337,7 @@
 	Types  map[string]*protocol.MachineType
 	Teams  []*Team
 	Index  *Index
+	Keep   bool // nothing is stopped for others: the room may be on machines that have not spoken
 
 	// What one look found out and need not find out again for jobs of equal needs.
 	noSlot map[needs]uint64
--- a/internal/coordination/decide/place.go
+++ b/internal/coordination/decide/place.go
@@ -64,7 +64,7 @@
 		return Placing{Why: NoFreeMachine}
 	}
 	p := Placing{FetchS: picked[len(picked)-1].Cost}
-	if short := countAbove(picked, v.Config.patience(j.Spec)); short > 0 && !v.Now.Before(j.Preempted) {
+	if short := countAbove(picked, v.Config.patience(j.Spec)); short > 0 && !v.Keep && !v.Now.Before(j.Preempted) {
 		// The aim would be missed for the fetch alone. Room that was made without
 		// regard to the image is taken, or another job would take it.
 		if v.Now.Before(j.RoomTill) {
--- a/internal/coordination/decide/why.go
+++ b/internal/coordination/decide/why.go
@@ -34,6 +34,7 @@
 	GangGathering         // tasks are placed and wait for the rest of the gang
 	Starting              // tasks are placed and about to start
 	Unreachable           // tasks are on machines that are not heard
+	Unheard               // machines have not spoken since its share was taken
 	kinds
 )
 
@@ -67,6 +68,7 @@
 	GangGathering:    {"gang_gathering", "waiting for its gang"},
 	Starting:         {"starting", "being started"},
 	Unreachable:      {"unreachable", "machine unreachable"},
+	Unheard:          {"unheard", "machines have not spoken since its share was taken"},
 }
 
 // String is the reason's name, for metrics and programs.
--- a/internal/coordination/node/api.go
+++ b/internal/coordination/node/api.go
@@ -11,6 +11,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/transport"
 )
 
 // API is the HTTP interface for users, workers and health checks.
@@ -34,6 +35,11 @@
 func (n *Node) serve(w http.ResponseWriter, r *http.Request, f func(reply chan<- answer)) {
 	reply := make(chan answer, 1)
 	n.post(func() { f(reply) })
+	n.await(w, r, reply)
+}
+
+// await writes the answer when it comes.
+func (n *Node) await(w http.ResponseWriter, r *http.Request, reply <-chan answer) {
 	select {
 	case a := <-reply:
 		write(w, a)
@@ -125,7 +131,17 @@
 		write(w, answer{status: 400, body: errorBody{err.Error()}})
 		return
 	}
-	n.serve(w, r, func(reply chan<- answer) { n.onReport(rep, time.Now(), reply) })
+	reply, dealt := make(chan answer, 1), make(chan struct{})
+	n.post(func() {
+		n.onReport(rep, time.Now(), reply)
+		close(dealt)
+	})
+	select {
+	case <-dealt:
+		transport.Grown(r.Context()) // its answer may wait, the next worker need not
+	case <-n.ctx.Done():
+	}
+	n.await(w, r, reply)
 }
 
 func (n *Node) getReady(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
--- a/internal/coordination/node/facts.go
+++ b/internal/coordination/node/facts.go
@@ -138,7 +138,7 @@
 // view is one look at a share.
 func (n *Node) view(s *share, now time.Time) *decide.View {
 	n.syncIndex(now)
-	v := &decide.View{Now: now, Share: s.index, Types: n.types, Index: n.seen.index,
+	v := &decide.View{Now: now, Share: s.index, Keep: n.mine(s) && !s.square.MayDisplace(), Types: n.types, Index: n.seen.index,
 		Config: decide.Config{ReportS: n.cfg.Params.Workers.ReportS, Aims: n.cfg.Params.Aims, MoveS: n.policy.MoveS}}
 	for _, t := range n.teams {
 		v.Teams = append(v.Teams, &t.Team)
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -142,6 +142,7 @@
 		j.facts = newJobFacts(j)
 		j.story.tell(j.submitted, "accepted")
 		n.jobs[id] = j
+		n.arrived(j, now)
 		list := &n.shares[j.share].jobs
 		at, _ := slices.BinarySearchFunc(*list, j, byUrgency)
 		*list = slices.Insert(*list, at, j)
@@ -301,7 +302,7 @@
 	tm.Used = tm.Used.Add(j.need, 1)
 	m.used = m.used.Add(j.need, 1)
 	m.on[taskKey{j, i}] = struct{}{}
-	m.idleSince = time.Time{}
+	m.idleSince, m.idleUnseen = time.Time{}, false
 }
 
 func (n *Node) release(j *job, i int) {
--- a/internal/coordination/node/machines.go
+++ b/internal/coordination/node/machines.go
@@ -18,6 +18,7 @@
 	s := n.shares[m.rec.Share]
 	if i, found := slices.BinarySearchFunc(s.machines, m, byName); !found {
 		s.machines = slices.Insert(s.machines, i, m)
+		n.joinSquare(s, m)
 	}
 }
 
@@ -26,6 +27,7 @@
 	s := n.shares[m.rec.Share]
 	if i, found := slices.BinarySearchFunc(s.machines, m, byName); found {
 		s.machines = slices.Delete(s.machines, i, i+1)
+		s.square.Drop(m.name)
 	}
 }
 
@@ -122,7 +124,7 @@
 	n.watchWorkers(now)
 	n.checkSight(now)
 	n.noteCuts(now)
-	var back []*machine
+	var back, spare []*machine
 	idle := map[int]bool{}
 	for i, s := range n.shares {
 		idle[i] = n.mine(s) && !n.shareWaits(i, now)
@@ -149,16 +151,15 @@
 		case n.dead(m, now):
 			n.log.Info("machine given up", "machine", m.name, "heard", !m.heard.IsZero(), "tasks", len(m.on))
 			back = append(back, m)
-		case len(m.on) == 0 && m.fenced && !m.moving && (m.notice || n.faulty(m) ||
-			idle[m.rec.Share] && !m.needed && !m.idleSince.IsZero() && now.Sub(m.idleSince).Seconds() > n.policy.IdleS):
+		case len(m.on) > 0 || !m.fenced || m.moving:
+		case m.notice || n.faulty(m):
 			n.log.Info("machine returned", "machine", m.name, "notice", m.notice, "blamed_by", len(m.blame))
 			back = append(back, m)
-		default:
-			if !m.fenced {
-				n.fence(m, now)
-			}
+		case idle[m.rec.Share] && !m.needed && !m.idleSince.IsZero() && now.Sub(m.idleSince).Seconds() > n.policy.IdleS:
+			spare = append(spare, m)
 		}
 	}
+	back = append(back, n.idleOnes(spare, now)...)
 	for _, s := range n.shares {
 		if n.mine(s) {
 			n.endDoubts(s)
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/coordination/start"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
 )
@@ -45,6 +46,9 @@
 	Known func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error)
 	// SetLevel, if set, is told the log level that operators chose, if any.
 	SetLevel func(l slog.Level, chosen bool)
+	// OnLoaded, if set, is told when the replica has been read once: from then on the
+	// node can answer.
+	OnLoaded func()
 	// AskPeer, if set, asks another controller a question and returns its answer.
 	AskPeer func(ctx context.Context, node string, question []byte) ([]byte, error)
 	users   *storage.Committer // changes that a user waits for
@@ -104,6 +108,7 @@
 	eyes      eyes      // sight.go, peers.go: whom this node hears
 	account   account   // account.go: what ended, and how it went
 	told      told      // peers.go: what it tells of machines' caches
+	ordering  budgeted  // square.go: what is ordered under a budget
 }
 
 // polls are users' questions about jobs that wait to be compared with the store.
@@ -179,7 +184,8 @@
 	machines []*machine // recorded, by name
 	nextRent time.Time  // when to look again at what to rent
 	window   *decide.Window
-	recent   []arrival
+	recent   []arrival     // seen by this node, whoever held the share
+	square   *start.Square // while held: how far its machines have spoken; see square.go
 }
 
 // New makes a node that lives until ctx ends. The caller runs it with Run.
@@ -227,6 +233,7 @@
 		n.shares = append(n.shares, &share{index: i, window: decide.NewWindow(n.policy.Window)})
 	}
 	n.seen.index, n.seen.wasShut = decide.NewIndex(count, len(n.teams)), true
+	n.ordering.budget = start.NewBudget(start.Limits{Cores: cfg.Params.Quota.Cores, Sockets: cfg.Params.Quota.FDLimit}, n.started)
 	return n
 }
 
@@ -294,6 +301,7 @@
 			now := time.Now()
 			n.turn(now)
 			n.metrics.lag.Observe(now.Sub(due).Seconds())
+			n.ordering.budget.Turn(now, now.Sub(due))
 			n.metrics.backlog.Set(float64(n.storing + n.asked + len(n.polls.waiting)))
 			n.tick(now)
 			n.settle(now)
@@ -319,9 +327,10 @@
 	n.flush(now)
 	n.releaseParked(now)
 	for m := range n.starts {
-		n.startNow(m, now)
+		if n.startNow(m, now) {
+			delete(n.starts, m)
+		}
 	}
-	clear(n.starts)
 	n.startRead(now)
 }
 
@@ -331,6 +340,7 @@
 		return
 	}
 	n.tickShares(now)
+	n.tickSquares(now)
 	n.tickMachines(now)
 }
 
--- a/internal/coordination/node/replica.go
+++ b/internal/coordination/node/replica.go
@@ -69,6 +69,11 @@
 	if !n.loaded {
 		n.loaded = true
 		now := time.Now()
+		n.ordering.follows = now
+		n.noteWorkers(now)
+		if n.OnLoaded != nil {
+			n.OnLoaded()
+		}
 		for _, s := range n.shares {
 			s.vacant = now
 		}
--- a/internal/coordination/node/schedule.go
+++ b/internal/coordination/node/schedule.go
@@ -50,7 +50,9 @@
 				waits = append(waits, j)
 			}
 		}
-		n.preempt(v, waits, now)
+		if s.square.MayDisplace() {
+			n.preempt(v, waits, now)
+		}
 		if !now.Before(s.nextRent) {
 			s.nextRent = now.Add(rentPause)
 			n.rent(v, s, waits, now)
@@ -81,9 +83,6 @@
 	for _, j := range fresh {
 		present++
 		j.counted = true
-		if j.seen.After(s.taken) && now.Sub(s.taken) > 5*time.Second {
-			s.recent = append(s.recent, arrival{At: now, Spec: j.spec, Team: j.team})
-		}
 		j.heavy = s.window.Arrive(present, j.spec.ImageGB) || n.policy.Greedy
 	}
 }
@@ -194,7 +193,7 @@
 		facts = append(facts, n.boundFacts(j, now))
 	}
 	s.recent = decide.Remembered(s.recent, now)
-	d := v.Rent(facts, v.Expected(s.recent, now.Sub(s.taken), n.policy.Headroom), market)
+	d := v.Rent(facts, v.Expected(s.recent, now.Sub(n.ordering.follows), n.policy.Headroom), market)
 	for i, j := range waits {
 		j.waits = d.Why[i]
 	}
--- a/internal/coordination/node/shares.go
+++ b/internal/coordination/node/shares.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/coordination/start"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
 )
@@ -45,11 +46,18 @@
 }
 
 func (n *Node) setLease(id uint64) {
+	var held []*share
+	for _, s := range n.shares {
+		if n.mine(s) {
+			held = append(held, s)
+		}
+	}
 	n.lease = id
 	if id == 0 {
-		for _, s := range n.shares {
+		for _, s := range held {
 			n.lost(s)
 		}
+		n.overloaded(len(held), time.Now())
 		return
 	}
 	key := protocol.NodeKey(n.cfg.Node)
@@ -85,13 +93,15 @@
 	}
 	was := n.mine(s)
 	s.holder = h
-	n.touchAll() // fences, facts and attempts of its machines and jobs
 	now := time.Now()
 	if h.Token == 0 {
 		s.vacant = now
 	}
+	// What decisions see changes for its machines and the jobs on them, and for no
+	// others: a change of a holder costs the share and not the fleet.
 	for _, m := range s.machines {
 		m.unfence()
+		n.touch(m)
 	}
 	if was {
 		n.lost(s)
@@ -105,25 +115,33 @@
 			// A gang of which an earlier holder recorded only a part, or took a part
 			// back, cannot start: the rest must go before its next attempt.
 			j.abandon = j.spec.Shape == protocol.Gang && j.nPlaced > 0 && j.nWaiting() > 0
-			n.dirty[j] = true
 			n.forgetFacts(j)
+			if n.unfinished(j) {
+				n.dirty[j] = true
+			}
 			j.story.tell(now, "its share was taken by "+n.cfg.Node)
 		}
 		n.tickets.takenOver(s.index)
 		for _, m := range s.machines {
 			m.added, m.heard = now, time.Time{}
 			m.moving, m.returning, m.notice = false, false, false
-			if len(m.on) == 0 {
-				m.idleSince = now
-			}
-			n.fence(m, now)
 		}
+		n.beginSquare(s, now)
 	}
 }
 
+// unfinished says whether something stored of a job asks for a change by whoever holds
+// its share. All others have nothing to store when the share is taken: with all of them
+// looked at in each turn until their time had come, a start cost the jobs times the
+// events.
+func (n *Node) unfinished(j *job) bool {
+	return j.cancelled || j.failed || j.step != nil || j.nDone+j.nSpent > 0 && (j.spec.Shape == protocol.Gang || j.nDone+j.nSpent == len(j.tasks)) || len(j.taskChunk) > 0
+}
+
 // lost drops what only a share's holder may have in hand.
 func (n *Node) lost(s *share) {
 	n.log.Info("share lost", "share", s.index)
+	s.square = nil
 	for _, m := range s.machines {
 		n.unpark(m)
 	}
@@ -144,14 +162,14 @@
 		if s.holder.Token != 0 || s.pending {
 			continue
 		}
-		if now.Sub(s.vacant) >= n.takeDelay(s, held, now) {
+		if now.Sub(s.vacant) >= n.takeDelay(s, held, now) && n.mayTake(s, held, now) {
 			n.take(s)
 			held++
 		}
 	}
 	n.partPace(now)
 	n.balance(now)
-	if n.leads() && now.Sub(n.lastMove).Seconds() >= n.policy.MoveS {
+	if n.leads() && now.Sub(n.lastMove).Seconds() >= n.policy.MoveS && n.shares[0].square.Phase() == start.Serving {
 		n.lastMove = now
 		n.planMoves(now)
 	}
@@ -208,7 +226,7 @@
 	if n.eyes.blind.Load() {
 		d += blindDelay
 	}
-	return d
+	return d + n.squareDelay(held, now)
 }
 
 // blindDelay is how much later a node that hears no workers takes a share: only
@@ -339,7 +357,8 @@
 		m := n.machines[x.Machine]
 		if m == nil || !m.known || m.moving || m.returning || m.gone ||
 			x.Share < 0 || x.Share >= len(n.shares) || x.Share == m.rec.Share || !n.mine(n.shares[m.rec.Share]) ||
-			n.claimed(m.rec.Share, now) || x.Spare && (m.needed || n.shareWaits(m.rec.Share, now)) {
+			n.claimed(m.rec.Share, now) || x.Spare && (m.needed || n.shareWaits(m.rec.Share, now)) ||
+			!m.fenced && n.shares[m.rec.Share].square.Unheard(m.name) {
 			continue
 		}
 		if len(m.on) > 0 {
@@ -361,7 +380,9 @@
 		going[p] = append(going[p], m)
 	}
 	for p, ms := range going {
-		n.move(ms, p.from, p.to)
+		if k := n.allowed(start.Move, len(ms)); k > 0 {
+			n.move(ms[:k], p.from, p.to)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/node/square.go
@@ -0,0 +1,272 @@
+package node
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/coordination/start"
+)
+
+// The actor's part in squaring a share that it has taken: it tells package start what
+// it hears, and does what that allows. This file may touch a share's square and what is
+// ordered under the budget; see docs/start.md.
+
+// budgeted is what is ordered under a budget, and what the node knows of its own load.
+type budgeted struct {
+	budget  *start.Budget
+	follows time.Time // since when it sees jobs arrive
+	lapses  int       // times in a row that its lease ended by its own load
+	lapsed  time.Time // when it last did
+	most    int       // shares that it may hold for a while after that
+	peak    int       // machines whose idleness nobody saw, at the most
+	spread  time.Time // when one of them was last returned
+
+	workers atomic.Pointer[map[netip.Addr]bool] // where machines are; read by other routines
+	noted   time.Time                           // when that was last made
+}
+
+// workersPause is how often it is noted where the machines are.
+const workersPause = 2 * time.Second
+
+// noteWorkers notes where the machines are, so that their connections are told from
+// others as they come. An address that several share tells nothing.
+func (n *Node) noteWorkers(now time.Time) {
+	if now.Sub(n.ordering.noted) < workersPause {
+		return
+	}
+	n.ordering.noted = now
+	at := make(map[netip.Addr]bool, len(n.machines))
+	for _, m := range n.machines {
+		if ap, err := netip.ParseAddrPort(m.addr); err == nil {
+			_, shared := at[ap.Addr()]
+			at[ap.Addr()] = !shared && !ap.Addr().IsLoopback()
+		}
+	}
+	n.ordering.workers.Store(&at)
+}
+
+// FromWorker says whether an address is that of a worker. Any routine may call it.
+func (n *Node) FromWorker(a netip.Addr) bool {
+	at := n.ordering.workers.Load()
+	return at != nil && (*at)[a]
+}
+
+// graceShort is how long reports alone are waited for after a share was taken. Workers
+// without a controller try the next one after a second, so after the end of all nearly
+// all of them have come by then.
+const graceShort = 1200 * time.Millisecond
+
+func (n *Node) seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// beginSquare begins to square a share that was just taken.
+func (n *Node) beginSquare(s *share, now time.Time) {
+	w := n.cfg.Params.Workers
+	var facts []start.Facts
+	for _, m := range s.machines {
+		if n.shouldSpeak(m) {
+			facts = append(facts, n.squareFacts(m))
+		}
+	}
+	n.ordering.budget.Fresh(now)
+	s.square = start.Begin(start.Times{Report: n.seconds(w.ReportS), Grace: min(graceShort, n.seconds(w.ReportS)/2)}, now, facts)
+}
+
+// shouldSpeak says whether a machine's silence means anything: one that is known to be
+// up, or that something is recorded on. What still boots is not waited for.
+func (n *Node) shouldSpeak(m *machine) bool {
+	return m.known && !m.gone && (m.rec.Addr != "" || len(m.on) > 0)
+}
+
+func (n *Node) squareFacts(m *machine) start.Facts {
+	f := start.Facts{Name: m.name, Rank: start.Empty, Callable: m.addr != ""}
+	if !m.reported.IsZero() {
+		f.LeaseEnds = m.reported.Add(n.seconds(n.cfg.Params.Workers.LeaseS))
+	}
+	for k := range m.on {
+		switch {
+		case k.job.rank == 0:
+			f.Rank = start.Critical
+		case !n.guest(k.job):
+			f.Rank = min(f.Rank, start.Guarantee)
+		default:
+			f.Rank = min(f.Rank, start.Work)
+		}
+	}
+	return f
+}
+
+// joinSquare takes in a machine that came to a share held.
+func (n *Node) joinSquare(s *share, m *machine) {
+	if !m.fenced && n.shouldSpeak(m) {
+		s.square.Add(n.squareFacts(m), time.Now())
+	}
+}
+
+// squared notes that a machine has spoken under this node's token.
+func (n *Node) squared(m *machine, now time.Time) {
+	n.shares[m.rec.Share].square.Heard(m.name)
+	if m.idleUnseen && len(m.on) == 0 {
+		m.idleSince = now
+	}
+}
+
+// tickSquares asks whom it is time to ask, and tells how far the squaring is.
+func (n *Node) tickSquares(now time.Time) {
+	n.noteWorkers(now)
+	for _, s := range n.shares {
+		if s.square == nil {
+			continue
+		}
+		for _, name := range s.square.Next(now, n.ordering.budget.Room(start.Ask)) {
+			m := n.machines[name]
+			if m == nil || !m.known || m.addr == "" || n.ordering.budget.Call(start.Ask, 1) == 0 {
+				s.square.Answered(name, false, now)
+				continue
+			}
+			n.fence(m, now)
+		}
+		was := s.square.Phase()
+		p, tenth, fresh := s.square.Step(now)
+		if fresh || p != was {
+			all, heard, asked := s.square.Counts()
+			n.log.Info("share squared", "share", s.index, "phase", p, "tenths", tenth, "machines", all, "heard", heard, "asked", asked,
+				"after_s", now.Sub(s.square.Since()).Seconds(), "calls_per_s", round(n.ordering.budget.Rate()), "held_back", n.heldBack())
+		}
+		if p == start.Serving && was != p {
+			n.replan = true
+		}
+	}
+}
+
+// heldBack is how many orders the budget held back so far.
+func (n *Node) heldBack() int {
+	c := 0
+	for k := range start.Orders {
+		c += n.ordering.budget.Held(k)
+	}
+	return c
+}
+
+// squaring says whether a share held does not serve yet.
+func (n *Node) squaring() bool {
+	for _, s := range n.shares {
+		if s.square != nil && s.square.Phase() != start.Serving {
+			return true
+		}
+	}
+	return false
+}
+
+// allowed is how many orders of a kind may be given now. Once all shares held serve,
+// the budget bounds calls for reports only: what then has to be ordered is what events
+// ask for, and not the whole fleet at once.
+func (n *Node) allowed(k start.Order, want int) int {
+	if !n.squaring() {
+		return want
+	}
+	return n.ordering.budget.Take(k, want)
+}
+
+// idleOnes are those of the machines that nothing needs which may go now.
+func (n *Node) idleOnes(spare []*machine, now time.Time) []*machine {
+	var back []*machine
+	unseen := 0
+	boot := 0.0
+	for _, t := range n.types {
+		boot = max(boot, t.BootS)
+	}
+	for _, m := range spare {
+		if m.idleUnseen {
+			unseen++
+		}
+	}
+	n.ordering.peak = max(n.ordering.peak, unseen)
+	if unseen == 0 {
+		n.ordering.peak = 0
+	}
+	may := start.Spread(n.ordering.peak, n.seconds(boot), n.ordering.spread, now)
+	for _, m := range spare {
+		if !n.shares[m.rec.Share].square.Settled(now) {
+			continue
+		}
+		if m.idleUnseen {
+			if may == 0 {
+				continue
+			}
+			may--
+			n.ordering.spread = now
+		}
+		n.log.Info("machine returned", "machine", m.name, "notice", false, "blamed_by", 0, "seen_idle", !m.idleUnseen)
+		back = append(back, m)
+	}
+	return back
+}
+
+// arrived remembers a job that this node saw arrive, whoever holds its share: who takes
+// the share over then knows what to expect.
+func (n *Node) arrived(j *job, now time.Time) {
+	if !n.loaded || now.Sub(j.submitted) > arrivedWithin {
+		return
+	}
+	s := n.shares[j.share]
+	s.recent = append(decide.Remembered(s.recent, now), arrival{At: now, Spec: j.spec, Team: j.team})
+}
+
+// arrivedWithin is how old a job may be that counts as arriving: what a replica reads
+// anew may be old.
+const arrivedWithin = 15 * time.Second
+
+// loadPause is within which a late actor explains that the own lease ended.
+const loadPause = 5 * time.Second
+
+// overloaded notes that the own lease ended with so many shares held. If it was this
+// node's own load, it takes fewer for a while, and later: with all as before shares went
+// round, since each take-over cost so much that the next lease lapsed.
+func (n *Node) overloaded(held int, now time.Time) {
+	o := &n.ordering
+	if held == 0 || !o.budget.Late(now, loadPause) || now.Sub(n.eyes.awake) < loadPause {
+		return
+	}
+	if now.Sub(o.lapsed) > lapseMemory {
+		o.lapses = 0
+	}
+	o.lapses++
+	o.lapsed, o.most = now, max(1, held-1)
+	n.log.Info("lease lost by own load", "shares_held", held, "takes_at_most", o.most, "pause_s", n.lapsePause().Seconds())
+}
+
+const (
+	// lapseMemory is for how long a node takes fewer shares after that.
+	lapseMemory = time.Minute
+	// abandoned is how long a share has nobody before a node takes it all the same.
+	abandoned = 12 * time.Second
+)
+
+// lapsePause is how much later this node takes shares for now.
+func (n *Node) lapsePause() time.Duration {
+	if n.ordering.lapses == 0 {
+		return 0
+	}
+	return min(4*time.Second, 500*time.Millisecond<<n.ordering.lapses)
+}
+
+// mayTake says whether this node may take one more share.
+func (n *Node) mayTake(s *share, held int, now time.Time) bool {
+	o := &n.ordering
+	return o.lapses == 0 || now.Sub(o.lapsed) > lapseMemory || held < o.most || len(n.nodes) < 2 || now.Sub(s.vacant) > abandoned
+}
+
+// squareDelay is how much later than else this node takes a share: while it squares
+// one, others come first, and so it does after its own load has cost it its lease.
+func (n *Node) squareDelay(held int, now time.Time) time.Duration {
+	d := time.Duration(0)
+	if now.Sub(n.ordering.lapsed) < lapseMemory {
+		d = n.lapsePause()
+	}
+	if held > 0 && n.squaring() {
+		d += min(3*time.Second, n.seconds(n.cfg.Params.Workers.LeaseS)/10)
+	}
+	return d
+}
--- a/internal/coordination/node/starts.go
+++ b/internal/coordination/node/starts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dapplestage.example/dapplestage/internal/coordination/start"
 	"dapplestage.example/dapplestage/internal/protocol"
 )
 
@@ -27,12 +28,16 @@
 const worthwhile = 700 * time.Millisecond
 
 // startNow starts directly what is stored for a machine, if its next report is
-// some time off.
-func (n *Node) startNow(m *machine, now time.Time) {
+// some time off. It returns false if this should be tried again, since after a take-over
+// starts are under a budget.
+func (n *Node) startNow(m *machine, now time.Time) bool {
 	next := time.Duration(0.75 * n.cfg.Params.Workers.ReportS * float64(time.Second))
 	if !n.usable(m, now) || m.parked != nil || m.calling || m.addr == "" || n.direct >= mostDirect ||
 		m.reported.Add(next).Sub(now) < worthwhile || !n.mine(n.shares[m.rec.Share]) || !n.mayAnswer(now) || n.zoneCut(m.rec.Zone, now) {
-		return
+		return true
+	}
+	if n.allowed(start.Start, 1) == 0 {
+		return false
 	}
 	o := protocol.Orders{Token: n.token(m), Session: m.session}
 	var tasks []started
@@ -47,7 +52,7 @@
 		tasks = append(tasks, started{protocol.TaskID(j.id, k.task), t.attempt})
 	}
 	if len(tasks) == 0 {
-		return
+		return true
 	}
 	m.calling = true
 	n.direct++
@@ -72,6 +77,7 @@
 			}
 		})
 	})
+	return true
 }
 
 // started is a task that was started directly.
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/coordination/start"
 	"dapplestage.example/dapplestage/internal/coordination/ticket"
 	"dapplestage.example/dapplestage/internal/protocol"
 )
@@ -32,12 +33,11 @@
 	session    uint64
 	seq        uint64
 	fenced     bool // a report of the present token has come
-	fencing    bool // a direct call for one is under way
-	fenceTry   time.Time
 	notice     bool // to be taken by the cloud
 	returning  bool
 	returnTry  time.Time
-	idleSince  time.Time
+	idleSince  time.Time // zero: something is recorded on it
+	idleUnseen bool      // this node did not see it become idle
 	moving     bool
 	blame      []string  // jobs that failed here since one last did well
 	gone       bool      // returned: the cloud said so
@@ -81,7 +81,7 @@
 	m := n.machines[name]
 	if m == nil {
 		now := time.Now()
-		m = &machine{name: name, heldBack: slices.Contains(n.policy.HeldBack, name), on: map[taskKey]struct{}{}, added: now, idleSince: now, fetchSince: map[string]time.Time{}}
+		m = &machine{name: name, heldBack: slices.Contains(n.policy.HeldBack, name), on: map[taskKey]struct{}{}, added: now, idleSince: now, idleUnseen: !n.loaded, fetchSince: map[string]time.Time{}}
 		n.machines[name] = m
 		n.touch(m)
 	}
@@ -110,10 +110,10 @@
 	}
 	m.known = true
 	m.rec = r
-	n.join(m)
 	if r.Addr != "" {
 		m.addr = r.Addr
 	}
+	n.join(m)
 }
 
 func (n *Node) dropMachine(name string) {
@@ -134,7 +134,6 @@
 // unfence forgets what the worker said under an earlier token.
 func (m *machine) unfence() {
 	m.fenced = false
-	m.fenceTry = time.Time{}
 	m.doubt = nil // the token is a higher one: what is late does nothing
 }
 
@@ -219,9 +218,12 @@
 		if !m.fenced {
 			n.log.Debug("machine is fenced", "machine", m.name, "token", token)
 			n.replan = true
+			n.squared(m, now)
 		}
 		m.fenced = true
 		m.heard = now
+	} else {
+		n.shares[m.rec.Share].square.Seen(m.name, now)
 	}
 	notice := r.NoticeS != nil
 	if notice && !m.notice {
@@ -529,12 +531,10 @@
 // fence shows a machine this node's token directly, without orders, so that an
 // earlier holder who still answers it is cut off, and takes its report.
 func (n *Node) fence(m *machine, now time.Time) {
-	if m.fencing || m.addr == "" || now.Before(m.fenceTry) {
-		return
-	}
-	m.fencing = true
-	m.fenceTry = now.Add(2 * time.Second)
-	n.command(m, protocol.Orders{Token: n.token(m), Session: max(1, m.session), Commands: []protocol.Command{}})
+	n.command(m, protocol.Orders{Token: n.token(m), Session: max(1, m.session), Commands: []protocol.Command{}}, func(ok bool) {
+		n.ordering.budget.Ended()
+		n.shares[m.rec.Share].square.Answered(m.name, ok, time.Now())
+	})
 }
 
 // stopNow tells a worker directly to stop tasks that make room for others. A
@@ -549,12 +549,15 @@
 			o.Commands = append(o.Commands, protocol.Command{Op: protocol.OpStop, Task: protocol.TaskID(k.job.id, k.task), Attempt: t.attempt, GraceS: t.graceS})
 		}
 	}
-	n.command(m, o)
+	if len(o.Commands) == 0 || n.allowed(start.Stop, 1) == 0 {
+		return // its next report is answered with them
+	}
+	n.command(m, o, func(bool) {})
 }
 
 // command sends orders directly and takes the report that comes back, if this
 // node is still entitled by then.
-func (n *Node) command(m *machine, o protocol.Orders) {
+func (n *Node) command(m *machine, o protocol.Orders, ended func(ok bool)) {
 	addr := m.addr
 	n.spawn(func(ctx context.Context) {
 		r, ok, err := n.workers.Command(ctx, addr, o)
@@ -563,7 +566,7 @@
 			r, ok, err = n.workers.Command(ctx, addr, o)
 		}
 		n.post(func() {
-			m.fencing = false
+			ended(err == nil && r != nil)
 			now := time.Now()
 			if err == nil {
 				n.saw(now)
--- /dev/null
+++ b/internal/coordination/start/idle.go
@@ -0,0 +1,21 @@
+package start
+
+import "time"
+
+// Idleness that nobody saw. An earlier holder knew since when a machine was empty; who
+// takes its share does not. Empty when first heard is not "idle since then": some have
+// been idle for a minute, some for a second. So the machines that nothing needs go one
+// by one over a boot time, and what waits meanwhile takes them instead of renting.
+
+// mostUnseen is how many machines go in a second, at most, for idleness that nobody
+// saw.
+const mostUnseen = 30
+
+// Spread says how many of count empty machines, whose idleness nobody saw, may go now
+// when some went up to last: all within about a boot time, and never more than
+// mostUnseen in a second.
+func Spread(count int, boot time.Duration, last, now time.Time) int {
+	perSecond := min(mostUnseen, max(1, float64(count)/max(1, boot.Seconds())))
+	gone := min(now.Sub(last), time.Second).Seconds()
+	return int(perSecond * gone)
+}
--- /dev/null
+++ b/internal/transport/front.go
@@ -0,0 +1,218 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+// Front takes connections for a server so that many that come at once do not keep it
+// from the few that matter. Of the many (workers that lost their controller) only some
+// are served their first request at a time and some wait; what is beyond that is closed
+// at once, and they try another node a second later. All others go straight through.
+// Without it a thousand new connections meant a thousand routines that ran before the
+// node's own lease was renewed.
+type Front struct {
+	limits FrontLimits
+	many   func(from netip.Addr) bool
+	ln     net.Listener
+	in     chan net.Conn
+	grown  chan struct{}
+	ready  chan struct{}
+	out    chan net.Conn
+	done   <-chan struct{}
+	open   atomic.Int64
+	closed atomic.Int64 // closed at once so far
+}
+
+// FrontLimits bound what a Front lets through.
+type FrontLimits struct {
+	Young   int // of the many: in their first request at a time
+	Waiting int // of the many: accepted, not served yet
+	Open    int // connections in all; 0: no limit
+	Early   int // connections a second before Ready
+}
+
+// NewFront takes connections on ln until ctx ends. many says whether a connection from
+// an address is one of the many; it must not block.
+func NewFront(ctx context.Context, ln net.Listener, l FrontLimits, many func(from netip.Addr) bool) *Front {
+	f := &Front{limits: l, many: many, ln: ln, in: make(chan net.Conn), grown: make(chan struct{}), ready: make(chan struct{}, 1),
+		out: make(chan net.Conn, 64), done: ctx.Done()}
+	go f.accept()
+	go f.run()
+	return f
+}
+
+// accept hands new connections to the routine that owns the rest.
+func (f *Front) accept() {
+	defer close(f.in)
+	for {
+		c, err := f.ln.Accept()
+		switch {
+		case err == nil:
+			select {
+			case f.in <- c:
+			case <-f.done:
+				c.Close()
+				return
+			}
+		case errors.Is(err, net.ErrClosed):
+			return
+		default: // out of sockets, say
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-f.done:
+				return
+			}
+		}
+	}
+}
+
+// run owns who is served and who waits.
+func (f *Front) run() {
+	defer close(f.out)
+	var waiting []*frontConn
+	young := 0
+	ready := false
+	var second time.Time // in which early connections are counted
+	early := 0
+	serve := func(c *frontConn) bool {
+		select {
+		case f.out <- c:
+			return true
+		case <-f.done:
+			c.Close()
+			return false
+		}
+	}
+	for {
+		select {
+		case <-f.done:
+			for _, c := range waiting {
+				c.Conn.Close()
+			}
+			return
+		case <-f.ready:
+			ready = true
+		case <-f.grown:
+			if len(waiting) == 0 {
+				young--
+				continue
+			}
+			next := waiting[0]
+			waiting[0] = nil
+			waiting = waiting[1:]
+			if !serve(next) {
+				return
+			}
+		case c, ok := <-f.in:
+			if !ok {
+				return
+			}
+			if now := time.Now(); !ready && now.Sub(second) >= time.Second {
+				second, early = now, 0
+			}
+			early++
+			many := ready && f.many(fromOf(c))
+			wait := many && young >= f.limits.Young
+			if f.limits.Open > 0 && f.Open() >= f.limits.Open || !ready && early > f.limits.Early || wait && len(waiting) >= f.limits.Waiting {
+				f.closed.Add(1)
+				c.Close()
+				continue
+			}
+			f.open.Add(1)
+			fc := &frontConn{Conn: c, f: f, many: many}
+			if wait {
+				waiting = append(waiting, fc)
+				continue
+			}
+			if many {
+				young++
+			}
+			if !serve(fc) {
+				return
+			}
+		}
+	}
+}
+
+// Ready ends the time in which nothing can be answered yet and only a few connections a
+// second are let through.
+func (f *Front) Ready() {
+	select {
+	case f.ready <- struct{}{}:
+	default:
+	}
+}
+
+// Open is how many connections are open.
+func (f *Front) Open() int { return int(f.open.Load()) }
+
+// Closed is how many connections were closed at once so far.
+func (f *Front) Closed() int64 { return f.closed.Load() }
+
+func fromOf(c net.Conn) netip.Addr {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
+// Accept, Close and Addr make it a net.Listener.
+func (f *Front) Accept() (net.Conn, error) {
+	if c, ok := <-f.out; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Close ends the listening.
+func (f *Front) Close() error { return f.ln.Close() }
+
+// Addr is where it listens.
+func (f *Front) Addr() net.Addr { return f.ln.Addr() }
+
+// frontConn is a connection that was let through.
+type frontConn struct {
+	net.Conn
+	f     *Front
+	many  bool
+	grown atomic.Bool
+	ended atomic.Bool
+}
+
+func (c *frontConn) grow() {
+	if c.many && !c.grown.Swap(true) {
+		select {
+		case c.f.grown <- struct{}{}:
+		case <-c.f.done:
+		}
+	}
+}
+
+// Close ends a connection, and its youth.
+func (c *frontConn) Close() error {
+	if !c.ended.Swap(true) {
+		c.f.open.Add(-1)
+		c.grow()
+	}
+	return c.Conn.Close()
+}
+
+type connKey struct{}
+
+// withConn is a server's ConnContext, so that Grown finds the connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Grown says that the request of ctx has been read and dealt with, though its answer
+// may still wait: the next of the many can have its turn.
+func Grown(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*frontConn); ok {
+		c.grow()
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -16,7 +16,7 @@
 
 // Serve answers HTTP on ln until ctx ends: one routine per connection.
 func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10, ConnContext: withConn}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
