Idleness that nobody saw counts half and goes over a boot time

Now nobody's idleness is made up: a machine empty when first heard has on average done half of its time, and such machines go one by one over a boot time. Arrivals are remembered by every node, so a single take-over knows what to expect; what comes in the first 5 s of a node is backlog.

--- a/internal/coordination/node/machines.go
+++ b/internal/coordination/node/machines.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"dapplestage.example/dapplestage/internal/coordination/start"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
 )
@@ -155,7 +156,7 @@
 		case m.notice || n.faulty(m):
 			n.log.Info("machine returned", "machine", m.name, "notice", m.notice, "blamed_by", len(m.blame))
 			back = append(back, m)
-		case idle[m.rec.Share] && !m.needed && !m.idleSince.IsZero() && now.Sub(m.idleSince).Seconds() > n.policy.IdleS:
+		case idle[m.rec.Share] && !m.needed && !m.idleSince.IsZero() && now.Sub(m.idleSince) > start.IdleFor(n.seconds(n.policy.IdleS), !m.idleUnseen):
 			spare = append(spare, m)
 		}
 	}
--- a/internal/coordination/node/square.go
+++ b/internal/coordination/node/square.go
@@ -207,7 +207,7 @@
 // arrived remembers a job that this node saw arrive, whoever holds its share: who takes
 // the share over then knows what to expect.
 func (n *Node) arrived(j *job, now time.Time) {
-	if !n.loaded || now.Sub(j.submitted) > arrivedWithin {
+	if !n.loaded || now.Sub(n.ordering.follows) < backlogTime || now.Sub(j.submitted) > arrivedWithin {
 		return
 	}
 	s := n.shares[j.share]
@@ -218,6 +218,10 @@
 // anew may be old.
 const arrivedWithin = 15 * time.Second
 
+// backlogTime is how long after a node's start what comes is what waited meanwhile, and
+// says nothing of what will come.
+const backlogTime = 5 * time.Second
+
 // loadPause is within which a late actor explains that the own lease ended.
 const loadPause = 5 * time.Second
 
--- a/internal/coordination/start/idle.go
+++ b/internal/coordination/start/idle.go
@@ -11,6 +11,16 @@
 // saw.
 const mostUnseen = 30
 
+// IdleFor is how long a machine that nothing needs is kept once it was heard to be empty.
+// One whose idleness began before that, nobody knows when, has on average done half of
+// its time.
+func IdleFor(kept time.Duration, seen bool) time.Duration {
+	if seen {
+		return kept
+	}
+	return kept / 2
+}
+
 // Spread says how many of count empty machines, whose idleness nobody saw, may go now
 // when some went up to last: all within about a boot time, and never more than
 // mostUnseen in a second.
