--- /dev/null
+++ b/internal/coordination/node/faults_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/coordination/start"
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// startMeetsBurst is a start into a burst of what must not wait: while a share is
+// squared nobody is stopped for others, since room may be on what was not heard.
+func startMeetsBurst(w *world) {
+	allEnd(w, 6*time.Second, 6500*time.Millisecond, 7*time.Second)
+	before, _ := w.fleet.Ended()
+	for i := range 12 {
+		s := &protocol.JobSpec{ID: fmt.Sprintf("job-9%05d", i), Team: []string{"red", "blue", "green"}[i%3], Class: "c", Shape: protocol.Service, Priority: "critical",
+			Tasks: 8, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img-1", ImageGB: 2}
+		go (&user{w: w, spec: s}).run(func() {})
+	}
+	time.Sleep(3500 * time.Millisecond)
+	if after, _ := w.fleet.Ended(); after > before {
+		w.size.found("%d tasks stopped before the shares were served", after-before)
+	}
+	if took, ok := serving(w, 30*time.Second); !ok {
+		w.size.found("not served after %v", took)
+	}
+	time.Sleep(time.Minute)
+}
+
+// startFindsIdle is a start after which much is idle, and nobody saw since when.
+func startFindsIdle(w *world) {
+	w.size.still()
+	time.Sleep(12 * time.Second)
+	allEnd(w, 6*time.Second, 6500*time.Millisecond, 7*time.Second)
+	time.Sleep(time.Minute)
+	if m := most(w.size.returned); m > 30 {
+		w.size.found("%d machines returned in a second", m)
+	}
+}
+
+// startLoses is a start in which no task may end with its lease, and calls are few.
+func startLoses(w *world) {
+	allEnd(w, 6*time.Second, 6500*time.Millisecond, 7*time.Second)
+	from := time.Now().Unix()
+	time.Sleep(time.Minute)
+	if _, expired := w.fleet.Ended(); expired > 0 {
+		w.size.found("%d tasks ended with their leases", expired)
+	}
+	for name, perSecond := range w.size.orders {
+		calls := 0
+		for at, c := range perSecond {
+			if at >= from && at < from+4 {
+				calls += c
+			}
+		}
+		if calls > w.size.machines/6 {
+			w.size.found("%s made %d calls in the first four seconds", name, calls)
+		}
+	}
+}
+
+// Each of these faults, done on purpose, must be found; without it nothing is.
+func TestStartFaultsAreFound(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		day      func(w *world)
+		sabotage func(n *Node)
+	}{
+		{"a place taken for free before its machine was heard", startLoses, func(n *Node) {
+			for _, s := range n.shares {
+				for _, m := range s.machines {
+					if s.square != nil && s.square.Unheard(m.name) && n.sinceContact(time.Now()) < time.Second {
+						for k := range m.on {
+							n.note(k.job, k.task, gone)
+						}
+					}
+				}
+			}
+		}},
+		{"the budget not applied to stops", startMeetsBurst, func(n *Node) {
+			for _, s := range n.shares {
+				if s.square != nil && s.square.Phase() != start.Serving {
+					s.square = start.Begin(start.Times{}, time.Now(), nil)
+				}
+			}
+		}},
+		{"the budget not applied to calls", startLoses, func(n *Node) {
+			n.ordering.budget = start.NewBudget(start.Limits{Cores: 64}, time.Now().Add(-time.Second))
+		}},
+		{"idleness counted from the take-over", startFindsIdle, func(n *Node) {
+			for _, s := range n.shares {
+				for _, m := range s.machines {
+					if n.mine(s) && m.idleUnseen {
+						m.idleUnseen, m.idleSince = false, s.taken
+					}
+				}
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			found := 0
+			for seed := uint64(1); seed <= 5 && found == 0; seed++ {
+				z := &fleetSize{machines: *scaledMachines, sockets: *scaledMachines, sabotage: c.sabotage}
+				scaled(t, seed, z, c.day)
+				if found = len(z.wrong); found > 0 {
+					t.Logf("found with seed %d: %s", seed, z.wrong[0])
+				}
+			}
+			if found == 0 {
+				t.Error("not found with five seeds")
+			}
+			z := &fleetSize{machines: *scaledMachines, sockets: *scaledMachines}
+			scaled(t, 1, z, c.day)
+			for _, x := range z.wrong {
+				t.Errorf("without the fault: %s", x)
+			}
+		})
+	}
+}
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -40,6 +40,10 @@
 	late    float64              // part of unanswered transactions applied much later
 	frozen  map[string]time.Time // until when a node stands still
 
+	// size, if set, makes a fleet of many machines, controllers of little processor time,
+	// and counts their sockets and requests; see scaled_test.go.
+	size *fleetSize
+
 	// lease, if set, is the site's daemon as the nodes ask it.
 	lease func(ctx context.Context, node string) ([]byte, error)
 }
@@ -63,7 +67,11 @@
 }
 
 func newWorld(t *testing.T, ctx context.Context, seed uint64, change func(p *protocol.WorkerSettings)) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 8)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
+	return newWorldOf(t, ctx, seed, change, nil)
+}
+
+func newWorldOf(t *testing.T, ctx context.Context, seed uint64, change func(p *protocol.WorkerSettings), size *fleetSize) *world {
+	w := &world{size: size, t: t, rng: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 8)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
 		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, frozen: map[string]time.Time{}}
 	w.ctx = ctx
@@ -74,6 +82,7 @@
 	for i := range w.names {
 		w.cfg[w.names[i]] = settingsFor(w.names, i)
 		change(&w.cfg[w.names[i]].Params.Workers)
+		size.grow(w.cfg[w.names[i]], f)
 	}
 	f.Workers = w.cfg["n-0"].Params.Workers
 	for _, tm := range w.cfg["n-0"].Params.Teams {
@@ -120,6 +129,7 @@
 	}
 	fs := &faultyState{w: w, node: name}
 	n := New(ctx, w.cfg[name], log, fs, &faultyCloud{w.fleet, w, name}, &faultyWorkers{w, name}, 1)
+	w.size.boots(w, n, name)
 	fs.contact = n.Contact
 	if setAccount != nil {
 		setAccount(n)
@@ -216,7 +226,11 @@
 		return answer{}, errNoAnswer
 	}
 	reply := make(chan answer, 1)
-	n.post(func() { f(n, reply) })
+	if !w.size.asks(name) {
+		return answer{}, errNoAnswer
+	}
+	defer w.size.answered(name)
+	n.post(func() { w.size.spend(name, turnCost); f(n, reply) })
 	select {
 	case a := <-reply:
 		return a, nil
@@ -268,6 +282,7 @@
 func (f *faultyWorkers) Command(ctx context.Context, addr string, o protocol.Orders) (*protocol.Report, bool, error) {
 	f.w.thaw(f.node)
 	defer f.w.thaw(f.node)
+	f.w.size.calls(f.node, o)
 	time.Sleep(f.w.between(time.Millisecond, 5*time.Millisecond))
 	if f.w.is(f.w.noNet, f.node) || f.w.is(f.w.deaf, f.node) || f.w.chance(&f.w.lossy) {
 		if f.w.chance(&half) {
@@ -314,6 +329,7 @@
 func (f *faultyCloud) Return(ctx context.Context, names []string) error {
 	f.w.thaw(f.node)
 	defer f.w.thaw(f.node)
+	f.w.size.returns(len(names))
 	return f.CloudService.Return(ctx, names)
 }
 
@@ -326,6 +342,9 @@
 
 func (f *faultyState) meet(ctx context.Context) error {
 	f.w.thaw(f.node)
+	if !f.w.size.requests(f.node) {
+		return storage.ErrRefused
+	}
 	time.Sleep(f.w.between(time.Millisecond, 8*time.Millisecond))
 	f.w.mu.Lock()
 	outage, refused, cut := f.w.outage, f.w.noState[f.node], f.w.noNet[f.node]
@@ -356,7 +375,9 @@
 	if err := f.meet(ctx); err != nil {
 		return nil, 0, err
 	}
-	return f.w.state.List(ctx, prefix)
+	items, rev, err := f.w.state.List(ctx, prefix)
+	f.w.size.reads(f.node, len(items))
+	return items, rev, err
 }
 
 func (f *faultyState) Txn(ctx context.Context, conds []storage.Cond, writes []storage.Write) (bool, uint64, []string, error) {
@@ -400,6 +421,7 @@
 		return nil, 0, err
 	}
 	items, rev, err := f.w.state.Watch(ctx, prefix, since, hold)
+	f.w.size.reads(f.node, len(items))
 	for err == nil { // an open watch waits during an outage
 		f.w.mu.Lock()
 		dark := f.w.outage || f.w.noState[f.node] || f.w.noNet[f.node]
@@ -465,7 +487,7 @@
 				w.t.Errorf("%s forgotten", u.spec.ID)
 			}
 		}
-		time.Sleep(w.between(time.Second, 3*time.Second))
+		time.Sleep(w.size.pollPause(w.between(time.Second, 3*time.Second)))
 	}
 }
 
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -50,6 +50,8 @@
 	began     map[string]bool
 	stalled   map[string]bool // jobs
 	Started   int
+	Stopped   int // running tasks that were told to stop
+	Expired   int // tasks that ended with their worker's lease
 	Broken    []string
 }
 
@@ -121,6 +123,29 @@
 	return false
 }
 
+// Running is how many tasks run.
+func (f *Fleet) Running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := 0
+	for _, m := range f.machines {
+		for _, p := range m.tasks {
+			if p.state == protocol.TaskRunning {
+				c++
+			}
+		}
+	}
+	return c
+}
+
+// Ended are how many running tasks were told to stop, and how many ended with their
+// worker's lease, so far.
+func (f *Fleet) Ended() (stopped, expired int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Stopped, f.Expired
+}
+
 // Limit changes how many machines there are to give.
 func (f *Fleet) Limit(machines int) {
 	f.mu.Lock()
@@ -309,6 +334,11 @@
 	if time.Since(m.answers).Seconds() > m.f.Workers.LeaseS {
 		m.session++
 		m.seq = 0
+		for _, p := range m.tasks {
+			if p.state != protocol.TaskExited {
+				m.f.Expired++
+			}
+		}
 		// They ended with the lease, also if this machine stood still then.
 		m.forget(m.answers.Add(time.Duration(m.f.Workers.LeaseS * float64(time.Second))))
 		m.answers = time.Now()
@@ -552,6 +582,9 @@
 		case protocol.OpStop:
 			if p != nil && p.attempt == c.Attempt && p.state != protocol.TaskExited {
 				m.ended("end", c.Task, p, time.Now())
+				if p.state == protocol.TaskRunning {
+					m.f.Stopped++
+				}
 				p.state, p.cause = protocol.TaskExited, protocol.CauseStopped
 				m.changed()
 			}
