--- a/cmd/dapplestage/admin.go
+++ b/cmd/dapplestage/admin.go
@@ -125,9 +125,9 @@
 	fmt.Fprintf(out, "%s, version %s: %d unfinished jobs; the state service answered %.1f s ago\n", s.Node, s.Version, s.Jobs, s.StateAgeS)
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	defer w.Flush()
-	fmt.Fprintln(w, "\nSHARE\tHOLDER\tMACHINES\tEMPTY\tFREE GPUS\tSILENT")
+	fmt.Fprintln(w, "\nSHARE\tHOLDER\tMACHINES\tEMPTY\tFREE GPUS\tSILENT\tPHASE\tUNHEARD")
 	for _, x := range s.Shares {
-		fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%g\t%d\n", x.Share, x.Holder, x.Machines, x.Empty, x.FreeGPUs, x.Silent)
+		fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%g\t%d\t%s\t%d\n", x.Share, x.Holder, x.Machines, x.Empty, x.FreeGPUs, x.Silent, x.Phase, x.Unheard)
 	}
 	fmt.Fprintln(w, "\nTEAM\tSHARE\tJOBS\tWAITING\tPLACED\tGPUS\tMOST")
 	for _, x := range s.Teams {
--- /dev/null
+++ b/cmd/lab/start.go
@@ -0,0 +1,302 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/spf13/cobra"
+
+	"dapplestage.example/dapplestage/internal/coordination/node"
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// startTimes are those of a site whose controllers all go down: a worker's lease
+// outlives the time without any of them.
+var startTimes = times{workersLease: 9, report: 1.5, cancel: 22, writeRPS: 150, gpusMax: 4000}
+
+// startResult is what a run showed.
+type startResult struct {
+	serve, half, all []time.Duration // from the last process being back
+	given, held      map[string]int
+	ended            int // tasks of services that ended though nobody cancelled them
+	wrong            []string
+	err              error
+}
+
+// shares asks all controllers how far the shares are; false if one does not answer.
+func (f *farm) shares(ctx context.Context) (map[int]node.ShareStatus, bool) {
+	out := map[int]node.ShareStatus{}
+	for i, api := range f.apis {
+		var s node.Status
+		status, data, err := f.call(ctx, "GET", api, "/admin/status", nil)
+		if err != nil || status != 200 || json.Unmarshal(data, &s) != nil {
+			return nil, false
+		}
+		for _, sh := range s.Shares {
+			if sh.Holder == fmt.Sprint("n-", i) && sh.Phase != "" {
+				out[sh.Share] = sh
+			}
+		}
+	}
+	return out, true
+}
+
+// orders reads what each controller has ordered since its start.
+func (f *farm) orders(ctx context.Context, r *startResult) {
+	for _, api := range f.apis {
+		_, data, err := f.call(ctx, "GET", api, "/metrics", nil)
+		if err != nil {
+			continue
+		}
+		p := expfmt.NewTextParser(model.UTF8Validation)
+		families, err := p.TextToMetricFamilies(strings.NewReader(string(data)))
+		if err != nil {
+			r.wrong = append(r.wrong, "metrics: "+err.Error())
+			continue
+		}
+		for _, m := range families["dapplestage_orders_total"].GetMetric() {
+			l := map[string]string{}
+			for _, p := range m.GetLabel() {
+				l[p.GetName()] = p.GetValue()
+			}
+			into := r.given
+			if l["outcome"] == "held_back" {
+				into = r.held
+			}
+			into[l["order"]] += int(m.GetCounter().GetValue())
+		}
+	}
+}
+
+// judgeStarts says what machines ran twice at once, and what is called done and is not.
+func judgeStarts(events []farmEvent, tasks map[string]int, done map[string]bool) (wrong []string, ended int) {
+	on := map[string]string{}
+	finished := map[string]map[string]bool{}
+	for _, e := range events {
+		job, _, ok := protocol.ParseTaskID(e.Task)
+		if !ok {
+			continue
+		}
+		switch e.Event {
+		case "start":
+			if m := on[e.Task]; m != "" && m != e.Machine {
+				wrong = append(wrong, fmt.Sprintf("%s started on %s while on %s", e.Task, e.Machine, m))
+			}
+			on[e.Task] = e.Machine
+		case "done":
+			if finished[job] == nil {
+				finished[job] = map[string]bool{}
+			}
+			finished[job][e.Task] = true
+			delete(on, e.Task)
+		default:
+			if on[e.Task] == e.Machine {
+				delete(on, e.Task)
+			}
+			if strings.HasPrefix(job, "job-8") {
+				ended++
+			}
+		}
+	}
+	for id := range done {
+		if len(finished[id]) < tasks[id] {
+			wrong = append(wrong, fmt.Sprintf("%s is called done with %d of %d tasks", id, len(finished[id]), tasks[id]))
+		}
+	}
+	return wrong, ended
+}
+
+func oneStartRun(ctx context.Context, bin, dir string, seed uint64, machines, starts int) *startResult {
+	r := &startResult{given: map[string]int{}, held: map[string]int{}}
+	f, err := newFarm(ctx, bin, dir, 0, farmRetries, machines, startTimes)
+	defer f.end()
+	if err != nil {
+		r.err = err
+		return r
+	}
+	rng := rand.New(rand.NewPCG(seed, 41))
+	tasks := map[string]int{}
+	submit := func(id, shape string, n int, seconds float64) {
+		body := strings.Replace(string(submission(id, []string{"red", "blue"}[len(tasks)%2], n, seconds)), `"sweep"`, fmt.Sprintf("%q", shape), 1)
+		tasks[id] = n
+		if err := f.submit(ctx, id, []byte(body)); err != nil && r.err == nil {
+			r.err = err
+		}
+	}
+	services := machines * 4 * 6 / 10 / 8
+	for i := range services {
+		submit(fmt.Sprintf("job-8%05d", i), "standing", 8, 0)
+	}
+	if !until(ctx, 30*time.Second, func() bool {
+		n := 0
+		for i := range services {
+			n += f.running(ctx, fmt.Sprintf("job-8%05d", i))
+		}
+		return n >= services*8
+	}) {
+		r.err = fmt.Errorf("the services did not start")
+		return r
+	}
+	arrays := 0
+	for range starts {
+		for range 3 + rng.IntN(3) {
+			submit(fmt.Sprintf("job-1%05d", arrays), "sweep", 4+rng.IntN(12), 2+3*rng.Float64())
+			arrays++
+		}
+		time.Sleep(span(rng, 200*time.Millisecond, 1500*time.Millisecond))
+		f.orders(ctx, r)
+		var nodes []*process
+		for _, p := range f.procs {
+			if strings.HasPrefix(p.name, "n-") {
+				nodes = append(nodes, p)
+			}
+		}
+		for _, p := range nodes {
+			p.kill()
+			time.Sleep(span(rng, time.Millisecond, 300*time.Millisecond))
+		}
+		time.Sleep(span(rng, 200*time.Millisecond, 2*time.Second))
+		for _, i := range rng.Perm(len(nodes)) {
+			if err := nodes[i].start(); err != nil {
+				r.err = err
+				return r
+			}
+			time.Sleep(span(rng, time.Millisecond, 700*time.Millisecond))
+		}
+		back := time.Now()
+		var serve, half, all time.Duration
+		if !until(ctx, 30*time.Second, func() bool {
+			shares, ok := f.shares(ctx)
+			if !ok {
+				return false
+			}
+			unheard, total, serving := 0, 0, 0
+			for _, s := range shares {
+				unheard, total = unheard+s.Unheard, total+s.Machines
+				if s.Phase == "serving" {
+					serving++
+				}
+			}
+			if took := time.Since(back); len(shares) == 2 {
+				if serving == 2 && serve == 0 {
+					serve = took
+				}
+				if 2*unheard <= total && half == 0 {
+					half = took
+				}
+				if unheard == 0 && all == 0 {
+					all = took
+				}
+			}
+			return serve > 0 && half > 0 && all > 0
+		}) {
+			r.wrong = append(r.wrong, fmt.Sprintf("not squared 30 s after the processes were back (serving after %v, half after %v)", serve, half))
+			return r
+		}
+		r.serve, r.half, r.all = append(r.serve, serve), append(r.half, half), append(r.all, all)
+		time.Sleep(span(rng, time.Millisecond, 3*time.Second))
+	}
+	done := map[string]bool{}
+	until(ctx, 60*time.Second, func() bool {
+		for i := range arrays {
+			id := fmt.Sprintf("job-1%05d", i)
+			var s protocol.JobStatus
+			status, out, err := f.call(ctx, "GET", f.apis[i%2], "/api/jobs/"+id, nil)
+			switch {
+			case err != nil:
+			case status == 404:
+				r.wrong = append(r.wrong, id+" is forgotten")
+			case status == 200 && json.Unmarshal(out, &s) == nil && s.Status == protocol.JobDone:
+				done[id] = true
+			case done[id] && status == 200:
+				r.wrong = append(r.wrong, fmt.Sprintf("%s went back to %s", id, s.Status))
+			}
+		}
+		return len(done) == arrays || len(r.wrong) > 0
+	})
+	if len(done) < arrays {
+		r.wrong = append(r.wrong, fmt.Sprintf("%d of %d arrays never ended", arrays-len(done), arrays))
+	}
+	f.orders(ctx, r)
+	events, err := readEvents(f.events)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	wrong, ended := judgeStarts(events, tasks, done)
+	r.wrong, r.ended = append(r.wrong, wrong...), ended
+	return r
+}
+
+func startProof() *cobra.Command {
+	machines, starts := 60, 3
+	c := runsProof("start", "End all controllers again and again, and hold what they say and order to what machines ran", 4, 4, func(ctx context.Context, out io.Writer, o runOptions) error {
+		if err := between("machines", machines, 10, 1000); err != nil {
+			return err
+		}
+		if err := between("starts", starts, 1, 50); err != nil {
+			return err
+		}
+		return proveStart(ctx, out, o, machines, starts)
+	})
+	c.Flags().IntVar(&machines, "machines", machines, "machines of a site")
+	c.Flags().IntVar(&starts, "starts", starts, "times that all controllers end in a run")
+	return c
+}
+
+func proveStart(ctx context.Context, out io.Writer, o runOptions, machines, starts int) error {
+	type quantiles struct {
+		Median float64 `json:"median_s"`
+		Max    float64 `json:"max_s"`
+	}
+	s := struct {
+		runTotals
+		Machines int            `json:"machines"`
+		Starts   int            `json:"starts"`
+		Serve    quantiles      `json:"serving_after"`
+		Half     quantiles      `json:"half_squared_after"`
+		All      quantiles      `json:"all_squared_after"`
+		Given    map[string]int `json:"orders_given"`
+		Held     map[string]int `json:"orders_held_back"`
+		Ended    int            `json:"service_tasks_ended"`
+	}{Machines: machines, Given: map[string]int{}, Held: map[string]int{}}
+	serve, half, all := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
+	var err error
+	s.runTotals, err = o.each(ctx, out, "start", func(bin, dir string, seed uint64) (func(), runOutcome) {
+		r := oneStartRun(ctx, bin, dir, seed, machines, starts)
+		return func() {
+			s.Starts += len(r.all)
+			s.Ended += r.ended
+			for k, n := range r.given {
+				s.Given[k] += n
+			}
+			for k, n := range r.held {
+				s.Held[k] += n
+			}
+			for i := range r.all {
+				serve.RecordValue(max(1, r.serve[i].Milliseconds()))
+				half.RecordValue(max(1, r.half[i].Milliseconds()))
+				all.RecordValue(max(1, r.all[i].Milliseconds()))
+			}
+		}, runOutcome{fmt.Sprintf("%d starts, all squared after %v, %d service tasks ended", len(r.all), r.all, r.ended), r.wrong, r.err}
+	})
+	if err != nil {
+		return err
+	}
+	told := func(h *hdrhistogram.Histogram) quantiles {
+		return quantiles{float64(h.ValueAtQuantile(50)) / 1000, float64(h.Max()) / 1000}
+	}
+	s.Serve, s.Half, s.All = told(serve), told(half), told(all)
+	if err := figures(out, s); err != nil {
+		return err
+	}
+	return s.err()
+}
--- a/internal/coordination/node/account.go
+++ b/internal/coordination/node/account.go
@@ -352,6 +352,8 @@
 	switch {
 	case j.cancelled:
 		r.State = ledger.Stopping
+	case busy > 0 && n.unheardTasks(j) >= busy:
+		r.State, r.Why = ledger.Unknown, fmt.Sprintf("none of its machines has spoken since %s took its share, %.0f s ago", n.cfg.Node, now.Sub(n.shares[j.share].taken).Seconds())
 	case busy > 0 && r.Silent == busy:
 		r.State, r.Why = ledger.Unknown, fmt.Sprintf("all of its machines are silent, for %.0f s", f.Silent.Seconds())
 	default:
--- a/internal/coordination/node/admin.go
+++ b/internal/coordination/node/admin.go
@@ -112,8 +112,8 @@
 <h2>Stuck</h2>{{if .Stuck}}<table><tr><th>team<th>job<th>class<th>waiting<th>starting<th>since<th>why</tr>
 {{range .Stuck}}<tr><td>{{.Team}}<td>{{.Job}}<td>{{.Class}}<td>{{.Waiting}}<td>{{.Starting}}<td>{{.SinceS}} s<td>{{.Why}}</tr>{{end}}</table>
 {{if .StuckMore}}<p>and {{.StuckMore}} more</p>{{end}}{{else}}<p>Nothing.</p>{{end}}
-<h2>Shares</h2><table><tr><th>share<th>holder<th>machines<th>empty<th>free GPUs<th>free CPUs<th>silent</tr>
-{{range .Shares}}<tr><td>{{.Share}}<td>{{or .Holder "nobody"}}<td>{{.Machines}}<td>{{.Empty}}<td>{{.FreeGPUs}}<td>{{.FreeCPUs}}<td>{{.Silent}}</tr>{{end}}</table>
+<h2>Shares</h2><table><tr><th>share<th>holder<th>machines<th>empty<th>free GPUs<th>free CPUs<th>silent<th>phase<th>unheard</tr>
+{{range .Shares}}<tr><td>{{.Share}}<td>{{or .Holder "nobody"}}<td>{{.Machines}}<td>{{.Empty}}<td>{{.FreeGPUs}}<td>{{.FreeCPUs}}<td>{{.Silent}}<td>{{.Phase}}<td>{{.Unheard}}</tr>{{end}}</table>
 <h2>Teams</h2><table><tr><th>team<th>share<th>jobs<th>waiting tasks<th>placed tasks<th>GPUs<th>most</tr>
 {{range .Teams}}<tr><td>{{.Team}}<td>{{.Share}}<td>{{.Jobs}}<td>{{.Waiting}}<td>{{.Running}}<td>{{.GPUs}}<td>{{.MaxGPUs}}</tr>{{end}}</table>
 <h2>Ended here</h2><table><tr><th>team<th>job<th>class<th>became<th>took<th>ago</tr>
--- a/internal/coordination/node/metrics.go
+++ b/internal/coordination/node/metrics.go
@@ -20,6 +20,9 @@
 	lag      prometheus.Histogram
 	backlog  prometheus.Gauge
 	waiting  *prometheus.GaugeVec
+	orders   *prometheus.CounterVec
+	unheard  *prometheus.GaugeVec
+	rate     prometheus.Gauge
 	classes  map[string]bool
 }
 
@@ -45,7 +48,13 @@
 		Help: "Changes and reads that wait for the state service."})
 	m.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "dapplestage_waiting_tasks",
 		Help: "Tasks that wait for a machine, of the shares held, by the cause that binds."}, []string{"cause"})
-	m.Registry.MustRegister(m.waiting, m.lag, m.backlog, m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
+	m.orders = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dapplestage_orders_total",
+		Help: "Orders under the budget of a start, by kind, given or held back; one that is asked for again counts again."}, []string{"order", "outcome"})
+	m.unheard = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "dapplestage_unheard_machines",
+		Help: "Machines of a share held that have not spoken since it was taken."}, []string{"share"})
+	m.rate = prometheus.NewGauge(prometheus.GaugeOpts{Name: "dapplestage_order_rate",
+		Help: "Orders a second that the budget of a start allows now."})
+	m.Registry.MustRegister(m.orders, m.unheard, m.rate, m.waiting, m.lag, m.backlog, m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
 	return m
 }
 
--- a/internal/coordination/node/square.go
+++ b/internal/coordination/node/square.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,8 @@
 	peak    int       // machines whose idleness nobody saw, at the most
 	spread  time.Time // when one of them was last returned
 
+	given, held [start.Orders]int // as the metrics have them
+
 	workers atomic.Pointer[map[netip.Addr]bool] // where machines are; read by other routines
 	noted   time.Time                           // when that was last made
 }
@@ -137,7 +140,43 @@
 		if p == start.Serving && was != p {
 			n.replan = true
 		}
+		n.tellSquare(s)
+	}
+}
+
+// tellSquare brings the metrics up to date.
+func (n *Node) tellSquare(s *share) {
+	all, heard, _ := s.square.Counts()
+	n.metrics.unheard.WithLabelValues(strconv.Itoa(s.index)).Set(float64(all - heard))
+	n.metrics.rate.Set(n.ordering.budget.Rate())
+	for k := range start.Orders {
+		for _, c := range []struct {
+			outcome string
+			now     int
+			told    *int
+		}{{"given", n.ordering.budget.Given(k), &n.ordering.given[k]}, {"held_back", n.ordering.budget.Held(k), &n.ordering.held[k]}} {
+			if c.now > *c.told {
+				n.metrics.orders.WithLabelValues(k.String(), c.outcome).Add(float64(c.now - *c.told))
+				*c.told = c.now
+			}
+		}
+	}
+}
+
+// unheardTasks is how many of a job's tasks are on machines that have not spoken since
+// this node took its share: whether they run is not known.
+func (n *Node) unheardTasks(j *job) int {
+	s := n.shares[j.share]
+	if s.square == nil {
+		return 0
+	}
+	c := 0
+	for i := range j.tasks {
+		if m := j.tasks[i].machine; m != nil && s.square.Unheard(m.name) {
+			c++
+		}
 	}
+	return c
 }
 
 // heldBack is how many orders the budget held back so far.
--- a/internal/coordination/node/status.go
+++ b/internal/coordination/node/status.go
@@ -33,6 +33,11 @@
 	FreeGPUs float64 `json:"free_gpus"`
 	FreeCPUs float64 `json:"free_cpus"`
 	Silent   int     `json:"silent"`
+	// How far the holder has got since it took the share: taken, squaring, serving; how
+	// many machines have not spoken since, and how many it had to ask. Known to it only.
+	Phase   string `json:"phase,omitempty"`
+	Unheard int    `json:"unheard,omitempty"`
+	Asked   int    `json:"asked,omitempty"`
 }
 
 // TeamStatus is one team.
@@ -84,6 +89,10 @@
 		Shares: []ShareStatus{}, Teams: []TeamStatus{}, Stuck: []StuckJob{}, Ended: []EndedJob{}}
 	for _, sh := range n.shares {
 		v := ShareStatus{Share: sh.index, Holder: sh.holder.Node}
+		if sh.square != nil {
+			all, heard, asked := sh.square.Counts()
+			v.Phase, v.Unheard, v.Asked = sh.square.Phase().String(), all-heard, asked
+		}
 		for _, m := range n.machines {
 			if !m.known || m.rec.Share != sh.index {
 				continue
