A start ends its former lease, and accepting rests between a few connections

After an outage all leases get their full time back, so a restarted node waited 3 s for its own former self while workers' leases ended; it ends that lease now.

--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -191,7 +191,9 @@
 			return a.Body, err
 		})
 	}
-	ln, err := net.Listen("tcp4", cfg.APIAddr)
+	// Whoever is gone shows by its silence, so no keep-alive probes of the system's: they
+	// cost four calls to it for each connection.
+	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp4", cfg.APIAddr)
 	if err != nil {
 		return err
 	}
@@ -227,7 +229,7 @@
 // each, as measured on the bench's simulated machines), and sockets enough for calls to
 // the state service, the cloud, workers and siblings.
 func frontLimits(q protocol.MachineQuota) transport.FrontLimits {
-	l := transport.FrontLimits{Young: 16, Waiting: int(min(512, max(64, q.Cores/0.0004))), Early: 20}
+	l := transport.FrontLimits{Young: 16, Waiting: int(min(512, max(64, q.Cores/0.0004))), Early: 20, Rate: int(max(100, q.Cores/0.00025))}
 	if q.FDLimit > 0 {
 		l.Open = max(q.FDLimit/2, q.FDLimit-130-q.FDLimit/32)
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -175,6 +175,11 @@
 		}
 		send(w, 200, obj{})
 	})
+	r.DELETE("/leases/:id", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		id, _ := strconv.ParseUint(p.ByName("id"), 10, 64)
+		s.Release(r.Context(), id)
+		send(w, 200, obj{})
+	})
 	r.GET("/watch", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		q := r.URL.Query()
 		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
--- a/internal/coordination/node/replica.go
+++ b/internal/coordination/node/replica.go
@@ -71,6 +71,7 @@
 		now := time.Now()
 		n.ordering.follows = now
 		n.noteWorkers(now)
+		n.endFormer()
 		if n.OnLoaded != nil {
 			n.OnLoaded()
 		}
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -415,6 +415,14 @@
 	return f.w.state.Renew(ctx, id)
 }
 
+func (f *faultyState) Release(ctx context.Context, id uint64) error {
+	defer f.w.thaw(f.node)
+	if err := f.meet(ctx); err != nil {
+		return err
+	}
+	return f.w.state.Release(ctx, id)
+}
+
 func (f *faultyState) Watch(ctx context.Context, prefix string, since uint64, hold time.Duration) ([]storage.Item, uint64, error) {
 	defer f.w.thaw(f.node)
 	if err := f.meet(ctx); err != nil {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -149,6 +149,17 @@
 	return nil
 }
 
+// Release ends a lease at once.
+func (s *State) Release(_ context.Context, id uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[id]; l != nil {
+		l.end = time.Time{}
+		s.expire()
+	}
+	return nil
+}
+
 // Refill gives all leases their full time back, as after an outage.
 func (s *State) Refill() {
 	s.mu.Lock()
--- a/internal/storage/state.go
+++ b/internal/storage/state.go
@@ -71,6 +71,7 @@
 	Txn(ctx context.Context, conds []Cond, writes []Write) (ok bool, epoch uint64, failed []string, err error)
 	Grant(ctx context.Context, life time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64) error
+	Release(ctx context.Context, lease uint64) error
 	Watch(ctx context.Context, prefix string, since uint64, hold time.Duration) ([]Item, uint64, error)
 }
 
@@ -268,6 +269,15 @@
 	return nil
 }
 
+// Release ends a lease at once; one that has ended already is no error.
+func (s *Store) Release(ctx context.Context, lease uint64) error {
+	a, err := s.call(ctx, callTimeout, "DELETE", "/leases/"+strconv.FormatUint(lease, 10), nil)
+	if err == nil && a.Status != 404 && a.Status >= 300 {
+		err = fmt.Errorf("%w: %d", ErrUnknown, a.Status)
+	}
+	return err
+}
+
 // Watch waits for changes under prefix after a revision. A deletion is an
 // Item without Value.
 func (s *Store) Watch(ctx context.Context, prefix string, since uint64, hold time.Duration) ([]Item, uint64, error) {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -34,8 +34,15 @@
 	Waiting int // of the many: accepted, not served yet
 	Open    int // connections in all; 0: no limit
 	Early   int // connections a second before Ready
+	Rate    int // connections a second that are accepted at most; 0: no limit
 }
 
+// acceptPause is how long an accepting routine rests between a few connections when
+// many wait. One that always finds another is always runnable, and the runtime then
+// hardly looks at the network for all others: a node that did nothing but accept did
+// not see the answer to its own lease's renewal for seven seconds.
+const acceptPause = 10 * time.Millisecond
+
 // NewFront takes connections on ln until ctx ends. many says whether a connection from
 // an address is one of the many; it must not block.
 func NewFront(ctx context.Context, ln net.Listener, l FrontLimits, many func(from netip.Addr) bool) *Front {
@@ -49,8 +56,25 @@
 // accept hands new connections to the routine that owns the rest.
 func (f *Front) accept() {
 	defer close(f.in)
+	few := max(1, int(float64(f.limits.Rate)*acceptPause.Seconds()))
+	var from time.Time // since when they are counted
+	count := 0
 	for {
+		if f.limits.Rate > 0 && count >= few {
+			if rest := acceptPause - time.Since(from); rest > 0 {
+				select {
+				case <-time.After(rest):
+				case <-f.done:
+					return
+				}
+			}
+			count = 0
+		}
 		c, err := f.ln.Accept()
+		if count == 0 {
+			from = time.Now()
+		}
+		count++
 		switch {
 		case err == nil:
 			select {
