--- /dev/null
+++ b/internal/coordination/node/square_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// A take-over costs its share: only jobs with something to store wait to be stored, and
+// only the share's machines are looked at anew. (With all jobs waiting for their time,
+// each turn looked at all of them, and a start at four times the fleet never ended.)
+func TestTakeOverCostsItsShare(t *testing.T) {
+	b := newBench(t)
+	b.fleetOf(40, 6)
+	b.put(protocol.BatchKey("other"), protocol.BatchRecord{Share: 1, Machines: []protocol.MachineRecord{{Name: "host-900000", Type: "g4", Zone: "a", Addr: "y:1"}}})
+	b.job("job-700001", true) // cancelled, and its end not stored
+	b.syncIndex(time.Now())
+	clear(b.dirty)
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 9})
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 9, Lease: 3})
+	if len(b.dirty) != 1 || !b.dirty[b.jobs["job-700001"]] {
+		t.Errorf("%d jobs to be stored after a take-over", len(b.dirty))
+	}
+	for _, m := range b.seen.stale {
+		if m.rec.Share != 0 {
+			t.Errorf("%s of another share is looked at anew", m.name)
+		}
+	}
+	if all, heard, _ := b.shares[0].square.Counts(); all != 40 || heard != 0 {
+		t.Errorf("%d machines to be squared, %d heard", all, heard)
+	}
+	// The report of a machine under the new token squares it; until then its job's state
+	// is not known.
+	m := b.shares[0].machines[1]
+	j := b.jobs["job-000000"]
+	if n := b.unheardTasks(j); n != 2 {
+		t.Errorf("%d of 2 tasks on machines that have not spoken", n)
+	}
+	if r := b.row(j, time.Now()); r.State != "unknown" {
+		t.Errorf("state %q, %q", r.State, r.Why)
+	}
+	if m = b.machines["host-001000"]; !b.hear(m, &protocol.Report{Machine: m.name, Session: 1, Seq: 1, Token: 9}, 9, time.Now()) || b.unheardTasks(j) != 0 {
+		t.Error("heard, and not squared")
+	}
+}
+
+// Idleness that nobody saw is not "idle since the take-over", and what this node saw
+// itself is kept through one.
+func TestIdlenessSurvivesOrIsUnknown(t *testing.T) {
+	b := newBench(t)
+	b.loaded = false // the machines of a start
+	b.put(protocol.BatchKey("old"), protocol.BatchRecord{Machines: []protocol.MachineRecord{{Name: "host-5", Type: "g4", Zone: "a", Addr: "x:5"}}})
+	b.loaded = true
+	unseen := b.machines["host-5"]
+	b.job("job-000001", false, protocol.Placement{Task: 0, Attempt: 1, Machine: "host-1"})
+	b.setPhase(b.jobs["job-000001"], 0, waiting, nil, 0, time.Now())
+	seen := b.machines["host-1"]
+	since := seen.idleSince
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 9})
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 9, Lease: 3})
+	now := time.Now().Add(time.Hour)
+	b.hear(unseen, &protocol.Report{Machine: "host-5", Session: 1, Seq: 1, Token: 9}, 9, now)
+	if !unseen.idleUnseen || !unseen.idleSince.Equal(now) {
+		t.Errorf("unseen %v, idle since %v", unseen.idleUnseen, unseen.idleSince)
+	}
+	if seen.idleUnseen || !seen.idleSince.Equal(since) || since.IsZero() {
+		t.Errorf("unseen %v, idle since %v, was %v", seen.idleUnseen, seen.idleSince, since)
+	}
+	// Of many such machines only some go at a time, and none before the share is settled.
+	var spare []*machine
+	for i := range 100 {
+		m := b.machine(fmt.Sprintf("host-8%05d", i))
+		m.idleUnseen = true
+		spare = append(spare, m)
+	}
+	b.types["g4"].BootS = 25
+	s := b.shares[0]
+	if back := b.idleOnes(spare, now); len(back) > 0 {
+		t.Errorf("%d returned while the share is squared", len(back))
+	}
+	s.square.Step(now)
+	now = now.Add(2 * time.Second)
+	if back := b.idleOnes(spare, now); len(back) != 4 {
+		t.Errorf("%d of 100 returned at once with a boot time of 25 s", len(back))
+	}
+	if back := b.idleOnes(spare, now.Add(100*time.Millisecond)); len(back) != 0 {
+		t.Errorf("%d more a moment later", len(back))
+	}
+}
+
+// A node whose own load cost it its lease takes fewer shares, later; one that stood
+// still, or was cut off, does not.
+func TestOwnLoadTakesFewerShares(t *testing.T) {
+	b := newBench(t)
+	now := time.Now()
+	b.nodes = map[string]time.Time{"n-0": now, "n-1": now}
+	b.shares[1].vacant = now
+	b.overloaded(2, now)
+	if !b.mayTake(b.shares[1], 2, now) || b.squareDelay(0, now) != 0 {
+		t.Error("a lease that ended for another cause counts as load")
+	}
+	b.ordering.budget.Turn(now, time.Second)
+	b.overloaded(2, now)
+	if b.mayTake(b.shares[1], 1, now) || !b.mayTake(b.shares[1], 0, now) || b.squareDelay(0, now) != time.Second {
+		t.Errorf("after its own load: a second share %v, the first one %v, %v later", b.mayTake(b.shares[1], 1, now), b.mayTake(b.shares[1], 0, now), b.squareDelay(0, now))
+	}
+	if !b.mayTake(b.shares[1], 1, now.Add(abandoned+time.Second)) {
+		t.Error("nobody takes a share that all others leave")
+	}
+	b.eyes.awake = now
+	b.ordering.lapses = 0
+	b.overloaded(2, now)
+	if b.ordering.lapses != 0 {
+		t.Error("standing still counts as load")
+	}
+}
+
+// A node that ended and is back ends the lease of its former life: its shares are free
+// at once, for itself too.
+func TestFormerLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t.Context(), 3, asTheyAre)
+		time.Sleep(5 * time.Second)
+		held := func() string { // by n-0, as the store has it
+			for i := range 3 {
+				if it, _ := w.state.Get(t.Context(), protocol.HolderKey(i)); it.Value != nil {
+					var h protocol.HolderRecord
+					if json.Unmarshal(it.Value, &h) == nil && h.Node == "n-0" {
+						return fmt.Sprint(i, "/", h.Token)
+					}
+				}
+			}
+			return ""
+		}
+		before := held()
+		w.stop["n-0"]()
+		w.boot("n-0")
+		time.Sleep(1500 * time.Millisecond)
+		if after := held(); before == "" || after == "" || after == before {
+			t.Errorf("held %q before, %q 1.5 s after", before, after)
+		}
+		for _, stop := range w.stop {
+			stop()
+		}
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -16,7 +16,11 @@
 
 // Serve answers HTTP on ln until ctx ends: one routine per connection.
 func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10, ConnContext: withConn}
+	first := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer Grown(r.Context())
+		h.ServeHTTP(w, r)
+	})
+	srv := &http.Server{Handler: first, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10, ConnContext: withConn}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
