A late node that squares a share puts polls and listings off, at once and with Retry-After

Ends, starts and reports come first while a share is squared; final states are still told. Three more ways for all controllers to go down are simulated: half of the tasks end meanwhile, a part of the fleet boots, answers and changes come minutes late.

--- a/internal/coordination/node/account.go
+++ b/internal/coordination/node/account.go
@@ -628,11 +628,11 @@
 			write(w, answer{status: 400, body: errorBody{err.Error()}})
 			return
 		}
-		n.serve(w, r, func(reply chan<- answer) { n.onAccount(q, time.Now(), reply) })
+		n.serve(w, r, n.listing(func(reply chan<- answer) { n.onAccount(q, time.Now(), reply) }))
 	})
 	r.GET("/admin/report", n.getReport)
 	r.GET("/admin/samples", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		n.serve(w, r, n.onSamples)
+		n.serve(w, r, n.listing(n.onSamples))
 	})
 }
 
--- a/internal/coordination/node/scaled_test.go
+++ b/internal/coordination/node/scaled_test.go
@@ -386,6 +386,28 @@
 			w.boot(w.names[2])
 			time.Sleep(minute)
 		}},
+		{"half of the tasks end while nobody listens", func(w *world) {
+			allEnd(w, 22*time.Second, 23*time.Second, 24*time.Second)
+			time.Sleep(minute)
+		}},
+		{"while a part of the fleet boots", func(w *world) {
+			for i := range 6 {
+				s := &protocol.JobSpec{ID: fmt.Sprintf("job-9%05d", i), Team: []string{"red", "blue", "green"}[i%3], Class: "c", Shape: protocol.Service, Priority: "critical",
+					Tasks: w.size.machines / 25, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img-1", ImageGB: 2}
+				go (&user{w: w, spec: s}).run(func() {})
+			}
+			time.Sleep(4 * time.Second)
+			allEnd(w, 5*time.Second, 6*time.Second, 7*time.Second)
+			time.Sleep(minute)
+		}},
+		{"with answers and changes that come minutes late", func(w *world) {
+			w.set(func() { w.late, w.lossy = 0.5, 0.1 })
+			time.Sleep(5 * time.Second)
+			allEnd(w, 5*time.Second, 6*time.Second, 7*time.Second)
+			time.Sleep(15 * time.Second)
+			w.set(func() { w.late, w.lossy = 0, 0 })
+			time.Sleep(minute)
+		}},
 		{"a holder ends amid the squaring", func(w *world) {
 			allEnd(w, 6*time.Second)
 			time.Sleep(1500 * time.Millisecond)
--- a/internal/coordination/node/square.go
+++ b/internal/coordination/node/square.go
@@ -226,6 +226,29 @@
 	return n.ordering.budget.Take(k, want)
 }
 
+// sheds says whether this node, squaring a share with its actor late, puts off what
+// costs much and matters least. Whoever asked is told so at once, and when to come back.
+func (n *Node) sheds(now time.Time) bool {
+	return n.squaring() && n.ordering.budget.Late(now, shedTime)
+}
+
+// shedTime is for how long after the actor was late that is so.
+const shedTime = time.Second
+
+var later503 = answer{status: 503, retryS: 2, body: errorBody{"this node has just taken a share and is busy: ask again, or another node"}}
+
+// listing answers what explains or lists, unless the node sheds that now.
+func (n *Node) listing(f func(reply chan<- answer)) func(reply chan<- answer) {
+	return func(reply chan<- answer) {
+		if n.sheds(time.Now()) {
+			n.metrics.refused.WithLabelValues("load_shed").Inc()
+			reply <- later503
+			return
+		}
+		f(reply)
+	}
+}
+
 // idleOnes are those of the machines that nothing needs which may go now.
 func (n *Node) idleOnes(spare []*machine, now time.Time) []*machine {
 	var back []*machine
--- a/internal/coordination/node/square_test.go
+++ b/internal/coordination/node/square_test.go
@@ -92,6 +92,45 @@
 	}
 }
 
+// A late node that squares a share answers polls and listings at once with when to come
+// back, except what is final; one that is in time, or serves, answers all.
+func TestLateStartShedsPolls(t *testing.T) {
+	b := newBench(t)
+	b.fleetOf(20, 0)
+	b.finals.add("job-800000", protocol.FinalRecord{Status: protocol.JobDone, Tasks: 1})
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 9})
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 9, Lease: 3})
+	poll := func(id string) int {
+		c := make(chan answer, 1)
+		b.onPoll(id, c)
+		select {
+		case a := <-c:
+			return a.status
+		default:
+			return 0 // to be compared with the store
+		}
+	}
+	if s := poll("job-000000"); s != 0 {
+		t.Errorf("a poll in time is answered %d", s)
+	}
+	b.ordering.budget.Turn(time.Now(), time.Second)
+	if s := poll("job-000000"); s != 503 {
+		t.Errorf("a poll of a late node is answered %d", s)
+	}
+	if s := poll("job-800000"); s != 200 {
+		t.Errorf("a poll of what is final is answered %d", s)
+	}
+	c := make(chan answer, 1)
+	b.listing(func(reply chan<- answer) { reply <- answer{status: 200} })(c)
+	if a := <-c; a.status != 503 || a.retryS == 0 {
+		t.Errorf("a listing is answered %d, come back in %d s", a.status, a.retryS)
+	}
+	b.shares[0].square.Step(time.Now().Add(time.Minute))
+	if s := poll("job-000000"); s != 0 {
+		t.Errorf("a poll of a node that serves is answered %d", s)
+	}
+}
+
 // A node whose own load cost it its lease takes fewer shares, later; one that stood
 // still, or was cut off, does not.
 func TestOwnLoadTakesFewerShares(t *testing.T) {
--- a/internal/coordination/node/users.go
+++ b/internal/coordination/node/users.go
@@ -247,6 +247,11 @@
 		reply <- busy
 		return
 	}
+	if _, final := n.finals.byID[id]; !final && n.sheds(time.Now()) {
+		n.metrics.refused.WithLabelValues("load_shed").Inc()
+		reply <- later503 // what is final costs nothing to tell
+		return
+	}
 	n.readJob(id, func(known bool, s protocol.JobStatus, err error) {
 		switch {
 		case err != nil:
--- a/internal/coordination/node/why.go
+++ b/internal/coordination/node/why.go
@@ -79,7 +79,7 @@
 			write(w, answer{status: 404, body: errorBody{"no such job"}})
 			return
 		}
-		n.serve(w, r, func(reply chan<- answer) { n.onWhy(id, time.Now(), reply) })
+		n.serve(w, r, n.listing(func(reply chan<- answer) { n.onWhy(id, time.Now(), reply) }))
 	})
 }
 
@@ -419,7 +419,7 @@
 		write(w, answer{status: 400, body: errorBody{fmt.Sprintf("cause: must be one of %v", decide.Kinds())}})
 		return
 	}
-	n.serve(w, r, func(reply chan<- answer) { n.onWhyPage(ask, time.Now(), reply) })
+	n.serve(w, r, n.listing(func(reply chan<- answer) { n.onWhyPage(ask, time.Now(), reply) }))
 }
 
 func (n *Node) onWhyPage(ask protocol.Ask, now time.Time, reply chan<- answer) {
