A standby follows, takes a share at once, and asks through the store whether a holder lives

Cause: each node followed the records alone; a share was taken 3.0 to 3.5 s after its holder ended, 3.4 s after SIGTERM, and the window and learned costs went with it. Change: package standby (pure: who stands by, doubts, what must hold before the first decision); hints carry learned costs, ages of reports and refusals with life and number; each node's window follows arrivals; connections that end are made anew at once, and a refusal is a reason to ask through the store; SIGTERM ends the lease after what is being stored. Refusals of the cloud count only when the share is taken: told to living holders they made all wait for one another.

--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -140,14 +140,14 @@
 	level.Set(logLevel())
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Node)
 	node.Version = version
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	told, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 
 	store := storage.NewStore(cfg.External.State, cfg.Params.State, cfg.Params.Nodes)
 	cloud := storage.NewCloud(cfg.External.Cloud, cfg.Params.Cloud, cfg.Params.Nodes)
 	h := fnv.New64a()
 	h.Write([]byte(cfg.Node))
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	n := node.New(ctx, cfg, log, store, cloud, storage.NewWorkers(), h.Sum64()^uint64(time.Now().UnixNano()))
 	store.OnContact = n.Contact
@@ -207,7 +207,7 @@
 		}
 	}()
 	for _, s := range cfg.Siblings {
-		go transport.SendFrames(ctx, s.Addr, node.HintPeriod, node.HintQuiet, n.Hint, func() { n.Refused(s.Node) })
+		go transport.SendFrames(ctx, s.Addr, node.HintPeriod, node.HintQuiet, n.Hint, func(e transport.Event) { n.Noticed(s.Node, e) })
 	}
 	front := transport.NewFront(ctx, ln, frontLimits(cfg.Params.Quota), n.FromWorker)
 	n.OnLoaded = front.Ready
@@ -216,6 +216,12 @@
 			cancel(err)
 		}
 	}()
+	go func() {
+		// An orderly end hands over what this node holds, and then ends it.
+		<-told.Done()
+		n.Leave()
+		cancel(nil)
+	}()
 	log.Info("serving", "api", cfg.APIAddr, "version", version)
 	n.Run()
 	if err := context.Cause(ctx); err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/coordination/node/guards_test.go
+++ b/internal/coordination/node/guards_test.go
@@ -15,6 +15,7 @@
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/standin"
 	"dapplestage.example/dapplestage/internal/storage"
+	"dapplestage.example/dapplestage/internal/transport"
 )
 
 // bench is one node whose actor is not running: the test is the actor.
@@ -632,7 +633,7 @@
 	if a := b.report(8, 1); a == nil || a.status != 200 {
 		t.Fatalf("beyond a cut: %+v", a)
 	}
-	b.Refused("n-1")
+	b.Noticed("n-1", transport.ConnRefused)
 	(<-b.inbox)()
 	if a := b.report(8, 2); a == nil || a.status != 421 || a.body.(protocol.Redirect).ReportTo != "n-1" {
 		t.Fatalf("behind a filter: %+v", a)
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -88,7 +88,6 @@
 	ending    bool              // of such a job: its end is being stored
 	errored   bool              // of such a job: a task of it has errors that count
 	busy      bool              // a change is being stored
-	counted   bool              // the share's window has counted its arrival
 	heavy     bool
 	abandon   bool         // gang: this attempt is to end
 	seen      time.Time    // when this node learned of it
@@ -143,6 +142,7 @@
 		j.story.tell(j.submitted, "accepted")
 		n.jobs[id] = j
 		n.arrived(j, now)
+		n.shares[j.share].fresh = append(n.shares[j.share].fresh, j)
 		list := &n.shares[j.share].jobs
 		at, _ := slices.BinarySearchFunc(*list, j, byUrgency)
 		*list = slices.Insert(*list, at, j)
@@ -373,6 +373,9 @@
 	}
 	delete(n.jobs, id)
 	delete(n.dirty, j)
+	if s := n.shares[j.share]; len(s.fresh) > 0 {
+		s.fresh = slices.DeleteFunc(s.fresh, func(o *job) bool { return o == j })
+	}
 	list := &n.shares[j.share].jobs
 	if at, found := slices.BinarySearchFunc(*list, j, byUrgency); found {
 		*list = slices.Delete(*list, at, at+1)
--- a/internal/coordination/node/jobs_test.go
+++ b/internal/coordination/node/jobs_test.go
@@ -101,9 +101,10 @@
 	})
 }
 
-// The other weak spot that the design names: after a take-over the window is
-// gone. The jobs present are counted as arrivals, in their order, so that the
-// threshold has means to go by; what a machine's fetches cost is learned anew.
+// The other weak spot that the design names: after a take-over the window is gone. Each
+// node counts the arrivals that it sees, so a standby has the window that the holder had;
+// after a start of all the jobs present are counted, in their order, so that the
+// threshold has means to go by.
 func TestWindowAfterTakeOver(t *testing.T) {
 	b := newBench(t)
 	for i, gb := range []float64{8, 8, 8, 1} {
@@ -113,13 +114,16 @@
 	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 8, Lease: 9})
 	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 9, Lease: 3})
 	s := b.shares[0]
-	if s.window.Len() != 0 {
-		t.Fatal("the window outlived the share")
-	}
-	b.countArrivals(s, b.shares[0].jobs, time.Now())
+	b.countArrivals(s)
 	if s.window.Len() != 4 || b.jobs["job-3"].heavy || !b.jobs["job-0"].heavy {
 		t.Fatalf("window %+v; the 1 GB job among 8 GB ones should be light", s.window)
 	}
+	b.dropJob("job-2")
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-1", Token: 10, Lease: 9})
+	b.put(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 11, Lease: 3})
+	if b.countArrivals(s); s.window.Len() != 4 {
+		t.Errorf("%d arrivals after another take-over: what ended counts too", s.window.Len())
+	}
 }
 
 func TestSettingsKeepTheirBounds(t *testing.T) {
--- a/internal/coordination/node/metrics.go
+++ b/internal/coordination/node/metrics.go
@@ -23,6 +23,7 @@
 	orders   *prometheus.CounterVec
 	unheard  *prometheus.GaugeVec
 	rate     prometheus.Gauge
+	takeover *prometheus.HistogramVec
 	classes  map[string]bool
 }
 
@@ -54,7 +55,9 @@
 		Help: "Machines of a share held that have not spoken since it was taken."}, []string{"share"})
 	m.rate = prometheus.NewGauge(prometheus.GaugeOpts{Name: "dapplestage_order_rate",
 		Help: "Orders a second that the budget of a start allows now."})
-	m.Registry.MustRegister(m.orders, m.unheard, m.rate, m.waiting, m.lag, m.backlog, m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
+	m.takeover = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "dapplestage_takeover_seconds",
+		Help: "Time from when a share's holder was last heard of until this node had taken it, by cause.", Buckets: []float64{.1, .25, .5, 1, 2, 3, 4, 5, 10}}, []string{"cause"})
+	m.Registry.MustRegister(m.takeover, m.orders, m.unheard, m.rate, m.waiting, m.lag, m.backlog, m.accept, m.start, m.finish, m.state, m.cloud, m.refused, m.placed)
 	return m
 }
 
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/coordination/standby"
 	"dapplestage.example/dapplestage/internal/coordination/start"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
@@ -109,6 +110,7 @@
 	account   account   // account.go: what ended, and how it went
 	told      told      // peers.go: what it tells of machines' caches
 	ordering  budgeted  // square.go: what is ordered under a budget
+	standing  standing  // standby.go: who stands by for whom
 }
 
 // polls are users' questions about jobs that wait to be compared with the store.
@@ -186,6 +188,9 @@
 	window   *decide.Window
 	recent   []arrival     // seen by this node, whoever held the share
 	square   *start.Square // while held: how far its machines have spoken; see square.go
+	before   string        // who held it before
+	taking   taking        // while held: how it came here; see standby.go
+	fresh    []*job        // that its window has not counted
 }
 
 // New makes a node that lives until ctx ends. The caller runs it with Run.
@@ -205,6 +210,8 @@
 		cloudside: cloudside{refusedTill: map[offer]time.Time{}, renting: map[rental]int{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}},
 	}
 	n.eyes.cutAt = map[string]time.Time{}
+	n.standing.pairs, n.standing.doubts, n.standing.ended = map[int]standby.Pair{}, standby.NewDoubts(), map[string]time.Time{}
+	n.standing.life = uint64(time.Now().UnixMilli())
 	n.account = newAccount(AccountSettings{}, time.Now())
 	n.siblings = map[string]*sibling{}
 	for _, s := range cfg.Siblings {
--- a/internal/coordination/node/peers.go
+++ b/internal/coordination/node/peers.go
@@ -20,13 +20,23 @@
 	heard   time.Time
 	refused time.Time // when its host last refused a connection
 	stateOK bool
-	blind   bool    // it hears no workers
-	changes float64 // changes a second that it would make
+	blind   bool      // it hears no workers
+	changes float64   // changes a second that it would make
+	broke   time.Time // when a connection to it last ended
+
+	life, seq uint64    // of its last hint
+	gaps      int       // in their numbers, in that life
+	news      time.Time // when that hint came
+	offers    []refusal // that the cloud refuses it
 }
 
 // Hint is what this node tells its siblings now. Any routine may call it.
 func (n *Node) Hint() []byte {
-	return protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Blind: n.eyes.blind.Load(), Changes: float32(n.rate.changes.Load()), Revision: atomic.LoadUint64(&n.followed), Caches: *n.told.caches.Load()}.Encode()
+	h := protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Blind: n.eyes.blind.Load(), Changes: float32(n.rate.changes.Load()), Revision: atomic.LoadUint64(&n.followed), Caches: *n.told.caches.Load(), Life: n.standing.life}
+	if w := n.standing.told.Load(); w != nil {
+		h.Seq, h.Known, h.Refused = w.seq, w.known, w.refused
+	}
+	return h.Encode()
 }
 
 // cachesPerHint is how many machines one hint tells of.
@@ -54,6 +64,7 @@
 		}
 	}
 	n.told.caches.Store(&told)
+	n.tellKnown(now)
 }
 
 // learnCaches takes in what a sibling tells of the machines that it commands.
@@ -75,21 +86,12 @@
 		} else if s := n.siblings[h.Node]; s != nil {
 			s.heard, s.stateOK, s.blind, s.changes = time.Now(), h.StateOK, h.Blind, float64(h.Changes)
 			n.learnCaches(h.Caches)
+			n.learnKnown(h.Node, s, &h, s.heard)
 		}
 	})
 	return err
 }
 
-// Refused notes that a sibling's host refuses connections: it can be reached, and
-// so can, most likely, the workers on its side.
-func (n *Node) Refused(node string) {
-	n.post(func() {
-		if s := n.siblings[node]; s != nil {
-			s.refused = time.Now()
-		}
-	})
-}
-
 // stateLost is after how long without an answer the state service counts as
 // lost to a node.
 const stateLost = 3 * time.Second
--- a/internal/coordination/node/replica.go
+++ b/internal/coordination/node/replica.go
@@ -218,6 +218,11 @@
 		} else if _, ok := n.nodes[name]; !ok {
 			n.nodes[name] = time.Now()
 		}
+	case it.Key == protocol.DoubtKey(n.cfg.Node):
+		var d protocol.DoubtRecord
+		if read(&d) {
+			n.doubted(d.By)
+		}
 	case strings.HasPrefix(it.Key, protocol.HolderRoot):
 		if s := n.shareOfKey(it.Key); s != nil {
 			var h protocol.HolderRecord
--- a/internal/coordination/node/schedule.go
+++ b/internal/coordination/node/schedule.go
@@ -22,10 +22,10 @@
 	}
 	claimed := n.anyClaimed(now)
 	for _, s := range n.shares {
-		if !n.mine(s) {
+		n.countArrivals(s)
+		if !n.mine(s) || n.standing.leaving || !n.mayDecide(s, now) {
 			continue
 		}
-		n.countArrivals(s, s.jobs, now)
 		v := n.view(s, now)
 		var waits []*job
 		for _, j := range s.jobs {
@@ -67,24 +67,23 @@
 // arrival is a recent job, from which the near future is expected.
 type arrival = decide.Arrival
 
-// countArrivals lets the share's window see new jobs in the order they came.
-// After a take-over these are the jobs present, so the means have a start.
-func (n *Node) countArrivals(s *share, jobs []*job, now time.Time) {
-	var fresh []*job
-	for _, j := range jobs {
-		if !j.counted {
-			fresh = append(fresh, j)
-		}
+// countArrivals lets the share's window see new jobs in the order they came, on every
+// node, so that who takes the share over has the window that its holder had. At a node's
+// start these are the jobs present, so the means have a start.
+func (n *Node) countArrivals(s *share) {
+	if len(s.fresh) == 0 {
+		return
 	}
-	slices.SortFunc(fresh, func(a, b *job) int {
+	slices.SortFunc(s.fresh, func(a, b *job) int {
 		return cmp.Or(a.submitted.Compare(b.submitted), cmp.Compare(a.id, b.id))
 	})
-	present := len(jobs) - len(fresh)
-	for _, j := range fresh {
+	present := len(s.jobs) - len(s.fresh)
+	for _, j := range s.fresh {
 		present++
-		j.counted = true
 		j.heavy = s.window.Arrive(present, j.spec.ImageGB) || n.policy.Greedy
 	}
+	clear(s.fresh)
+	s.fresh = s.fresh[:0]
 }
 
 // place gives a job's waiting tasks the machines that are decided for them.
--- a/internal/coordination/node/shares.go
+++ b/internal/coordination/node/shares.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"dapplestage.example/dapplestage/internal/coordination/decide"
 	"dapplestage.example/dapplestage/internal/coordination/start"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
@@ -60,9 +59,7 @@
 		n.overloaded(len(held), time.Now())
 		return
 	}
-	key := protocol.NodeKey(n.cfg.Node)
-	n.books.Submit(&storage.Op{Writes: []storage.Write{{Put: key, Value: mustJSON(protocol.NodeRecord{Lease: id}), Lease: id}},
-		Done: func(storage.Result) {}})
+	n.sayAlive()
 }
 
 // mine says whether this node, in this life, holds a share.
@@ -91,12 +88,15 @@
 	if h == s.holder {
 		return
 	}
-	was := n.mine(s)
+	was, earlier := n.mine(s), s.holder
 	s.holder = h
 	now := time.Now()
 	if h.Token == 0 {
 		s.vacant = now
 	}
+	if earlier.Token != 0 {
+		s.before = earlier.Node
+	}
 	// What decisions see changes for its machines and the jobs on them, and for no
 	// others: a change of a holder costs the share and not the fleet.
 	for _, m := range s.machines {
@@ -108,10 +108,9 @@
 	}
 	if n.mine(s) {
 		s.taken = now
-		n.log.Info("share taken", "share", s.index, "token", h.Token)
-		s.window = decide.NewWindow(n.policy.Window)
+		n.takenOver(s, earlier, now)
+		n.log.Info("share taken", "share", s.index, "token", h.Token, "cause", s.taking.cause, "gap_s", s.taking.gap.Seconds())
 		for _, j := range s.jobs {
-			j.counted = false
 			// A gang of which an earlier holder recorded only a part, or took a part
 			// back, cannot start: the rest must go before its next attempt.
 			j.abandon = j.spec.Shape == protocol.Gang && j.nPlaced > 0 && j.nWaiting() > 0
@@ -154,9 +153,11 @@
 
 // tickShares takes vacant shares, hands some to idle nodes, and plans moves.
 func (n *Node) tickShares(now time.Time) {
-	if n.lease == 0 || n.sinceContact(now) > 2*time.Second {
+	if n.lease == 0 || n.sinceContact(now) > 2*time.Second || n.standing.leaving {
 		return
 	}
+	n.assignStandbys(now)
+	n.askIfEnded(now)
 	held := n.heldShares()
 	for _, s := range n.shares {
 		if s.holder.Token != 0 || s.pending {
@@ -210,9 +211,17 @@
 	n.pace.SetPart(own / all)
 }
 
-// takeDelay staggers the nodes, so that a vacant share goes to the one with
-// the fewest and every share has a first candidate.
+// takeDelay staggers the nodes, so that a vacant share goes to its standby, or, when
+// nobody has held it since this node began, to the one with the fewest, and every share
+// has a first candidate.
 func (n *Node) takeDelay(s *share, held int, now time.Time) time.Duration {
+	if s.before != "" && now.Sub(n.started) > 6*time.Second {
+		d := n.standing.pairs[s.index].After(n.cfg.Node) + n.squareDelay(held, now)
+		if n.eyes.blind.Load() {
+			d += blindDelay
+		}
+		return d
+	}
 	names := []string{n.cfg.Node}
 	for _, sib := range n.cfg.Siblings {
 		names = append(names, sib.Node)
@@ -233,13 +242,14 @@
 // if no other node wants it.
 const blindDelay = 8 * time.Second
 
-// take stores this node as the holder, with a token above all earlier ones.
-func (n *Node) take(s *share) {
+// take stores this node as the holder, with a token above all earlier ones, if what else
+// is asked for holds.
+func (n *Node) take(s *share, also ...storage.Cond) {
 	s.pending = true
 	token := n.counter + 1
 	key := protocol.HolderKey(s.index)
 	op := &storage.Op{
-		Conds: []storage.Cond{n.cond(key), n.cond(protocol.CounterKey)},
+		Conds: append([]storage.Cond{n.cond(key), n.cond(protocol.CounterKey)}, also...),
 		Writes: []storage.Write{
 			{Put: key, Value: mustJSON(protocol.HolderRecord{Node: n.cfg.Node, Token: token, Lease: n.lease}), Lease: n.lease},
 			{Put: protocol.CounterKey, Value: mustJSON(protocol.CounterRecord{Token: token})},
--- a/internal/coordination/node/status.go
+++ b/internal/coordination/node/status.go
@@ -38,6 +38,13 @@
 	Phase   string `json:"phase,omitempty"`
 	Unheard int    `json:"unheard,omitempty"`
 	Asked   int    `json:"asked,omitempty"`
+	// How it came to this holder, and the seconds for which nobody served it.
+	Cause string  `json:"cause,omitempty"`
+	GapS  float64 `json:"gap_s,omitempty"`
+	// Who stands by, and, if this node does, how warm it is.
+	First  string  `json:"first_standby,omitempty"`
+	Second string  `json:"second_standby,omitempty"`
+	Warmth *Warmth `json:"warmth,omitempty"`
 }
 
 // TeamStatus is one team.
@@ -92,6 +99,13 @@
 		if sh.square != nil {
 			all, heard, asked := sh.square.Counts()
 			v.Phase, v.Unheard, v.Asked = sh.square.Phase().String(), all-heard, asked
+			v.Cause, v.GapS = sh.taking.cause.String(), round(sh.taking.gap.Seconds())
+		}
+		p := n.standing.pairs[sh.index]
+		v.First, v.Second = p.First, p.Second
+		if p.First == n.cfg.Node || p.Second == n.cfg.Node {
+			w := n.warmth(sh, now)
+			v.Warmth = &w
 		}
 		for _, m := range n.machines {
 			if !m.known || m.rec.Share != sh.index {
--- a/internal/coordination/node/why_test.go
+++ b/internal/coordination/node/why_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -194,20 +195,24 @@
 		holder := w.asked("n-0", "job-1").Holder
 		go w.freeze(holder, 30*time.Second)
 		time.Sleep(100 * time.Millisecond)
+		var wg sync.WaitGroup // both at once: after three seconds one of them has the share
 		for _, name := range w.names {
 			if name == holder {
 				continue
 			}
-			from := time.Now()
-			why := w.asked(name, "job-1")
-			if why == nil || !strings.Contains(why.Unknown, holder) || causesOf(why) != "holder_silent" && causesOf(why) != "no_holder" || time.Since(from) > 2*AskPatience {
-				t.Errorf("%s says %+v after %v", name, why, time.Since(from))
-			}
-			a, err := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onWhyPage(protocol.Ask{Most: 50}, time.Now(), reply) })
-			if page, ok := a.body.(*WhyPage); err != nil || !ok || len(page.Unknown) == 0 {
-				t.Errorf("%s: a page without what is unknown: %+v", name, a.body)
-			}
+			wg.Go(func() {
+				from := time.Now()
+				why := w.asked(name, "job-1")
+				if why == nil || !strings.Contains(why.Unknown, holder) || causesOf(why) != "holder_silent" && causesOf(why) != "no_holder" || time.Since(from) > 2*AskPatience {
+					t.Errorf("%s says %+v after %v", name, why, time.Since(from))
+				}
+				a, err := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onWhyPage(protocol.Ask{Most: 50}, time.Now(), reply) })
+				if page, ok := a.body.(*WhyPage); err != nil || !ok || len(page.Unknown) == 0 {
+					t.Errorf("%s: a page without what is unknown: %+v", name, a.body)
+				}
+			})
 		}
+		wg.Wait()
 		time.Sleep(20 * time.Second) // others have taken its share meanwhile
 		if why := w.asked("n-0", "job-1"); why == nil && holder != "n-0" {
 			t.Error("nothing is said after the take-over")
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -43,7 +43,8 @@
 	gone       bool      // returned: the cloud said so
 	calling    bool      // a direct start is under way
 	doubt      []started // direct starts that were not answered
-	reported   time.Time // when its last report came
+	reported   time.Time // when its last report came, here or, by its hints, at its holder
+	toldAt     time.Time // when its holder last told of it
 	unlisted   bool      // the cloud's last list lacks it
 	born       time.Time // when this node first saw its record
 	avoidTill  time.Time // place nothing new before
--- /dev/null
+++ b/internal/coordination/standby/standby.go
@@ -0,0 +1,129 @@
+// Package standby says who stands by for whom, when a share may be taken, and what must
+// hold before its first decision. It is pure: fed with what the records and siblings
+// tell and with the time, it answers; nothing in it proves that a holder is gone. What
+// keeps the rules when two nodes believe they hold a share are the fences: see
+// docs/standby.md.
+package standby
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Node is what is known of a node that lives by the records.
+type Node struct {
+	Name string
+	Zone string
+	Held int  // shares that it holds
+	Poor bool // it is blind, or has lost the state service, as far as is known here
+}
+
+// Share is a share and who holds it.
+type Share struct {
+	Index  int
+	Holder string // empty: nobody
+}
+
+// Pair are the first and the second standby of a share; empty: there is none.
+type Pair struct{ First, Second string }
+
+// Assign gives each share its standbys: those of other nodes that have the fewest to
+// stand by for and hold the fewest, another zone than the holder's first, so that a
+// zone's loss leaves one. A standby that was is kept while it is not worse by more than
+// one duty: nodes that come and go move few. Every node comes to the same answer from
+// the same records; where sight differs for a moment two try, and the store lets one.
+func Assign(shares []Share, nodes []Node, was map[int]Pair) map[int]Pair {
+	byName := map[string]Node{}
+	for _, n := range nodes {
+		byName[n.Name] = n
+	}
+	duties := map[string]int{}
+	out := map[int]Pair{}
+	pick := func(s Share, not, kept string) string {
+		var best Node
+		found := false
+		worth := func(n Node) int {
+			w := 2*duties[n.Name] + n.Held
+			if n.Name == kept {
+				w -= 2
+			}
+			return w
+		}
+		for _, n := range nodes {
+			if n.Name == s.Holder || n.Name == not {
+				continue
+			}
+			if !found || better(n, best, s, byName[s.Holder].Zone, worth) {
+				best, found = n, true
+			}
+		}
+		if !found {
+			return ""
+		}
+		duties[best.Name]++
+		return best.Name
+	}
+	ordered := slices.SortedFunc(slices.Values(shares), func(a, b Share) int { return a.Index - b.Index })
+	for _, s := range ordered {
+		out[s.Index] = Pair{First: pick(s, "", was[s.Index].First)}
+	}
+	for _, s := range ordered {
+		p := out[s.Index]
+		p.Second = pick(s, p.First, was[s.Index].Second)
+		out[s.Index] = p
+	}
+	return out
+}
+
+// better says whether a would stand by for a share rather than b.
+func better(a, b Node, s Share, zone string, worth func(Node) int) bool {
+	side := func(n Node) int {
+		if zone != "" && n.Zone == zone {
+			return 1
+		}
+		return 0
+	}
+	poor := func(n Node) int {
+		if n.Poor {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(poor(a)-poor(b), worth(a)-worth(b), side(a)-side(b), cmp.Compare(a.Name, b.Name)) < 0
+}
+
+// Delays are how long after a share became vacant its standbys take it.
+const (
+	SecondAfter = 300 * time.Millisecond
+	OthersAfter = 600 * time.Millisecond
+)
+
+// After is how long after a share became vacant a node takes it.
+func (p Pair) After(node string) time.Duration {
+	switch node {
+	case p.First:
+		return 0
+	case p.Second:
+		return SecondAfter
+	}
+	return OthersAfter
+}
+
+// Cause is why a share changed hands.
+type Cause uint8
+
+const (
+	AtStart   Cause = iota // nobody had held it since this node began
+	HandedOn               // its holder gave it up
+	LeaseOver              // its holder's lease ended
+	Ended                  // its holder's process ended, by all evidence
+	causes
+)
+
+var causeNames = [causes]string{"start", "handed_over", "lease_over", "process_ended"}
+
+func (c Cause) String() string { return causeNames[min(c, causes-1)] }
+
+// Causes are all causes by name.
+func Causes() []string { return causeNames[:] }
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -21,6 +21,24 @@
 	Changes  float32 // changes a second that it would make
 	Revision uint64
 	Caches   []Cache
+	Life     uint64 // when its process began, in milliseconds of the day's time
+	Seq      uint64 // of this hint in that life
+	Known    []Known
+	Refused  []RefusedOffer
+}
+
+// Known is what a holder has learned of a machine and the state service does not know.
+type Known struct {
+	Machine  string
+	SecPerGB float64 // 0: nothing
+	AgeS     float64 // since its last report was answered
+}
+
+// RefusedOffer is a kind of machine that the cloud refuses at present.
+type RefusedOffer struct {
+	Type, Zone string
+	Spot       bool
+	ForS       float64
 }
 
 // Cache is what a machine's image cache is thought to hold, the most recently
@@ -65,6 +83,25 @@
 		peerfb.CacheAddHolds(b, holds)
 		caches = append(caches, peerfb.CacheEnd(b))
 	}
+	var known, refused []flatbuffers.UOffsetT
+	for _, k := range h.Known {
+		name := b.CreateString(k.Machine)
+		peerfb.KnownStart(b)
+		peerfb.KnownAddMachine(b, name)
+		peerfb.KnownAddSecPerGb(b, float32(k.SecPerGB))
+		peerfb.KnownAddAgeS(b, float32(k.AgeS))
+		known = append(known, peerfb.KnownEnd(b))
+	}
+	for _, r := range h.Refused {
+		typ, zone := b.CreateString(r.Type), b.CreateString(r.Zone)
+		peerfb.RefusedStart(b)
+		peerfb.RefusedAddType(b, typ)
+		peerfb.RefusedAddZone(b, zone)
+		peerfb.RefusedAddSpot(b, r.Spot)
+		peerfb.RefusedAddForS(b, float32(r.ForS))
+		refused = append(refused, peerfb.RefusedEnd(b))
+	}
+	knownVec, refusedVec := b.CreateVectorOfTables(known), b.CreateVectorOfTables(refused)
 	imageVec := b.CreateVectorOfTables(images)
 	cacheVec := b.CreateVectorOfTables(caches)
 	peerfb.HintStart(b)
@@ -75,6 +112,10 @@
 	peerfb.HintAddRevision(b, h.Revision)
 	peerfb.HintAddBlind(b, h.Blind)
 	peerfb.HintAddChanges(b, h.Changes)
+	peerfb.HintAddLife(b, h.Life)
+	peerfb.HintAddSeq(b, h.Seq)
+	peerfb.HintAddKnown(b, knownVec)
+	peerfb.HintAddRefused(b, refusedVec)
 	b.Finish(peerfb.HintEnd(b))
 	return b.FinishedBytes()
 }
@@ -91,7 +132,7 @@
 		return Hint{}, errors.New("malformed hint")
 	}
 	f := peerfb.GetRootAsHint(data, 0)
-	h = Hint{Node: string(f.Node()), StateOK: f.StateOk(), Blind: f.Blind(), Changes: f.Changes(), Revision: f.Revision()}
+	h = Hint{Node: string(f.Node()), StateOK: f.StateOk(), Blind: f.Blind(), Changes: f.Changes(), Revision: f.Revision(), Life: f.Life(), Seq: f.Seq()}
 	if h.Node == "" {
 		return Hint{}, errors.New("hint without a node")
 	}
@@ -110,5 +151,15 @@
 		}
 		h.Caches = append(h.Caches, cache)
 	}
+	var k peerfb.Known
+	for i := range min(f.KnownLength(), len(data)) {
+		f.Known(&k, i)
+		h.Known = append(h.Known, Known{string(k.Machine()), float64(k.SecPerGb()), float64(k.AgeS())})
+	}
+	var r peerfb.Refused
+	for i := range min(f.RefusedLength(), len(data)) {
+		f.Refused(&r, i)
+		h.Refused = append(h.Refused, RefusedOffer{string(r.Type()), string(r.Zone()), r.Spot(), float64(r.ForS())})
+	}
 	return h, nil
 }
--- a/internal/protocol/peerfb/Hint.go
+++ b/internal/protocol/peerfb/Hint.go
@@ -129,8 +129,72 @@
 	return rcv._tab.MutateFloat32Slot(16, n)
 }
 
+func (rcv *Hint) Life() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Hint) MutateLife(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(18, n)
+}
+
+func (rcv *Hint) Seq() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Hint) MutateSeq(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(20, n)
+}
+
+func (rcv *Hint) Known(obj *Known, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Hint) KnownLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Hint) Refused(obj *Refused, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Hint) RefusedLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func HintStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(11)
 }
 func HintAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -159,6 +223,24 @@
 func HintAddChanges(builder *flatbuffers.Builder, changes float32) {
 	builder.PrependFloat32Slot(6, changes, 0.0)
 }
+func HintAddLife(builder *flatbuffers.Builder, life uint64) {
+	builder.PrependUint64Slot(7, life, 0)
+}
+func HintAddSeq(builder *flatbuffers.Builder, seq uint64) {
+	builder.PrependUint64Slot(8, seq, 0)
+}
+func HintAddKnown(builder *flatbuffers.Builder, known flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(9, flatbuffers.UOffsetT(known), 0)
+}
+func HintStartKnownVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func HintAddRefused(builder *flatbuffers.Builder, refused flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(10, flatbuffers.UOffsetT(refused), 0)
+}
+func HintStartRefusedVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func HintEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -11,6 +11,7 @@
 	HolderRoot  = Root + "shares/"
 	MachineRoot = Root + "machines/"
 	NodeRoot    = Root + "nodes/"
+	DoubtRoot   = Root + "doubts/"
 	MovesKey    = Root + "moves"
 	PolicyKey   = Root + "settings"
 	ClassesKey  = Root + "classes"
@@ -49,6 +50,14 @@
 // NodeKey is the key that says a node lives.
 func NodeKey(name string) string { return NodeRoot + name }
 
+// DoubtKey is the key by which a node that doubts whether another one lives asks it.
+func DoubtKey(name string) string { return DoubtRoot + name }
+
+// DoubtRecord is such a question. Who is asked answers by writing its own record anew.
+type DoubtRecord struct {
+	By string `json:"by"`
+}
+
 // Placement records that a task may be on a machine. It is stored before the
 // start is commanded and removed only once the task is known to be gone.
 type Placement struct {
--- a/internal/transport/frames.go
+++ b/internal/transport/frames.go
@@ -108,7 +108,8 @@
 // ends with it. What is written to a connection that the other side has given up
 // may be lost without an error: a controller that had stood still for a minute
 // told nobody anything again, though others told it how they were.
-func unconfirmed(c net.Conn, quiet time.Duration) {
+func unconfirmed(c net.Conn, quiet time.Duration, ended chan<- struct{}) {
+	defer close(ended)
 	defer c.Close()
 	buf := make([]byte, 64)
 	for {
@@ -119,13 +120,26 @@
 	}
 }
 
+// Event is what a sender of frames notices of the other side.
+type Event uint8
+
+const (
+	ConnEnded   Event = iota // a connection that was there has ended
+	ConnRefused              // its host refuses connections
+)
+
+// redialPause keeps a side that accepts and closes from being called all the time.
+const redialPause = 20 * time.Millisecond
+
 // SendFrames keeps a connection to addr until ctx ends and sends what make
 // returns every period. A connection on which nothing is confirmed for longer than
-// quiet is made anew. refused is told when the other host refuses to connect:
-// then it is there and can be reached.
-func SendFrames(ctx context.Context, addr string, period, quiet time.Duration, make func() []byte, refused func()) {
+// quiet, or that has ended, is made anew at once. told hears when a connection that was
+// there has ended, and when the other host refuses one: then it is there and can be
+// reached.
+func SendFrames(ctx context.Context, addr string, period, quiet time.Duration, next func() []byte, told func(Event)) {
 	d := &net.Dialer{Timeout: 2 * time.Second}
 	var c net.Conn
+	var ended chan struct{} // closed when c has
 	defer func() {
 		if c != nil {
 			c.Close()
@@ -134,21 +148,29 @@
 	for ctx.Err() == nil {
 		if c == nil {
 			if conn, err := d.DialContext(ctx, "tcp4", addr); err == nil {
-				c = conn
-				go unconfirmed(conn, quiet)
+				c, ended = conn, make(chan struct{})
+				go unconfirmed(conn, quiet, ended)
 			} else if errors.Is(err, syscall.ECONNREFUSED) {
-				refused()
+				told(ConnRefused)
 			}
 		}
 		if c != nil {
 			c.SetWriteDeadline(time.Now().Add(2 * time.Second))
-			if WriteFrame(c, make()) != nil {
+			if WriteFrame(c, next()) != nil {
 				c.Close()
-				c = nil
 			}
 		}
 		select {
 		case <-ctx.Done():
+		case <-ended:
+			// At once: whether its host refuses or is silent tells much.
+			c.Close()
+			c, ended = nil, nil
+			told(ConnEnded)
+			select {
+			case <-ctx.Done():
+			case <-time.After(redialPause):
+			}
 		case <-time.After(period):
 		}
 	}
--- a/internal/transport/frames_test.go
+++ b/internal/transport/frames_test.go
@@ -53,7 +53,7 @@
 	defer ln.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	go SendFrames(ctx, ln.Addr().String(), time.Millisecond, 50*time.Millisecond, func() []byte { return []byte("hint") }, func() {})
+	go SendFrames(ctx, ln.Addr().String(), time.Millisecond, 50*time.Millisecond, func() []byte { return []byte("hint") }, func(Event) {})
 	first, err := ln.Accept() // taken by nobody: the kernel accepts what is written
 	if err != nil {
 		t.Fatal(err)
@@ -99,7 +99,7 @@
 		}
 		return nil, false
 	})
-	go SendFrames(ctx, ln.Addr().String(), 5*time.Millisecond, time.Second, func() []byte { return []byte("hint") }, func() {})
+	go SendFrames(ctx, ln.Addr().String(), 5*time.Millisecond, time.Second, func() []byte { return []byte("hint") }, func(Event) {})
 	for range 5 {
 		if a, err := AskFrame(ctx, ln.Addr().String(), 10*time.Second, []byte("why?")); err != nil || string(a) != "because" {
 			t.Fatalf("%q %v", a, err)
