--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -16,6 +16,7 @@
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/standin"
 	"dapplestage.example/dapplestage/internal/storage"
+	"dapplestage.example/dapplestage/internal/transport"
 )
 
 // world is three controllers amid stand-ins, in simulated time.
@@ -39,6 +40,7 @@
 	lossy   float64              // part of store answers, reports and answers lost
 	late    float64              // part of unanswered transactions applied much later
 	frozen  map[string]time.Time // until when a node stands still
+	filter  bool                 // connections between controllers are refused
 
 	// size, if set, makes a fleet of many machines, controllers of little processor time,
 	// and counts their sockets and requests; see scaled_test.go.
@@ -155,16 +157,43 @@
 
 // hint tells the other nodes every second how a node is, if both are reached.
 func (w *world) hint(ctx context.Context, n *Node) {
+	was := map[string]*Node{} // whom it is connected to
+	var told time.Time
 	for ctx.Err() == nil {
 		w.thaw(n.cfg.Node)
+		say := time.Since(told) >= HintPeriod
+		if say {
+			told = time.Now()
+		}
 		for _, name := range w.names {
-			if other := w.node(name); other != nil && other != n && !w.is(w.noNet, name) && !w.is(w.noNet, n.cfg.Node) {
-				other.TakeHint(n.Hint())
+			other := w.node(name)
+			w.mu.Lock()
+			filter := w.filter
+			w.mu.Unlock()
+			switch {
+			case other == n || w.is(w.noNet, name) || w.is(w.noNet, n.cfg.Node):
+			case other == nil || filter:
+				// Its host ends what was open, and refuses what is new.
+				if was[name] != nil {
+					n.Noticed(name, transport.ConnEnded)
+					n.Noticed(name, transport.ConnRefused)
+				} else if say {
+					n.Noticed(name, transport.ConnRefused)
+				}
+				was[name] = nil
+			default:
+				if was[name] != nil && was[name] != other {
+					n.Noticed(name, transport.ConnEnded) // it is a new process
+				}
+				was[name] = other
+				if say {
+					other.TakeHint(n.Hint())
+				}
 			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(HintPeriod):
+		case <-time.After(HintPeriod / 10):
 		}
 	}
 }
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -38,6 +39,14 @@
 	for _, n := range nodes {
 		byName[n.Name] = n
 	}
+	ring := slices.Sorted(maps.Keys(byName))
+	// away is how far a node is behind a holder in the ring of names: with as many shares
+	// as nodes each one stands by for its neighbour.
+	away := func(n Node, holder string) int {
+		at, _ := slices.BinarySearch(ring, holder)
+		i, _ := slices.BinarySearch(ring, n.Name)
+		return (i - at + len(ring)) % len(ring)
+	}
 	duties := map[string]int{}
 	out := map[int]Pair{}
 	pick := func(s Share, not, kept string) string {
@@ -54,7 +63,7 @@
 			if n.Name == s.Holder || n.Name == not {
 				continue
 			}
-			if !found || better(n, best, s, byName[s.Holder].Zone, worth) {
+			if !found || cmp.Or(worse(n, best, byName[s.Holder].Zone, worth), away(n, s.Holder)-away(best, s.Holder), cmp.Compare(n.Name, best.Name)) < 0 {
 				best, found = n, true
 			}
 		}
@@ -76,8 +85,8 @@
 	return out
 }
 
-// better says whether a would stand by for a share rather than b.
-func better(a, b Node, s Share, zone string, worth func(Node) int) bool {
+// worse is below 0 if a would stand by for a holder in a zone rather than b.
+func worse(a, b Node, zone string, worth func(Node) int) int {
 	side := func(n Node) int {
 		if zone != "" && n.Zone == zone {
 			return 1
@@ -90,7 +99,7 @@
 		}
 		return 0
 	}
-	return cmp.Or(poor(a)-poor(b), worth(a)-worth(b), side(a)-side(b), cmp.Compare(a.Name, b.Name)) < 0
+	return cmp.Or(poor(a)-poor(b), worth(a)-worth(b), side(a)-side(b))
 }
 
 // Delays are how long after a share became vacant its standbys take it.
--- /dev/null
+++ b/internal/coordination/standby/standby_test.go
@@ -0,0 +1,183 @@
+package standby
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var begin = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// Whoever comes and goes: a share's standbys are others than its holder and one another,
+// there is one as long as two nodes live, nobody has two more duties than another, and
+// the same records give the same answer.
+func TestAssign(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		was := map[int]Pair{}
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			var nodes []Node
+			for i := range 6 {
+				if rapid.Bool().Draw(t, "lives") {
+					nodes = append(nodes, Node{Name: fmt.Sprint("n-", i), Zone: fmt.Sprint("z", i%2)})
+				}
+			}
+			var shares []Share
+			for i := range rapid.IntRange(1, 6).Draw(t, "shares") {
+				s := Share{Index: i}
+				if k := rapid.IntRange(-1, len(nodes)-1).Draw(t, "holder"); k >= 0 {
+					s.Holder = nodes[k].Name
+					nodes[k].Held++
+				}
+				shares = append(shares, s)
+			}
+			now := Assign(shares, nodes, was)
+			if again := Assign(shares, nodes, was); fmt.Sprint(again) != fmt.Sprint(now) {
+				t.Fatalf("%v, then %v", now, again)
+			}
+			if kept := Assign(shares, nodes, now); fmt.Sprint(kept) != fmt.Sprint(Assign(shares, nodes, kept)) {
+				t.Fatalf("does not come to rest: %v", now)
+			}
+			for _, s := range shares {
+				p := now[s.Index]
+				others := len(nodes)
+				if s.Holder != "" {
+					others--
+				}
+				if p.First == s.Holder && p.First != "" || p.Second != "" && (p.Second == p.First || p.Second == s.Holder) || (p.First == "") != (others == 0) || (p.Second == "") != (others < 2) {
+					t.Fatalf("share of %q among %v has %+v", s.Holder, nodes, p)
+				}
+			}
+			was = now
+		}
+	})
+}
+
+// With as many shares as controllers each node stands by first for another's, also after
+// one has gone and come back; a node that holds nothing stands by first; the blind last;
+// another zone before the same one.
+func TestAssignSpreads(t *testing.T) {
+	nodes := []Node{{Name: "a", Held: 1}, {Name: "b", Held: 1}, {Name: "c", Held: 1}}
+	shares := []Share{{0, "a"}, {1, "b"}, {2, "c"}}
+	duties := map[string]int{}
+	p := Assign(shares, nodes, nil)
+	for _, x := range p {
+		duties[x.First]++
+	}
+	if duties["a"] != 1 || duties["b"] != 1 || duties["c"] != 1 {
+		t.Errorf("first standbys %v", p)
+	}
+	idle := Assign([]Share{{0, "a"}}, append(nodes, Node{Name: "d"}), nil)
+	if idle[0].First != "d" {
+		t.Errorf("%v where d holds nothing", idle)
+	}
+	blind := Assign([]Share{{0, "a"}}, []Node{{Name: "a", Held: 1}, {Name: "b", Poor: true}, {Name: "c", Held: 3}}, nil)
+	if blind[0].First != "c" {
+		t.Errorf("%v where b is blind", blind)
+	}
+	zones := Assign([]Share{{0, "a"}}, []Node{{Name: "a", Zone: "x", Held: 1}, {Name: "b", Zone: "x"}, {Name: "c", Zone: "y"}}, nil)
+	if zones[0].First != "c" {
+		t.Errorf("%v: the same zone first", zones)
+	}
+	if p := (Pair{"a", "b"}); p.After("a") != 0 || p.After("b") != SecondAfter || p.After("c") != OthersAfter {
+		t.Error("delays")
+	}
+}
+
+// A sibling is taken for ended only if it held a share, its connection ended with no hint
+// since, its host refused after that, the question was stored AnswerTime ago and its
+// record in the store is the same.
+func TestDoubts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := NewDoubts()
+		now := begin
+		s := Seen{Heard: begin, Stamp: 5, Holds: true}
+		var asked time.Time // when the open question was stored
+		var stamp uint64
+		open := false
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0:
+				s.Heard = now
+			case 1:
+				s.Broke = now
+			case 2, 3:
+				s.Refused = now
+			case 4:
+				s.Stamp++
+			case 5:
+				s.Holds = !s.Holds
+			case 6:
+				if open && asked.IsZero() {
+					ok := rapid.Bool().Draw(t, "stored")
+					d.Asked("x", ok, now)
+					if open = ok; ok {
+						asked = now
+					}
+				}
+			}
+			mayAsk := rapid.IntRange(0, 9).Draw(t, "may") > 0
+			ask, ended := d.Look("x", s, mayAsk, now)
+			if ask {
+				if open || !mayAsk || !s.Holds {
+					t.Fatal("asked twice, or without cause")
+				}
+				open, asked, stamp = true, time.Time{}, s.Stamp
+			}
+			if ended && (!open || asked.IsZero() || now.Sub(asked) < AnswerTime || s.Stamp != stamp || !mayAsk || !s.Holds || s.Heard.After(s.Broke) || s.Refused.Before(s.Broke)) {
+				t.Fatalf("ended: open %v, asked %v ago, %+v, stamp then %d", open, now.Sub(asked), s, stamp)
+			}
+			if open && (!mayAsk || !s.Holds || s.Stamp != stamp || s.Heard.After(s.Broke) || s.Refused.Before(s.Broke) || now.Sub(s.Refused) >= fresh) {
+				open = false
+			}
+		}
+	})
+}
+
+// The whole way: a connection ends, the host refuses, the question is stored, nobody
+// answers; and one that answers is not asked again for a while.
+func TestDoubtEndsOneWayOrTheOther(t *testing.T) {
+	s := Seen{Heard: begin, Broke: begin.Add(300 * time.Millisecond), Refused: begin.Add(320 * time.Millisecond), Stamp: 5, Holds: true}
+	d := NewDoubts()
+	now := begin.Add(400 * time.Millisecond)
+	if ask, ended := d.Look("x", s, true, now); !ask || ended {
+		t.Fatal("not asked")
+	}
+	d.Asked("x", true, now)
+	if _, ended := d.Look("x", s, true, now.Add(AnswerTime-time.Millisecond)); ended {
+		t.Fatal("taken for ended too soon")
+	}
+	if _, ended := d.Look("x", s, true, now.Add(AnswerTime)); !ended {
+		t.Fatal("not taken for ended")
+	}
+	s.Stamp++ // it answered
+	if ask, ended := d.Look("x", s, true, now.Add(AnswerTime)); ask || ended {
+		t.Fatal("asked again at once, or taken for ended, after an answer")
+	}
+}
+
+// Each check holds a first decision up by itself, and says what it guards against.
+func TestChecks(t *testing.T) {
+	good := Facts{Held: true, Contact: time.Second, Awake: time.Minute, Types: 1, Squared: true, Machines: 3, Heard: 1}
+	if c, ok := First(good); !ok {
+		t.Fatalf("held up by %v", c)
+	}
+	for c, spoil := range map[Check]func(f *Facts){
+		Held: func(f *Facts) { f.Held = false }, Contact: func(f *Facts) { f.Contact = 3 * time.Second }, Awake: func(f *Facts) { f.Awake = 0 },
+		Settings: func(f *Facts) { f.Types = 0 }, Squared: func(f *Facts) { f.Squared = false }, SomebodyHeard: func(f *Facts) { f.Heard = 0 },
+	} {
+		f := good
+		spoil(&f)
+		if got, ok := First(f); ok || got != c {
+			t.Errorf("%v: held up by %v, %v", c, got, ok)
+		}
+		if c.Guards() == "" || c.String() == "" {
+			t.Errorf("%d has no words", c)
+		}
+	}
+	if len(Checks()) != 6 || len(Causes()) != 4 {
+		t.Error("a check or a cause is not listed")
+	}
+}
