--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -24,7 +24,7 @@
 func main() {
 	root := &cobra.Command{Use: "lab", Short: "Proofs and measurements with real processes on loopback", SilenceErrors: true, SilenceUsage: true}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %v", errUsage, err) })
-	root.AddCommand(gatewayProof(), gatewayLoad(), gatewayGrowth(), ticketsProof(), ticketsLoad(), whyProof(), reportProof(), startProof())
+	root.AddCommand(gatewayProof(), gatewayLoad(), gatewayGrowth(), ticketsProof(), ticketsLoad(), whyProof(), reportProof(), startProof(), standbyProof())
 	err := root.Execute()
 	if err != nil && !errors.Is(err, errBroken) {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/cmd/lab/standby.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"dapplestage.example/dapplestage/internal/coordination/node"
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// standbyCauses are the ways in which a controller goes, and how.
+var standbyCauses = []string{"killed", "left", "stood_still", "restarted_at_once"}
+
+// standbyResult is what a run showed: by cause, for how long a share had nobody.
+type standbyResult struct {
+	gaps  map[string][]time.Duration
+	wrong []string
+	err   error
+}
+
+// holder asks a controller who holds each share.
+func (f *farm) holder(ctx context.Context, api string) (map[int]string, error) {
+	var s node.Status
+	status, data, err := f.call(ctx, "GET", api, "/admin/status", nil)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("status %d", status)
+	}
+	if err == nil {
+		err = json.Unmarshal(data, &s)
+	}
+	out := map[int]string{}
+	for _, sh := range s.Shares {
+		out[sh.Share] = sh.Holder
+	}
+	return out, err
+}
+
+func oneStandbyRun(ctx context.Context, bin, dir string, seed uint64, turns int, causes []string) *standbyResult {
+	r := &standbyResult{gaps: map[string][]time.Duration{}}
+	f, err := newFarm(ctx, bin, dir, 0, farmRetries, 24, startTimes)
+	defer f.end()
+	if err != nil {
+		r.err = err
+		return r
+	}
+	rng := rand.New(rand.NewPCG(seed, 53))
+	tasks := map[string]int{}
+	submit := func() {
+		id := fmt.Sprintf("job-1%05d", len(tasks))
+		tasks[id] = 2 + rng.IntN(8)
+		if err := f.submit(ctx, id, submission(id, []string{"red", "blue"}[len(tasks)%2], tasks[id], 1+3*rng.Float64())); err != nil && r.err == nil {
+			r.err = err
+		}
+	}
+	both := func() bool { // each holds one
+		h, err := f.holder(ctx, f.apis[0])
+		return err == nil && h[0] != "" && h[1] != "" && h[0] != h[1]
+	}
+	order := rng.Perm(len(causes))
+	for turn := range turns {
+		for range 2 {
+			submit()
+		}
+		if !until(ctx, 30*time.Second, both) {
+			r.wrong = append(r.wrong, "the shares did not spread over both controllers again")
+			return r
+		}
+		// Its standby must have been told of it for a while, and its share served.
+		time.Sleep(span(rng, 5500*time.Millisecond, 6500*time.Millisecond))
+		cause := causes[order[turn%len(order)]]
+		i := rng.IntN(2)
+		name, other := fmt.Sprint("n-", i), f.apis[1-i]
+		var p *process
+		for _, q := range f.procs {
+			if q.name == name {
+				p = q
+			}
+		}
+		before, err := f.holder(ctx, other)
+		if err != nil || before[0] == before[1] {
+			continue
+		}
+		began := time.Now()
+		switch cause {
+		case "killed":
+			p.kill()
+		case "left":
+			p.signal(syscall.SIGTERM)
+		case "stood_still":
+			p.signal(syscall.SIGSTOP)
+		case "restarted_at_once":
+			p.kill()
+			if err := p.start(); err != nil {
+				r.err = err
+				return r
+			}
+		}
+		took := time.Duration(0)
+		if !until(ctx, 12*time.Second, func() bool {
+			h, err := f.holder(ctx, other)
+			if err != nil {
+				return false
+			}
+			for share, was := range before {
+				if was != name {
+					continue
+				}
+				if cause == "restarted_at_once" {
+					// It may have its share back in its new life, or the other one has it.
+					if s, ok := f.shares(ctx); ok && s[share].Phase != "" {
+						continue
+					}
+					return false
+				}
+				if h[share] == name || h[share] == "" {
+					return false
+				}
+			}
+			took = time.Since(began)
+			return true
+		}) {
+			r.wrong = append(r.wrong, fmt.Sprintf("%s %s: its share has nobody after 12 s", name, cause))
+			return r
+		}
+		r.gaps[cause] = append(r.gaps[cause], took)
+		submit()
+		time.Sleep(span(rng, 500*time.Millisecond, 2*time.Second))
+		p.signal(syscall.SIGCONT)
+		if cause == "left" {
+			p.kill() // it has ended; this takes note
+		}
+		if err := p.start(); err != nil {
+			r.err = err
+			return r
+		}
+	}
+	done := map[string]bool{}
+	until(ctx, 60*time.Second, func() bool {
+		for id := range tasks {
+			var s protocol.JobStatus
+			status, out, err := f.call(ctx, "GET", f.apis[len(done)%2], "/api/jobs/"+id, nil)
+			switch {
+			case err != nil:
+			case status == 404:
+				r.wrong = append(r.wrong, id+" is forgotten")
+			case status == 200 && json.Unmarshal(out, &s) == nil && s.Status == protocol.JobDone:
+				done[id] = true
+			}
+		}
+		return len(done) == len(tasks) || len(r.wrong) > 0
+	})
+	if len(done) < len(tasks) {
+		r.wrong = append(r.wrong, fmt.Sprintf("%d of %d jobs never ended", len(tasks)-len(done), len(tasks)))
+	}
+	events, err := readEvents(f.events)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	wrong, _ := judgeStarts(events, tasks, done)
+	r.wrong = append(r.wrong, wrong...)
+	return r
+}
+
+func standbyProof() *cobra.Command {
+	turns, before := 4, ""
+	c := runsProof("standby", "Kill, stop and restart a holder, and measure until its standby has the share", 4, 4, func(ctx context.Context, out io.Writer, o runOptions) error {
+		if err := between("turns", turns, 1, 100); err != nil {
+			return err
+		}
+		return proveStandby(ctx, out, o, turns, before)
+	})
+	c.Flags().IntVar(&turns, "turns", turns, "times that a controller goes in a run")
+	c.Flags().StringVar(&before, "before", before, "a folder with an earlier version of dapplestage and today's standin, to be measured in turn")
+	return c
+}
+
+func proveStandby(ctx context.Context, out io.Writer, o runOptions, turns int, before string) error {
+	type quantiles struct {
+		Count  int64   `json:"count"`
+		Median float64 `json:"median_s"`
+		P95    float64 `json:"p95_s"`
+		Max    float64 `json:"max_s"`
+	}
+	measure := func(old string) (runTotals, map[string]quantiles, error) {
+		hist := map[string]*hdrhistogram.Histogram{}
+		t, err := o.each(ctx, out, "standby", func(bin, dir string, seed uint64) (func(), runOutcome) {
+			causes := standbyCauses
+			if old != "" {
+				// With a stand-in that knows today's flags. Whether a node serves its share
+				// in a new life is not told by earlier versions.
+				bin, causes = old, causes[:3]
+			}
+			r := oneStandbyRun(ctx, bin, dir, seed, turns, causes)
+			var text []string
+			for _, c := range standbyCauses {
+				if r.gaps[c] != nil {
+					text = append(text, fmt.Sprint(c, " ", r.gaps[c]))
+				}
+			}
+			return func() {
+				for c, gaps := range r.gaps {
+					if hist[c] == nil {
+						hist[c] = hdrhistogram.New(1, 120_000, 3)
+					}
+					for _, g := range gaps {
+						hist[c].RecordValue(max(1, g.Milliseconds()))
+					}
+				}
+			}, runOutcome{strings.Join(text, ", "), r.wrong, r.err}
+		})
+		told := map[string]quantiles{}
+		for c, h := range hist {
+			told[c] = quantiles{h.TotalCount(), float64(h.ValueAtQuantile(50)) / 1000, float64(h.ValueAtQuantile(95)) / 1000, float64(h.Max()) / 1000}
+		}
+		return t, told, err
+	}
+	s := struct {
+		runTotals
+		Gaps   map[string]quantiles `json:"share_without_holder"`
+		Before map[string]quantiles `json:"before,omitempty"`
+		Old    *runTotals           `json:"before_runs,omitempty"`
+	}{}
+	var err error
+	if s.runTotals, s.Gaps, err = measure(""); err != nil {
+		return err
+	}
+	if before != "" {
+		old, err := filepath.Abs(before)
+		if err != nil {
+			return err
+		}
+		var t runTotals
+		if t, s.Before, err = measure(old); err != nil {
+			return err
+		}
+		s.Old = &t
+	}
+	if err := figures(out, s); err != nil {
+		return err
+	}
+	return s.err()
+}
--- a/cmd/lab/tickets.go
+++ b/cmd/lab/tickets.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -69,11 +70,12 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return f, err
 	}
-	a, err := ports(6)
+	a, err := ports(7)
 	if err != nil {
 		return f, err
 	}
 	state, cloud, peers := a[0], a[1], a[4:6]
+	_, workers, _ := net.SplitHostPort(a[6])
 	f.cloud, f.state, f.apis = cloud, state, a[2:4]
 	classes := filepath.Join(dir, "tickets.toml")
 	if err := os.WriteFile(classes, fmt.Appendf(nil, farmClasses, retries), 0o644); err != nil {
@@ -85,7 +87,7 @@
 	nodes := []string{"n-0", "n-1"}
 	proc("state", "standin", "-state", state, "-cloud", "", "-nodes", "n-0="+f.apis[0])
 	proc("cloud", "standin", "-state", "", "-cloud", cloud, "-nodes", "n-0="+f.apis[0]+",n-1="+f.apis[1], "-boot", "400ms", "-fetch", "150ms",
-		"-lease", fmt.Sprint(t.workersLease), "-report", fmt.Sprint(t.report), "-zone", "a", "-machines", fmt.Sprint(machines), "-events", f.events, "-farm", fmt.Sprint(seed))
+		"-lease", fmt.Sprint(t.workersLease), "-report", fmt.Sprint(t.report), "-zone", "a", "-machines", fmt.Sprint(machines), "-events", f.events, "-farm", fmt.Sprint(seed), "-workers", workers)
 	for i, n := range nodes {
 		path := filepath.Join(dir, n+".toml")
 		text := controllerSettings(n, nodes[1-i], "a", f.apis[i], peers[i], peers[1-i], cloud, state, t)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,7 @@
 	zone := flag.String("zone", "a", "the zone of all machines")
 	most := flag.Int("machines", 8, "machines to give")
 	events := flag.String("events", "", "file for what runs, a JSON line a start and an end")
+	workers := flag.Int("workers", 0, "port of the workers' own addresses, 127.77.x.y; 0: nobody can call them")
 	farm := flag.Uint64("farm", 0, "be render servers that fail, drain and vanish from this seed; 0: no")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
@@ -66,6 +67,10 @@
 		}
 	}
 	f.Link = reporter(addrs)
+	if *workers > 0 {
+		f.Address = func(n int) string { return fmt.Sprintf("127.77.%d.%d:%d", n>>8&255, n&255, *workers) }
+		f.Listen = func(addr string) { go serveWorker(ctx, f, addr) }
+	}
 	uploaded := func([]byte) {}
 	if *farm != 0 {
 		uploaded = standin.NewFarm(*farm).Join(f)
@@ -114,6 +119,40 @@
 	}
 }
 
+// serveWorker answers direct calls to one worker.
+func serveWorker(ctx context.Context, f *standin.Fleet, addr string) {
+	r := httprouter.New()
+	r.POST("/commands", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var o protocol.Orders
+		if json.NewDecoder(io.LimitReader(r.Body, protocol.MaxBody)).Decode(&o) != nil {
+			send(w, 400, struct{}{})
+			return
+		}
+		rep, ok, err := f.Command(r.Context(), addr, o)
+		switch {
+		case err != nil:
+			send(w, 503, struct{}{})
+		case ok:
+			send(w, 200, rep)
+		default:
+			send(w, 409, rep)
+		}
+	})
+	r.GET("/inspect", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		rep, err := f.Inspect(r.Context(), addr)
+		if err != nil {
+			send(w, 503, struct{}{})
+			return
+		}
+		send(w, 200, rep)
+	})
+	srv := &http.Server{Addr: addr, Handler: r}
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	if err := srv.ListenAndServe(); err != nil && ctx.Err() == nil {
+		log.Print("worker ", err)
+	}
+}
+
 func send(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -34,6 +34,10 @@
 	// Taken, if set, says whether the machine on which a task starts for the first time
 	// is lost, and after which notice (0: without a word).
 	Taken func(job *protocol.JobSpec, task int) (lost bool, notice time.Duration)
+	// Address, if set, is where a new machine's worker will be, by its number; else it is
+	// its name with port 9000. Listen, if set, is told of each such address.
+	Address func(number int) string
+	Listen  func(addr string)
 	// Log, if set, is told what runs: "start" when a task has its image, then "done"
 	// or "end". It must not block.
 	Log func(event, task, machine string, at time.Time)
@@ -42,6 +46,7 @@
 	ctx       context.Context
 	last      int
 	machines  map[string]*Machine
+	at        map[string]*Machine // by address
 	asked     map[string][]string
 	jobs      map[string]*protocol.JobSpec
 	cancelled map[string]time.Time
@@ -84,7 +89,7 @@
 
 // NewFleet makes a fleet that lives until ctx ends.
 func NewFleet(ctx context.Context) *Fleet {
-	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}}
+	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, at: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}}
 }
 
 // Submitted tells the workers of a job, as users do.
@@ -203,7 +208,14 @@
 		ctx, stop := context.WithCancel(f.ctx)
 		m := &Machine{f: f, born: time.Now(), session: 1, tasks: map[string]*proc{}, kick: make(chan struct{}, 1), stop: stop,
 			info: protocol.ListedMachine{ID: name, Addr: name + ":9000", Type: r.Type, Zone: r.Zone, Spot: r.Spot}}
+		if f.Address != nil {
+			m.info.Addr = f.Address(f.last)
+		}
 		f.machines[name] = m
+		f.at[m.info.Addr] = m
+		if f.Listen != nil {
+			f.Listen(m.info.Addr)
+		}
 		names = append(names, name)
 		go m.run(ctx)
 	}
@@ -252,6 +264,7 @@
 		m.forget(time.Now())
 		m.stop()
 		delete(f.machines, name)
+		delete(f.at, m.info.Addr)
 	}
 }
 
@@ -288,8 +301,8 @@
 func (f *Fleet) Command(_ context.Context, addr string, o protocol.Orders) (*protocol.Report, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.machines[addr[:len(addr)-len(":9000")]]
-	if m == nil || !m.up {
+	m := f.at[addr]
+	if m == nil || !m.up || m.gone {
 		return nil, false, storage.ErrUnknown
 	}
 	m.expire()
@@ -309,8 +322,8 @@
 func (f *Fleet) Inspect(_ context.Context, addr string) (*protocol.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.machines[addr[:len(addr)-len(":9000")]]
-	if m == nil || !m.up {
+	m := f.at[addr]
+	if m == nil || !m.up || m.gone {
 		return nil, storage.ErrUnknown
 	}
 	m.expire()
