--- a/internal/coordination/node/jobs_test.go
+++ b/internal/coordination/node/jobs_test.go
@@ -167,6 +167,8 @@
 		"protocol":             {"transport", "storage", "coordination", "standin", "report", "console"},
 		"storage":              {"coordination", "standin", "report", "console"},
 		"coordination":         {"standin", "console"},
+		"coordination/start":   {"transport", "storage", "protocol", "coordination/", "standin", "report"},
+		"coordination/standby": {"transport", "storage", "protocol", "coordination/", "standin", "report"},
 		"coordination/decide":  {"transport", "storage", "coordination/node", "coordination/ticket", "coordination/ledger", "coordination/gateway", "standin", "report"},
 		"coordination/ticket":  {"transport", "storage", "coordination/node", "coordination/decide", "coordination/ledger", "coordination/gateway", "standin", "report"},
 		"coordination/ledger":  {"transport", "storage", "coordination/node", "coordination/decide", "coordination/ticket", "coordination/gateway", "standin", "report"},
