A share that is given up goes to the idle node; silence of one's own making does not count

Change: who holds the fewest stands by first, whatever else; while connections are turned away nobody is given up; a share is not left waiting for nodes that cannot take it.

--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -210,7 +210,7 @@
 		go transport.SendFrames(ctx, s.Addr, node.HintPeriod, node.HintQuiet, n.Hint, func(e transport.Event) { n.Noticed(s.Node, e) })
 	}
 	front := transport.NewFront(ctx, ln, frontLimits(cfg.Params.Quota), n.FromWorker)
-	n.OnLoaded = front.Ready
+	n.OnLoaded, n.Closed = front.Ready, front.Closed
 	go func() {
 		if err := transport.Serve(ctx, front, n.API()); err != nil {
 			cancel(err)
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -47,6 +47,9 @@
 	Known func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error)
 	// SetLevel, if set, is told the log level that operators chose, if any.
 	SetLevel func(l slog.Level, chosen bool)
+	// Closed, if set, is how many workers' connections were closed at once so far, since
+	// others were being served.
+	Closed func() int64
 	// OnLoaded, if set, is told when the replica has been read once: from then on the
 	// node can answer.
 	OnLoaded func()
@@ -151,6 +154,8 @@
 type eyes struct {
 	lastTurn  time.Time   // when the actor last did something
 	awake     time.Time   // when it last had stood still
+	shut      time.Time   // when it last turned connections away
+	closed    int64       // how many, by then
 	heard     time.Time   // when a worker was last heard
 	blind     atomic.Bool // no worker is heard
 	probing   int         // workers being asked how they are
--- a/internal/coordination/node/sight.go
+++ b/internal/coordination/node/sight.go
@@ -38,9 +38,21 @@
 // since this node took its share, but not while this node stood still.
 func (n *Node) lastHeard(m *machine) time.Time {
 	if m.heard.IsZero() {
-		return later(m.added, n.eyes.awake)
+		return later(m.added, n.eyes.awake, n.eyes.shut)
+	}
+	return later(m.heard, n.eyes.awake, n.eyes.shut)
+}
+
+// noteShut notes that this node turns workers' connections away: their silence is its own
+// doing then. (At three times the fleet, with two of three controllers standing still, the
+// third returned 1,094 machines in a second for a silence that it had made itself.)
+func (n *Node) noteShut(now time.Time) {
+	if n.Closed == nil {
+		return
+	}
+	if c := n.Closed(); c != n.eyes.closed {
+		n.eyes.closed, n.eyes.shut = c, now
 	}
-	return later(m.heard, n.eyes.awake)
 }
 
 // wasUp says whether a machine is known to have booted, by this node or by an
--- a/internal/coordination/node/square.go
+++ b/internal/coordination/node/square.go
@@ -342,6 +342,23 @@
 	return o.lapses == 0 || now.Sub(o.lapsed) > lapseMemory || held < o.most || len(n.nodes) < 2 || now.Sub(s.vacant) > abandoned
 }
 
+// mayCome says whether another node could take a share soon: one is heard, or all have
+// just begun.
+func (n *Node) mayCome(now time.Time) bool {
+	if now.Sub(n.started) < startTime {
+		return true
+	}
+	for name := range n.siblings {
+		if _, lives := n.nodes[name]; lives && n.serves(name, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// startTime is within which all come back that ended together.
+const startTime = 10 * time.Second
+
 // squareDelay is how much later than else this node takes a share: while it squares
 // one, others come first, and so it does after its own load has cost it its lease.
 func (n *Node) squareDelay(held int, now time.Time) time.Duration {
@@ -349,7 +366,7 @@
 	if now.Sub(n.ordering.lapsed) < lapseMemory {
 		d = n.lapsePause()
 	}
-	if held > 0 && n.squaring() {
+	if held > 0 && n.squaring() && n.mayCome(now) {
 		d += min(3*time.Second, n.seconds(n.cfg.Params.Workers.LeaseS)/10)
 	}
 	return d
--- a/internal/coordination/node/square_test.go
+++ b/internal/coordination/node/square_test.go
@@ -187,3 +187,30 @@
 		}
 	})
 }
+
+// A node that turns workers' connections away does not take their silence for theirs.
+func TestTurnedAwayIsNotSilent(t *testing.T) {
+	b := newBench(t)
+	b.fleetOf(5, 0)
+	now := time.Now().Add(time.Hour)
+	b.Contact(now)
+	m := b.shares[0].machines[1]
+	if !b.dead(m, now) {
+		t.Fatal("an hour's silence is not noticed")
+	}
+	closed := int64(0)
+	b.Closed = func() int64 { return closed }
+	b.noteShut(now)
+	if !b.dead(m, now) {
+		t.Error("nothing was turned away, and silence does not count")
+	}
+	closed = 3
+	b.noteShut(now)
+	if b.dead(m, now) || b.silent(m, now) {
+		t.Error("given up for a silence of this node's own making")
+	}
+	b.noteShut(now.Add(time.Minute))
+	if !b.dead(m, now.Add(time.Minute)) {
+		t.Error("silence does not count long after")
+	}
+}
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -29,10 +29,10 @@
 // Pair are the first and the second standby of a share; empty: there is none.
 type Pair struct{ First, Second string }
 
-// Assign gives each share its standbys: those of other nodes that have the fewest to
-// stand by for and hold the fewest, another zone than the holder's first, so that a
-// zone's loss leaves one. A standby that was is kept while it is not worse by more than
-// one duty: nodes that come and go move few. Every node comes to the same answer from
+// Assign gives each share its standbys: those of other nodes that hold the fewest, then
+// those that have the fewest to stand by for, then another zone than the holder's, so that
+// a zone's loss leaves one. A standby that was is kept if it is as good: nodes that come
+// and go move few. Every node comes to the same answer from
 // the same records; where sight differs for a moment two try, and the store lets one.
 func Assign(shares []Share, nodes []Node, was map[int]Pair) map[int]Pair {
 	byName := map[string]Node{}
@@ -53,9 +53,11 @@
 		var best Node
 		found := false
 		worth := func(n Node) int {
-			w := 2*duties[n.Name] + n.Held
+			// Who holds the fewest comes first, whatever else: a share that is given up
+			// since a node holds none must go to that one.
+			w := (2*len(shares)+2)*n.Held + 2*duties[n.Name]
 			if n.Name == kept {
-				w -= 2
+				w--
 			}
 			return w
 		}
--- a/internal/coordination/standby/standby_test.go
+++ b/internal/coordination/standby/standby_test.go
@@ -72,6 +72,12 @@
 	if idle[0].First != "d" {
 		t.Errorf("%v where d holds nothing", idle)
 	}
+	// With two shares at one node the idle one stands by for both, whoever did before. (On
+	// a simulated day a share that was given up for it went to another node, and back.)
+	both := Assign([]Share{{0, "a"}, {1, "b"}, {2, "b"}}, []Node{{Name: "a", Held: 1}, {Name: "b", Held: 2}, {Name: "c"}}, map[int]Pair{1: {"a", "c"}, 2: {"a", "c"}})
+	if both[0].First != "c" || both[1].First != "c" || both[2].First != "c" {
+		t.Errorf("%v where c holds nothing", both)
+	}
 	blind := Assign([]Share{{0, "a"}}, []Node{{Name: "a", Held: 1}, {Name: "b", Poor: true}, {Name: "c", Held: 3}}, nil)
 	if blind[0].First != "c" {
 		t.Errorf("%v where b is blind", blind)
