--- a/internal/coordination/node/square_test.go
+++ b/internal/coordination/node/square_test.go
@@ -209,6 +209,7 @@
 	if b.dead(m, now) || b.silent(m, now) {
 		t.Error("given up for a silence of this node's own making")
 	}
+	b.Contact(now.Add(time.Minute))
 	b.noteShut(now.Add(time.Minute))
 	if !b.dead(m, now.Add(time.Minute)) {
 		t.Error("silence does not count long after")
