--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -231,11 +231,11 @@
 }
 
 // frontLimits fits what is let through at once to the machine: workers' first requests
-// that one turn's processor time covers, as many waiting as a second covers (at 0.4 ms
-// each, as measured on the bench's simulated machines), and sockets enough for calls to
+// that one turn's processor time covers, as many waiting as two and a half seconds cover (at
+// 0.4 ms each, as measured on the bench's simulated machines; a worker waits for four), and sockets enough for calls to
 // the state service, the cloud, workers and siblings.
 func frontLimits(q protocol.MachineQuota) transport.FrontLimits {
-	l := transport.FrontLimits{Young: 16, Waiting: int(min(512, max(64, q.Cores/0.0004))), Early: 20, Rate: int(max(100, q.Cores/0.00025))}
+	l := transport.FrontLimits{Young: 16, Waiting: int(min(1500, max(160, 2.5*q.Cores/0.0004))), Early: 20, Rate: int(max(100, q.Cores/0.00025))}
 	if q.FDLimit > 0 {
 		l.Open = max(q.FDLimit/2, q.FDLimit-130-q.FDLimit/32)
 	}
--- a/internal/coordination/node/square.go
+++ b/internal/coordination/node/square.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -157,6 +158,7 @@
 		}
 		if p == start.Serving && was != p {
 			n.replan = true
+			n.resumeIdle(s, now)
 		}
 		n.tellSquare(s)
 	}
@@ -287,16 +289,36 @@
 // arrived remembers a job that this node saw arrive, whoever holds its share: who takes
 // the share over then knows what to expect.
 func (n *Node) arrived(j *job, now time.Time) {
-	if !n.loaded || now.Sub(n.ordering.follows) < backlogTime || now.Sub(j.submitted) > arrivedWithin {
+	if !n.loaded || now.Sub(n.ordering.follows) < backlogTime {
 		return
 	}
+	// By its own time: a node that stood still sees what came meanwhile all at once. (With
+	// only the newest counted, such a node expected nothing and returned a thousand
+	// machines when it was handed a share.)
+	at := j.submitted
+	if at.After(now) {
+		at = now
+	}
 	s := n.shares[j.share]
-	s.recent = append(decide.Remembered(s.recent, now), arrival{At: now, Spec: j.spec, Team: j.team})
+	s.recent = append(s.recent, arrival{At: at, Spec: j.spec, Team: j.team})
+	if k := len(s.recent); k > 1 && at.Before(s.recent[k-2].At) {
+		slices.SortStableFunc(s.recent, func(a, b arrival) int { return a.At.Compare(b.At) })
+	}
+	s.recent = decide.Remembered(s.recent, now)
 }
 
-// arrivedWithin is how old a job may be that counts as arriving: what a replica reads
-// anew may be old.
-const arrivedWithin = 15 * time.Second
+// resumeIdle takes the time in which nobody decided anything from what idle machines are
+// taken to have been idle: they could not have been used.
+func (n *Node) resumeIdle(s *share, now time.Time) {
+	pause := s.taking.gap + now.Sub(s.taken)
+	for _, m := range s.machines {
+		if len(m.on) == 0 && !m.idleUnseen && !m.idleSince.IsZero() {
+			if m.idleSince = m.idleSince.Add(pause); m.idleSince.After(now) {
+				m.idleSince = now
+			}
+		}
+	}
+}
 
 // backlogTime is how long after a node's start what comes is what waited meanwhile, and
 // says nothing of what will come.
--- a/internal/coordination/node/square_test.go
+++ b/internal/coordination/node/square_test.go
@@ -188,6 +188,32 @@
 	})
 }
 
+// A node that stood still counts what came meanwhile by its own time, in order; and the
+// time in which nobody decided makes no machine idle.
+func TestArrivalsAndIdlenessThroughAStall(t *testing.T) {
+	b := newBench(t)
+	now := time.Now()
+	b.ordering.follows = now.Add(-time.Hour)
+	for i, ago := range []time.Duration{10 * time.Second, 50 * time.Second, 30 * time.Second, 10 * time.Minute} {
+		spec := &protocol.JobSpec{ID: fmt.Sprintf("job-60000%d", i), Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1}
+		b.put(protocol.JobKey(spec.ID), protocol.JobRecord{Spec: spec, SubmittedMS: now.Add(-ago).UnixMilli(), Next: 1})
+	}
+	var ids string
+	for _, a := range b.shares[0].recent {
+		ids += a.Spec.ID[9:] + " "
+	}
+	if ids != "1 2 0 " {
+		t.Errorf("arrivals %q, want the three of the last two minutes in order", ids)
+	}
+	s, m := b.shares[0], b.machines["host-1"]
+	m.idleSince, m.idleUnseen = now.Add(-40*time.Second), false
+	s.taken, s.taking.gap = now.Add(-8*time.Second), 4*time.Second
+	b.resumeIdle(s, now)
+	if idle := now.Sub(m.idleSince); idle != 28*time.Second {
+		t.Errorf("idle for %v, of 40 s in which nobody decided for 12", idle)
+	}
+}
+
 // A node that turns workers' connections away does not take their silence for theirs.
 func TestTurnedAwayIsNotSilent(t *testing.T) {
 	b := newBench(t)
