--- a/internal/coordination/node/sight.go
+++ b/internal/coordination/node/sight.go
@@ -37,10 +37,17 @@
 // lastHeard is since when a machine that is up is silent: since its last report, or
 // since this node took its share, but not while this node stood still.
 func (n *Node) lastHeard(m *machine) time.Time {
-	if m.heard.IsZero() {
-		return later(m.added, n.eyes.awake, n.eyes.shut)
+	last := m.heard
+	if last.IsZero() {
+		last = m.added
 	}
-	return later(m.heard, n.eyes.awake, n.eyes.shut)
+	// What this node turned away may be this machine, but for no longer than a lease: then
+	// its worker has ended its tasks by itself.
+	shut := n.eyes.shut
+	if most := last.Add(n.seconds(n.cfg.Params.Workers.LeaseS)); shut.After(most) {
+		shut = most
+	}
+	return later(last, n.eyes.awake, shut)
 }
 
 // noteShut notes that this node turns workers' connections away: their silence is its own
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -32,7 +32,7 @@
 type FrontLimits struct {
 	Young   int // of the many: in their first request at a time
 	Waiting int // of the many: accepted, not served yet
-	Open    int // connections in all; 0: no limit
+	Open    int // connections in all; 0: no limit. Of the many: nine tenths of it
 	Early   int // connections a second before Ready
 	Rate    int // connections a second that are accepted at most; 0: no limit
 }
@@ -142,7 +142,11 @@
 			early++
 			many := ready && f.many(fromOf(c))
 			wait := many && young >= f.limits.Young
-			if f.limits.Open > 0 && f.Open() >= f.limits.Open || !ready && early > f.limits.Early || wait && len(waiting) >= f.limits.Waiting {
+			open := f.limits.Open
+			if many {
+				open = open * 9 / 10 // the rest is for all others
+			}
+			if f.limits.Open > 0 && f.Open() >= open || !ready && early > f.limits.Early || wait && len(waiting) >= f.limits.Waiting {
 				f.closed.Add(1)
 				c.Close()
 				continue
