--- a/cmd/lab/standby.go
+++ b/cmd/lab/standby.go
@@ -15,7 +15,6 @@
 	"github.com/spf13/cobra"
 
 	"dapplestage.example/dapplestage/internal/coordination/node"
-	"dapplestage.example/dapplestage/internal/protocol"
 )
 
 // standbyCauses are the ways in which a controller goes, and how.
@@ -144,31 +143,11 @@
 			return r
 		}
 	}
-	done := map[string]bool{}
-	until(ctx, 60*time.Second, func() bool {
-		for id := range tasks {
-			var s protocol.JobStatus
-			status, out, err := f.call(ctx, "GET", f.apis[len(done)%2], "/api/jobs/"+id, nil)
-			switch {
-			case err != nil:
-			case status == 404:
-				r.wrong = append(r.wrong, id+" is forgotten")
-			case status == 200 && json.Unmarshal(out, &s) == nil && s.Status == protocol.JobDone:
-				done[id] = true
-			}
-		}
-		return len(done) == len(tasks) || len(r.wrong) > 0
-	})
-	if len(done) < len(tasks) {
-		r.wrong = append(r.wrong, fmt.Sprintf("%d of %d jobs never ended", len(tasks)-len(done), len(tasks)))
-	}
-	events, err := readEvents(f.events)
+	wrong, _, err := f.settled(ctx, tasks)
+	r.wrong = append(r.wrong, wrong...)
 	if err != nil {
 		r.err = err
-		return r
 	}
-	wrong, _ := judgeStarts(events, tasks, done)
-	r.wrong = append(r.wrong, wrong...)
 	return r
 }
 
--- a/cmd/lab/start.go
+++ b/cmd/lab/start.go
@@ -101,7 +101,7 @@
 			if on[e.Task] == e.Machine {
 				delete(on, e.Task)
 			}
-			if strings.HasPrefix(job, "job-8") {
+			if service(job) {
 				ended++
 			}
 		}
@@ -204,38 +204,60 @@
 		r.serve, r.half, r.all = append(r.serve, serve), append(r.half, half), append(r.all, all)
 		time.Sleep(span(rng, time.Millisecond, 3*time.Second))
 	}
+	var wrong []string
+	wrong, r.ended, err = f.settled(ctx, tasks)
+	r.wrong = append(r.wrong, wrong...)
+	if err != nil {
+		r.err = err
+	}
+	f.orders(ctx, r)
+	return r
+}
+
+// settled waits until users are told that all jobs but services are done, and says what
+// was wrong of what they were told and what machines ran; ended is how many tasks of
+// services ended.
+func (f *farm) settled(ctx context.Context, tasks map[string]int) (wrong []string, ended int, err error) {
 	done := map[string]bool{}
+	open := 0
+	for id := range tasks {
+		if !service(id) {
+			open++
+		}
+	}
 	until(ctx, 60*time.Second, func() bool {
-		for i := range arrays {
-			id := fmt.Sprintf("job-1%05d", i)
+		for id := range tasks {
+			if service(id) {
+				continue
+			}
 			var s protocol.JobStatus
-			status, out, err := f.call(ctx, "GET", f.apis[i%2], "/api/jobs/"+id, nil)
+			status, out, err := f.call(ctx, "GET", f.apis[len(done)%2], "/api/jobs/"+id, nil)
 			switch {
 			case err != nil:
 			case status == 404:
-				r.wrong = append(r.wrong, id+" is forgotten")
+				wrong = append(wrong, id+" is forgotten")
 			case status == 200 && json.Unmarshal(out, &s) == nil && s.Status == protocol.JobDone:
 				done[id] = true
 			case done[id] && status == 200:
-				r.wrong = append(r.wrong, fmt.Sprintf("%s went back to %s", id, s.Status))
+				wrong = append(wrong, fmt.Sprintf("%s went back to %s", id, s.Status))
 			}
 		}
-		return len(done) == arrays || len(r.wrong) > 0
+		return len(done) == open || len(wrong) > 0
 	})
-	if len(done) < arrays {
-		r.wrong = append(r.wrong, fmt.Sprintf("%d of %d arrays never ended", arrays-len(done), arrays))
+	if len(done) < open {
+		wrong = append(wrong, fmt.Sprintf("%d of %d jobs never ended", open-len(done), open))
 	}
-	f.orders(ctx, r)
 	events, err := readEvents(f.events)
 	if err != nil {
-		r.err = err
-		return r
+		return wrong, 0, err
 	}
-	wrong, ended := judgeStarts(events, tasks, done)
-	r.wrong, r.ended = append(r.wrong, wrong...), ended
-	return r
+	more, ended := judgeStarts(events, tasks, done)
+	return append(wrong, more...), ended, nil
 }
 
+// service says whether a job of a run is a service, by its name.
+func service(id string) bool { return strings.HasPrefix(id, "job-8") }
+
 func startProof() *cobra.Command {
 	machines, starts := 60, 3
 	c := runsProof("start", "End all controllers again and again, and hold what they say and order to what machines ran", 4, 4, func(ctx context.Context, out io.Writer, o runOptions) error {
