--- a/internal/coordination/node/square.go
+++ b/internal/coordination/node/square.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/coordination/standby"
 	"dapplestage.example/dapplestage/internal/coordination/start"
 )
 
@@ -75,7 +76,11 @@
 		}
 	}
 	n.ordering.budget.Fresh(now)
-	s.square = start.Begin(start.Times{Report: n.seconds(w.ReportS), Grace: min(graceShort, n.seconds(w.ReportS)/2)}, now, facts)
+	grace := min(graceShort, n.seconds(w.ReportS)/2)
+	if s.taking.cause == standby.HandedOn {
+		grace = 0 // its workers have a controller, and come when they next report
+	}
+	s.square = start.Begin(start.Times{Report: n.seconds(w.ReportS), Grace: grace}, now, facts)
 }
 
 // endFormer ends the lease of this node's former life, which the records that were just
