What a node finds when it begins is a start, not a hand-over

After an outage with all controllers ended, shares freed by others' new lives were logged as handed over and asked for without the grace of a start.

--- a/internal/coordination/node/standby.go
+++ b/internal/coordination/node/standby.go
@@ -255,8 +255,8 @@
 	switch {
 	case was.Token != 0:
 		s.taking.cause = standby.Ended
-	case before == nil || s.vacant.Sub(n.started) < time.Second:
-		return
+	case before == nil || s.vacant.Sub(n.ordering.follows) < leaseLife:
+		return // what it found when it began: others begin too, and end their former lives
 	case s.vacant.Sub(before.heard) < leaseLife*3/4:
 		s.taking.cause = standby.HandedOn
 	default:
