--- a/internal/coordination/node/schedule.go
+++ b/internal/coordination/node/schedule.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/coordination/start"
 	"dapplestage.example/dapplestage/internal/protocol"
 )
 
@@ -231,6 +232,9 @@
 	if now.Sub(n.cloudside.wanted) < 300*time.Millisecond {
 		return
 	}
+	if n.allowed(start.Rent, 1) == 0 {
+		return
+	}
 	n.cloudside.wanted = time.Time{}
 	n.cloudside.nextRent = now.Add(time.Duration(float64(n.cfg.Params.Nodes) / n.cfg.Params.Cloud.RPS * float64(time.Second)))
 	n.ask(s, best, min(most, 50))
--- a/internal/coordination/node/square.go
+++ b/internal/coordination/node/square.go
@@ -285,6 +285,9 @@
 			may--
 			n.ordering.spread = now
 		}
+		if n.allowed(start.Return, 1) == 0 {
+			break // another share is still being squared
+		}
 		n.log.Info("machine returned", "machine", m.name, "notice", false, "blamed_by", 0, "seen_idle", !m.idleUnseen)
 		back = append(back, m)
 	}
