--- a/cmd/lab/report.go
+++ b/cmd/lab/report.go
@@ -100,14 +100,7 @@
 
 func oneReportRun(ctx context.Context, bin, dir string, seed uint64) *reportResult {
 	r := &reportResult{}
-	var f *farm
-	var err error
-	for try := range 3 {
-		if f, err = newFarm(ctx, bin, fmt.Sprintf("%s/%d", dir, try), 0, farmRetries, 24, farmTimes); err == nil {
-			break
-		}
-		f.end()
-	}
+	f, err := startFarm(ctx, bin, dir, 24, farmTimes)
 	defer f.end()
 	if err != nil {
 		r.err = err
--- a/cmd/lab/standby.go
+++ b/cmd/lab/standby.go
@@ -46,7 +46,7 @@
 
 func oneStandbyRun(ctx context.Context, bin, dir string, seed uint64, turns int, causes []string) *standbyResult {
 	r := &standbyResult{gaps: map[string][]time.Duration{}}
-	f, err := newFarm(ctx, bin, dir, 0, farmRetries, 24, startTimes)
+	f, err := startFarm(ctx, bin, dir, 24, startTimes)
 	defer f.end()
 	if err != nil {
 		r.err = err
--- a/cmd/lab/start.go
+++ b/cmd/lab/start.go
@@ -116,7 +116,7 @@
 
 func oneStartRun(ctx context.Context, bin, dir string, seed uint64, machines, starts int) *startResult {
 	r := &startResult{given: map[string]int{}, held: map[string]int{}}
-	f, err := newFarm(ctx, bin, dir, 0, farmRetries, machines, startTimes)
+	f, err := startFarm(ctx, bin, dir, machines, startTimes)
 	defer f.end()
 	if err != nil {
 		r.err = err
--- a/cmd/lab/tickets.go
+++ b/cmd/lab/tickets.go
@@ -119,6 +119,17 @@
 	}
 }
 
+// startFarm makes a farm, anew if another program took one of its ports meanwhile.
+func startFarm(ctx context.Context, bin, dir string, machines int, t times) (f *farm, err error) {
+	for try := range 3 {
+		if f, err = newFarm(ctx, bin, fmt.Sprintf("%s/%d", dir, try), 0, farmRetries, machines, t); err == nil {
+			break
+		}
+		f.end()
+	}
+	return f, err
+}
+
 func (f *farm) end() {
 	for _, p := range f.procs {
 		p.kill()
