--- a/cmd/lab/start_test.go
+++ b/cmd/lab/start_test.go
@@ -9,7 +9,9 @@
 // called done too soon, counts services' tasks that ended, and finds nothing in a run
 // that was right.
 func TestJudgeStarts(t *testing.T) {
-	at := func(event, task, machine string) farmEvent { return farmEvent{Event: event, Task: task, Machine: machine} }
+	at := func(event, task, machine string) farmEvent {
+		return farmEvent{Event: event, Task: task, Machine: machine}
+	}
 	right := []farmEvent{
 		at("start", "job-100001/0", "m1"), at("end", "job-100001/0", "m1"), at("start", "job-100001/0", "m2"), at("done", "job-100001/0", "m2"),
 		at("start", "job-800001/0", "m1"), at("end", "job-800001/0", "m1"),
