Dead code of starts and doubts removed; one conversion of seconds in the node

On rereading: two fields of a doubt, Square.Reached and Budget.Cuts were used by nobody, and two older closures did what Node.seconds does.

--- a/internal/coordination/node/account.go
+++ b/internal/coordination/node/account.go
@@ -412,9 +412,8 @@
 
 // stuckFacts gathers what a job is judged by, and fills in a row's tasks.
 func (n *Node) stuckFacts(j *job, now time.Time, r *ledger.Row) *ledger.Facts {
-	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-	f := &ledger.Facts{Service: j.spec.Shape == protocol.Service, Gang: j.spec.Shape == protocol.Gang, Expect: seconds(j.spec.EstimateS), Class: n.account.runs[j.spec.Class],
-		GangWait: seconds(n.cfg.Params.Workers.GangWaitS), Restarts: j.story.vain}
+	f := &ledger.Facts{Service: j.spec.Shape == protocol.Service, Gang: j.spec.Shape == protocol.Gang, Expect: n.seconds(j.spec.EstimateS), Class: n.account.runs[j.spec.Class],
+		GangWait: n.seconds(n.cfg.Params.Workers.GangWaitS), Restarts: j.story.vain}
 	if j.trouble.mistake {
 		f.Restarts = max(f.Restarts, j.trouble.tries+2)
 	}
@@ -474,7 +473,7 @@
 			longest(&f.Missing, t.since)
 			if t.seen == seenFetching && !silent {
 				longest(&f.Fetching, t.since)
-				f.FetchDue = max(f.FetchDue, seconds(n.factsOf(m).SecPerGB*j.spec.ImageGB))
+				f.FetchDue = max(f.FetchDue, n.seconds(n.factsOf(m).SecPerGB*j.spec.ImageGB))
 			}
 			if t.seen == seenWaiting && !silent {
 				longest(&f.Gather, t.since)
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -420,8 +420,7 @@
 // the node falls silent before the next one.
 func (n *Node) parkTime(m *machine) time.Duration {
 	p := n.cfg.Params.Workers
-	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-	w := min(seconds(p.ReportS), max(0, seconds(p.LeaseS-1.25*p.ReportS)-findTime))
+	w := min(n.seconds(p.ReportS), max(0, n.seconds(p.LeaseS-1.25*p.ReportS)-findTime))
 	for k := range m.on {
 		if k.job.spec.Shape != protocol.Service {
 			// The end of a task is not reported before this report is answered.
--- a/internal/coordination/standby/doubt.go
+++ b/internal/coordination/standby/doubt.go
@@ -36,10 +36,8 @@
 }
 
 type doubt struct {
-	asked  time.Time // when the question was stored; zero: not yet
-	stamp  uint64    // of the sibling's record then
-	begun  time.Time
-	storer bool // this node's own question is being stored
+	asked time.Time // when the question was stored; zero: not yet
+	stamp uint64    // of the sibling's record when it was doubted
 }
 
 // NewDoubts has none.
@@ -67,7 +65,7 @@
 	case now.Sub(d.closed[name]) < again || s.Stamp == 0:
 		return false, false
 	}
-	d.open[name] = doubt{stamp: s.Stamp, begun: now}
+	d.open[name] = doubt{stamp: s.Stamp}
 	return true, false
 }
 
--- a/internal/coordination/start/budget.go
+++ b/internal/coordination/start/budget.go
@@ -157,6 +157,3 @@
 
 // Held is how many were held back; one that is asked for again counts again.
 func (b *Budget) Held(k Order) int { return b.held[k] }
-
-// Cuts is how often the rate was cut since the actor was late.
-func (b *Budget) Cuts() int { return b.cuts }
--- a/internal/coordination/start/square.go
+++ b/internal/coordination/start/square.go
@@ -132,13 +132,6 @@
 	return s.all[name]
 }
 
-// Reached notes a machine's address: now it can be asked.
-func (s *Square) Reached(name string) {
-	if e := s.entry(name); e != nil {
-		e.Callable = true
-	}
-}
-
 // Drop forgets a machine that left the share.
 func (s *Square) Drop(name string) {
 	if e := s.entry(name); e != nil {
