--- a/internal/coordination/node/cancels.go
+++ b/internal/coordination/node/cancels.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
 )
 
 // Users who cancel a job are told that it is cancelled when nothing of it is left. Until
 // then it is as it was to all who ask, and nothing of it is started.
 
-// tellsLate says whether all nodes do that. Where one of an earlier version lives they do
-// not; a ticket and its steps are called cancelled at once, and a job of the gateway by
-// its members.
+// tellsLate says whether all nodes do that; where one of an earlier version lives they may
+// not, and then this one tells at once too, since the other reads the record so. Of a job of
+// the gateway its members tell; it runs only as long as the site has its lease, and every
+// answer stops it after that (halts).
 func (n *Node) tellsLate() bool {
-	return len(n.early) == 0 && n.SiteFrom == "" && !n.takesTickets()
+	return len(n.early) == 0 && (len(n.older) == 0 || !n.takesTickets())
 }
 
 // takesTickets says whether this node takes tickets, or there are any.
@@ -33,15 +37,15 @@
 // takes some hundredths of a second. Whoever is not told by then is told to ask again.
 const endTime = 900 * time.Millisecond
 
-// awaitEnd answers a user who cancels a job once nothing of it is left, or at once that it
-// is not over, if its end can't be known so soon.
-func (n *Node) awaitEnd(j *job, tries int, reply chan<- answer) {
+// awaitEnd answers a user who cancels a job, or a ticket with its steps' jobs, once nothing
+// of it is left, or at once that it is not over, if its end can't be known so soon.
+func (n *Node) awaitEnd(id string, of []*job, tries int, reply chan<- answer) {
 	now := time.Now()
-	if n.endsLater(j, now) {
+	if slices.ContainsFunc(of, func(j *job) bool { return n.endsLater(j, now) }) {
 		n.tellLater(reply)
 		return
 	}
-	n.askers = append(n.askers, asker{j.id, tries, reply, now.Add(endTime)})
+	n.askers = append(n.askers, asker{id, tries, reply, now.Add(endTime)})
 }
 
 // endsLater says whether some of a job's tasks will not be known to be gone within a
@@ -69,7 +73,7 @@
 	reply <- answer{status: 503, retryS: 1, body: errorBody{"it is being cancelled: some of its tasks are not known to be gone yet"}}
 }
 
-// tellAskers answers those who wait for a job that has gone from the replica.
+// tellAskers answers those who wait for a job or ticket that has gone from the replica.
 func (n *Node) tellAskers(id string) {
 	kept := n.askers[:0]
 	for _, a := range n.askers {
@@ -112,3 +116,43 @@
 		}
 	}
 }
+
+// cancelledPerHint is how many jobs that are being cancelled one hint tells of: any of them,
+// others with the next one.
+const cancelledPerHint = 256
+
+// tellCancelled is what the next hints tell of jobs that are being cancelled and of which
+// something may be left.
+func (n *Node) tellCancelled() (out []protocol.CancelledJob) {
+	for j := range n.ending {
+		if len(out) == cancelledPerHint {
+			break
+		}
+		if rev := n.stamp(protocol.JobKey(j.id)); rev > 0 {
+			out = append(out, protocol.CancelledJob{Job: j.id, Revision: rev})
+		}
+	}
+	return out
+}
+
+// learnCancelled takes in which jobs a sibling says are being cancelled. A holder that the
+// state service refuses learns so what it can't read there, and stops their tasks. It proves
+// nothing: nobody is told anything for it, nothing is stored, and it holds until this node
+// knows all that is stored up to the revision that is said to tell it.
+func (n *Node) learnCancelled(from string, told []protocol.CancelledJob) {
+	for _, c := range told {
+		j := n.jobs[c.Job]
+		if j == nil || j.cancelled || c.Revision <= max(j.hinted, n.caught) {
+			continue
+		}
+		if j.hinted <= n.caught {
+			n.log.Info("a sibling says that a job is cancelled: its tasks are stopped", "job", j.id, "sibling", from, "revision", c.Revision, "known", n.caught)
+		}
+		j.hinted = c.Revision
+		n.wakeMachines(j)
+		n.stopDirectly(j)
+	}
+}
+
+// hinted says whether a job counts as cancelled by a sibling's hint alone.
+func (n *Node) hinted(j *job) bool { return j.hinted > n.caught }
--- /dev/null
+++ b/internal/coordination/node/gap_test.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// gap is one way in which a leader loses the state service alone, another controller
+// confirms cancellations, and then nobody has it for longer than cancel_s.
+type gap struct {
+	apart  time.Duration // from the one to the other
+	first  bool          // the outage comes first, and what the leader loses lasts beyond it
+	outage time.Duration
+	hangs  bool // the state service does not answer the leader at all; else it refuses
+	early  bool // a node of an earlier version lives: users are told at once
+	stale  bool // the watch has told another controller nothing for some time, its other calls are answered
+	ends   bool // the leader ends within the outage, and is back
+	nodes  int
+	seed   uint64
+}
+
+func (g gap) String() string {
+	type plain gap
+	return fmt.Sprintf("%+v", plain(g))
+}
+
+// gapDone is what took place: confirmations by others between the two, reports that the
+// leader answered within the outage, cancellations asked, confirmed and the longest time a
+// task ran after its user was told.
+type gapDone struct{ between, atLeader, asked, confirmed, refused int }
+
+// play plays it: jobs of every share run long, users cancel two thirds of them through
+// other controllers from the moment that the leader loses the state service.
+func (g gap) play(t *testing.T) (done gapDone) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(t, ctx, g.seed, func(p *protocol.WorkerSettings) { p.ReportS, p.LeaseS, p.CancelS = 3, 20, 40 })
+		if g.early {
+			w.state.Put(protocol.NodeKey("n-9"), map[string]uint64{"lease": 1})
+		}
+		for i := range 9 {
+			w.submit(&protocol.JobSpec{ID: fmt.Sprintf("job-%06d", i), Team: []string{"red", "blue", "green"}[i%3], Class: "c", Shape: protocol.Array, Priority: "high",
+				Tasks: 1 + i%3, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1, EstimateS: 600, Spot: true})
+		}
+		time.Sleep(45 * time.Second)
+		for i := range w.names[g.nodes:] { // those that the place does not have are cut off for good
+			w.set(func() { w.noNet[w.names[g.nodes+i]] = true })
+		}
+		time.Sleep(20 * time.Second)
+		leader := onActor(w.node("n-0"), func() string { return n0holder(w) })
+		others := []string{}
+		for _, name := range w.names[:g.nodes] {
+			if name != leader {
+				others = append(others, name)
+			}
+		}
+		if len(others) == 0 {
+			others = []string{leader}
+		}
+		// Some machines are reached by the leader alone, so that they go on reporting to it.
+		for i, host := range w.fleet.Names() {
+			if i%2 == 0 {
+				for _, name := range others {
+					if name != leader {
+						w.set(func() { w.unheard[name+" "+host] = true })
+					}
+				}
+			}
+		}
+		var outageFrom, outageTill time.Time
+		lose := func(is bool) {
+			w.set(func() {
+				if g.hangs {
+					w.mute[leader] = is
+				} else {
+					w.noState[leader] = is
+				}
+			})
+		}
+		down := func(is bool) {
+			w.set(func() { w.outage = is })
+			if is {
+				outageFrom = time.Now()
+			} else {
+				outageTill = time.Now()
+				w.state.Refill()
+			}
+		}
+		if g.stale {
+			w.set(func() { w.noWatch[others[len(others)-1]] = true })
+			time.Sleep(4 * time.Second)
+		}
+		lost := time.Now()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		for i := range 6 {
+			wg.Go(func() {
+				id := fmt.Sprintf("job-%06d", i)
+				from := time.Now()
+				mu.Lock()
+				done.asked++
+				mu.Unlock()
+				for k := 0; time.Since(from) < time.Minute; k++ {
+					by := others[0]
+					a := w.cancelOnce(by, id)
+					if a.status == 200 {
+						w.fleet.Cancelled(id)
+						mu.Lock()
+						done.confirmed++
+						if now := time.Now(); by != leader && now.After(lost) && (outageFrom.IsZero() || now.Before(outageFrom)) {
+							done.between++
+						}
+						mu.Unlock()
+						return
+					}
+					time.Sleep(time.Second)
+				}
+				mu.Lock()
+				done.refused++
+				mu.Unlock()
+			})
+		}
+		if g.first {
+			down(true)
+			time.Sleep(g.apart)
+			lose(true)
+		} else {
+			lose(true)
+			time.Sleep(g.apart)
+			down(true)
+		}
+		before := w.times("reported to " + leader)
+		if g.ends {
+			time.Sleep(10 * time.Second)
+			w.restart(leader, 300*time.Millisecond)
+			time.Sleep(g.outage - 10*time.Second)
+		} else {
+			time.Sleep(g.outage)
+		}
+		done.atLeader = w.times("reported to "+leader) - before
+		down(false)
+		time.Sleep(10 * time.Second)
+		lose(false)
+		w.set(func() { clear(w.unheard); clear(w.noWatch) })
+		wg.Wait()
+		if lasted := outageTill.Sub(outageFrom); lasted <= 40*time.Second {
+			t.Errorf("the outage lasted %v", lasted)
+		}
+		time.Sleep(60 * time.Second)
+		for _, b := range w.fleet.Broken {
+			t.Errorf("rule broken: %s", b)
+		}
+		cancel()
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+	})
+	return done
+}
+
+// n0holder is who holds the first share, as n-0 knows. Called on its actor.
+func n0holder(w *world) string { return w.nodes["n-0"].shares[0].holder.Node }
+
+// The state service refuses the leader alone, another controller confirms cancellations,
+// then it is down for all for longer than cancel_s, while workers go on reporting to the old
+// leader: the tasks of those jobs are gone within cancel_s all the same. The ways differ in
+// the distance of the two troubles, which is first, the outage's length, what the leader
+// gets, how users are told, and how many controllers there are.
+func TestGap(t *testing.T) {
+	var sum gapDone
+	ways := []gap{
+		{apart: 500 * time.Millisecond, outage: 60 * time.Second},
+		{apart: 2 * time.Second, outage: 60 * time.Second, hangs: true},
+		{apart: 5 * time.Second, outage: 50 * time.Second},
+		{apart: 8 * time.Second, outage: 90 * time.Second, hangs: true, ends: true},
+		{apart: 11 * time.Second, outage: 60 * time.Second},
+		{apart: 2 * time.Second, outage: 60 * time.Second, first: true},
+		{apart: 2 * time.Second, outage: 90 * time.Second, early: true},
+		{apart: 8 * time.Second, outage: 60 * time.Second, early: true, hangs: true},
+		{apart: 8 * time.Second, outage: 90 * time.Second, early: true, stale: true},
+		{apart: 8 * time.Second, outage: 90 * time.Second, stale: true},
+		{apart: 8 * time.Second, outage: 60 * time.Second, nodes: 2},
+		{apart: 8 * time.Second, outage: 60 * time.Second, nodes: 1},
+	}
+	for i, g := range ways {
+		for seed := range seeds(1) {
+			if g.seed = 40 + 100*seed + uint64(i); g.nodes == 0 {
+				g.nodes = 3
+			}
+			t.Run(g.String(), func(t *testing.T) {
+				d := g.play(t)
+				t.Logf("%+v", d)
+				sum.asked, sum.confirmed, sum.refused = sum.asked+d.asked, sum.confirmed+d.confirmed, sum.refused+d.refused
+				if g.first || g.nodes == 1 {
+					return // nobody can confirm anything before the outage
+				}
+				if told := g.early || g.apart >= 5*time.Second; told && d.between == 0 {
+					t.Error("no other controller confirmed a cancellation between the two")
+				}
+				if d.atLeader == 0 {
+					t.Error("no worker reported to the old leader within the outage")
+				}
+			})
+		}
+	}
+	t.Logf("%+v", sum)
+}
--- a/internal/coordination/node/guards_test.go
+++ b/internal/coordination/node/guards_test.go
@@ -36,6 +36,7 @@
 	n.setTypes([]protocol.MachineType{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 192, Zones: []string{"a"}}})
 	n.Contact(time.Now())
 	n.reload(nil, 0)
+	n.complete = time.Now()
 	n.lease = 3
 	b := &bench{Node: n, t: t, state: st, rev: 10}
 	b.put(protocol.CounterKey, protocol.CounterRecord{Token: 7})
@@ -162,9 +163,14 @@
 	if !b.mayAnswer(now.Add(time.Duration((w.CancelS - w.LeaseS - 3) * float64(time.Second)))) {
 		t.Fatal("leases should survive a short outage")
 	}
-	if b.mayAnswer(now.Add(time.Duration((w.CancelS - w.LeaseS) * float64(time.Second)))) {
+	over := now.Add(time.Duration((w.CancelS - w.LeaseS) * float64(time.Second)))
+	if b.mayAnswer(over) {
 		t.Fatal("a cancelled task could outlive cancel_s")
 	}
+	b.Contact(over)
+	if b.mayAnswer(over) {
+		t.Fatal("an answered call that tells nothing of what is stored extends leases")
+	}
 }
 
 // An event that the watch brings late does not bring a job back.
@@ -688,3 +694,95 @@
 	f.Waiting = waiting
 	return f.MayTry(now)
 }
+
+// A sibling's word that a job is cancelled stops its tasks, and proves nothing: nobody is told
+// anything for it, nothing is stored, and it ends when all is known that was stored by then.
+func TestHintOfACancellationStopsAndProvesNothing(t *testing.T) {
+	b := newBench(t)
+	j := b.job("job-1", false, onHost1)
+	running := protocol.TaskReport{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning}
+	b.report(7, 1, running)
+	stops := func(seq uint64) int {
+		a := b.report(7, seq, running)
+		if a == nil {
+			return 0
+		}
+		return len(a.body.(protocol.Orders).Commands)
+	}
+	b.learnCancelled("n-1", []protocol.CancelledJob{{Job: "job-1", Revision: b.caught}, {Job: "job-9", Revision: 99}})
+	if stops(2) != 0 {
+		t.Fatal("stopped by a hint of what this node has read")
+	}
+	b.learnCancelled("n-1", []protocol.CancelledJob{{Job: "job-1", Revision: 50}})
+	if stops(3) != 1 {
+		t.Fatal("not stopped")
+	}
+	if j.cancelled || j.status().Status != protocol.JobRunning || b.dirty[j] {
+		t.Fatalf("a hint counts as a cancellation: %+v", j.status())
+	}
+	b.follow(nil, 50)
+	if stops(4) != 0 {
+		t.Fatal("stopped though the record does not say so")
+	}
+}
+
+// Where a machine is in doubt, or has not shown the holder's token, nothing is concluded or
+// started, but what is cancelled is stopped. (With a direct start unanswered when the state
+// service went down, the machine got no orders for as long as that lasted, and its lease
+// lived on.)
+func TestHaltsInDoubt(t *testing.T) {
+	for _, unfenced := range []bool{false, true} {
+		b := newBench(t)
+		j := b.job("job-1", true, onHost1)
+		token := uint64(7)
+		if b.machines["host-1"].doubt = []started{{"job-2/0", 1}}; unfenced {
+			token = 6
+		}
+		a := b.report(token, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning}, protocol.TaskReport{Task: "job-3/0", Attempt: 1, State: protocol.TaskRunning})
+		if a == nil || len(a.body.(protocol.Orders).Commands) != 1 || a.body.(protocol.Orders).Commands[0].Op != protocol.OpStop || a.body.(protocol.Orders).Commands[0].Task != "job-1/0" {
+			t.Errorf("unfenced %v: %+v", unfenced, a)
+		}
+		if j.tasks[0].fact != noFact {
+			t.Error("a report in doubt proved something")
+		}
+	}
+}
+
+// The change that records a rental is sent again when it was not answered. The first one,
+// executed long after, finds no key of that name if the machines were moved or returned
+// meanwhile, and so its condition holds. A machine stays where it was moved to, in whatever
+// order the two are read, and the holder mends the record.
+func TestLateRentalRecordDoesNotTakeAMovedMachineBack(t *testing.T) {
+	rental, moved := protocol.BatchKey("r-0-7-1-0"), protocol.BatchKey("m-1-9")
+	rec := protocol.MachineRecord{Name: "host-1", Type: "g4", Zone: "a"}
+	b := newBench(t)
+	b.put(moved, protocol.BatchRecord{Share: 1, Token: 9, Machines: []protocol.MachineRecord{rec}})
+	b.rev++
+	b.apply(storage.Item{Key: rental, Stamp: b.rev})
+	b.put(rental, protocol.BatchRecord{Machines: []protocol.MachineRecord{rec}})
+	where := func(n *Node, how string) {
+		if m := n.machines["host-1"]; m == nil || !m.known || m.rec.Share != 1 || n.token(m) != 9 {
+			t.Errorf("%s: %+v", how, m)
+		}
+	}
+	where(b.Node, "executed late")
+	if b.batches[rental].since.IsZero() {
+		t.Error("the record is not mended")
+	}
+	w := b.batches[rental].write(func(r *protocol.MachineRecord) bool { return b.machines[r.Name].batch == b.batches[rental] })
+	if w.Delete != rental {
+		t.Errorf("mended by %+v", w)
+	}
+	for _, order := range [][]string{{rental, moved}, {moved, rental}} {
+		fresh := newBench(t)
+		fresh.rev = 20
+		for _, key := range order {
+			r := protocol.BatchRecord{Machines: []protocol.MachineRecord{rec}}
+			if key == moved {
+				r.Share, r.Token = 1, 9
+			}
+			fresh.put(key, r)
+		}
+		where(fresh.Node, "read in the order "+order[0])
+	}
+}
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -82,6 +82,7 @@
 	cancelled bool
 	based     bool   // it has a record of its own
 	asked     bool   // cancelled, and nobody was told: something of it may be left
+	hinted    uint64 // the revision of a record that cancels it, as a sibling says; see cancels.go
 	claim     uint32 // of a job of the gateway; see sitejobs.go
 	next      uint64
 	tasks     []task
@@ -171,6 +172,7 @@
 	j.asked = r.Asked && !r.Cancelled
 	if (r.Cancelled || r.Asked || r.Failed) && !j.cancelled {
 		j.cancelled, j.facts.Cancelled = true, true
+		n.ending[j] = true
 		j.story.tell(time.Now(), map[bool]string{true: "to end: it or its ticket failed", false: "cancelled"}[j.failed])
 		n.log.Info("job is cancelled", "job", id, "placed", j.nPlaced, "failed", j.failed)
 		n.wakeMachines(j)
@@ -413,6 +415,7 @@
 	}
 	delete(n.jobs, id)
 	delete(n.dirty, j)
+	delete(n.ending, j)
 	n.unkeep(j)
 	if s := n.shares[j.share]; len(s.fresh) > 0 {
 		s.fresh = slices.DeleteFunc(s.fresh, func(o *job) bool { return o == j })
--- a/internal/coordination/node/lives_test.go
+++ b/internal/coordination/node/lives_test.go
@@ -14,10 +14,9 @@
 
 // restart ends a process and begins the next one after a while, perhaps none.
 func (w *world) restart(name string, after time.Duration) {
-	w.stop[name]()
-	w.set(func() { w.nodes[name] = nil })
+	w.end(name)
 	time.Sleep(after)
-	w.boot(name)
+	w.back(name)
 }
 
 // fastRestarts are processes that end at any time and are back after none to a second:
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -65,12 +65,13 @@
 	storing map[*storage.Committer]int // writes of jobs under way
 	rng     *rand.Rand
 
-	started  time.Time
-	contact  atomic.Int64 // when the last answered store call was sent, since started
-	followed uint64       // revision of the replica; read atomically by others
-	inbox    chan func()
-	wg       sync.WaitGroup
-	ctx      context.Context
+	started   time.Time
+	contact   atomic.Int64 // when the last answered store call was sent, since started
+	holdWatch atomic.Int64 // how long a watch waits for changes
+	followed  uint64       // revision of the replica; read atomically by others
+	inbox     chan func()
+	wg        sync.WaitGroup
+	ctx       context.Context
 
 	siblings map[string]*sibling
 	loaded   bool // the replica has been read once
@@ -86,7 +87,8 @@
 	teamOf   map[string]int
 	counter  uint64
 	nodes    map[string]time.Time // live nodes and since when
-	early    map[string]bool      // of those: of an earlier version of the records
+	older    map[string]bool      // of those: of an earlier version of the records
+	early    map[string]bool      // and of one that knows no entries
 	lease    uint64
 	types    map[string]*protocol.MachineType
 	catalog  catalog
@@ -104,9 +106,10 @@
 	lastTend    time.Time
 	lastSaid    time.Time
 	lastRelease time.Time
-	gate        *gate  // of jobs of the gateway; nil: none may run
-	tickets     desk   // render-farm tickets; see tickets.go
-	caught      uint64 // revision up to which the replica is complete
+	gate        *gate     // of jobs of the gateway; nil: none may run
+	tickets     desk      // render-farm tickets; see tickets.go
+	caught      uint64    // revision up to which the replica is complete
+	complete    time.Time // when it last was, at least
 	policy      Policy
 	metrics     *Metrics
 	endedJobs   []EndedJob
@@ -120,6 +123,8 @@
 	told      told                 // peers.go: what it tells of machines' caches
 	ordering  budgeted             // square.go: what is ordered under a budget
 	standing  standing             // standby.go: who stands by for whom
+	corrupt   map[string]uint64    // corrupt.go: stored values that are not understood, and their stamps
+	ending    map[*job]bool        // cancels.go: jobs that are being cancelled
 	askers    []asker              // cancels.go: users who wait for the end of what they cancel
 	spent     spends               // spending.go: where changes went
 	adoption  *duty.Adoption       // adopt.go: of machines without a record
@@ -243,7 +248,11 @@
 		policy:    DefaultPolicy(),
 		cloudside: cloudside{refusedTill: map[offer]time.Time{}, refusals: map[offer]int{}, renting: map[rental]int{}, strays: map[string]time.Time{}, returned: map[string]time.Time{}},
 	}
+	n.corrupt = map[string]uint64{}
+	n.ending = map[*job]bool{}
 	n.adoption, n.early = duty.NewAdoption(), map[string]bool{}
+	n.older = map[string]bool{}
+	n.holdWatch.Store(int64(watchHold))
 	n.packing = newPacking()
 	n.users.Spent, n.press.Spent, n.books.Spent = n.spent.add, n.spent.add, n.spent.add
 	n.eyes.cutAt = map[string]time.Time{}
@@ -386,6 +395,10 @@
 		return
 	}
 	n.tickAskers(now)
+	n.holdWatch.Store(int64(watchHold))
+	if !n.tellsLate() {
+		n.holdWatch.Store(int64(watchOften))
+	}
 	n.tickFormat(now)
 	n.tidy(now)
 	n.tickShares(now)
--- a/internal/coordination/node/peers.go
+++ b/internal/coordination/node/peers.go
@@ -34,7 +34,7 @@
 func (n *Node) Hint() []byte {
 	h := protocol.Hint{Node: n.cfg.Node, StateOK: n.sinceContact(time.Now()) < stateLost, Blind: n.eyes.blind.Load(), Changes: float32(n.rate.changes.Load()), Revision: atomic.LoadUint64(&n.followed), Caches: *n.told.caches.Load(), Life: n.lives.hinted.Load()}
 	if w := n.standing.told.Load(); w != nil {
-		h.Seq, h.Known, h.Refused = w.seq, w.known, w.refused
+		h.Seq, h.Known, h.Refused, h.Cancelled = w.seq, w.known, w.refused, w.cancelled
 	}
 	return h.Encode()
 }
@@ -155,16 +155,5 @@
 	if s.holder.Token == 0 || n.reaches(s.holder.Node, now) && !sib.blind || !n.mayAnswer(now) || r.Token > token {
 		return protocol.Orders{}, false
 	}
-	o := protocol.Orders{Token: token, Commands: []protocol.Command{}}
-	for i := range r.Tasks {
-		tr := &r.Tasks[i]
-		id, _, _ := protocol.ParseTaskID(tr.Task)
-		// With a gateway and no lease also what this node does not know: a replica that
-		// is behind does not know the newest jobs of the gateway.
-		j := n.jobs[id]
-		if (j != nil && (j.cancelled || n.closed(j, now)) || j == nil && n.SiteFrom != "" && n.shut(now)) && tr.State != protocol.TaskExited {
-			o.Commands = append(o.Commands, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt})
-		}
-	}
-	return o, true
+	return protocol.Orders{Token: token, Commands: n.halts(r, now)}, true
 }
--- a/internal/coordination/node/replica.go
+++ b/internal/coordination/node/replica.go
@@ -17,6 +17,13 @@
 	"dapplestage.example/dapplestage/internal/storage"
 )
 
+const (
+	// watchHold is how long a watch waits for changes, and watchOften the same where it
+	// matters when this node last knew all that was stored (mayAnswer).
+	watchHold  = 10 * time.Second
+	watchOften = time.Second
+)
+
 // watchPause bundles changes, so that a busy store costs few watch requests.
 const watchPause = 120 * time.Millisecond
 
@@ -26,23 +33,24 @@
 	fresh := true
 	for ctx.Err() == nil {
 		var err error
+		sent := time.Now()
 		if fresh {
 			var items []storage.Item
 			if items, since, err = n.store.List(ctx, protocol.Root); err == nil {
 				fresh = false
 				first := since
-				n.post(func() { n.reload(items, first) })
+				n.post(func() { n.reload(items, first); n.complete = later(n.complete, sent) })
 			}
 		} else {
 			var items []storage.Item
 			var epoch uint64
-			items, epoch, err = n.store.Watch(ctx, protocol.Root, since, 10*time.Second)
+			items, epoch, err = n.store.Watch(ctx, protocol.Root, since, time.Duration(n.holdWatch.Load()))
 			switch {
 			case errors.Is(err, storage.ErrCompacted):
 				fresh, err = true, nil
 			case err == nil:
 				since = epoch
-				n.post(func() { n.follow(items, epoch) })
+				n.post(func() { n.follow(items, epoch); n.complete = later(n.complete, sent) })
 			}
 		}
 		wait := watchPause
@@ -184,17 +192,28 @@
 	if it.Stamp <= n.ver[it.Key] {
 		return
 	}
+	was, had := n.ver[it.Key]
 	n.ver[it.Key] = it.Stamp
+	delete(n.corrupt, it.Key)
 	if it.Value == nil {
 		n.tombs[it.Key] = struct{}{}
 	}
 	n.replan = true
+	corrupt := false
 	read := func(v any) bool {
 		if it.Value == nil {
 			return false
 		}
-		if err := json.Unmarshal(it.Value, v); err != nil {
-			n.log.Error("stored value not understood", "key", it.Key, "why", err)
+		err := json.Unmarshal(it.Value, v)
+		if c, ok := v.(checked); ok && err == nil {
+			err = c.Check()
+		}
+		if err != nil {
+			if n.ver[it.Key] = was; !had {
+				delete(n.ver, it.Key)
+			}
+			n.corrupted(it, err)
+			corrupt = true
 			return false
 		}
 		return true
@@ -225,6 +244,7 @@
 		if chunk == 0 {
 			var r protocol.JobRecord
 			switch ok := read(&r); {
+			case corrupt:
 			case ok && r.Ticket != nil && r.Ticket.Base != nil:
 				n.setTicket(id, &r)
 			case ok && r.Spec != nil && n.endedByLog(r.Spec):
@@ -240,17 +260,21 @@
 		}
 		var c protocol.Chunk
 		ok := read(&c)
+		if corrupt {
+			return
+		}
 		n.setChunk(id, chunk, it.Key, c, ok)
 	case strings.HasPrefix(it.Key, protocol.MachineRoot):
 		var r protocol.BatchRecord
 		if read(&r) && r.Share >= 0 && r.Share < len(n.shares) {
 			n.setBatch(it.Key, r)
-		} else {
+		} else if !corrupt {
 			n.dropBatch(it.Key)
 		}
 	case strings.HasPrefix(it.Key, protocol.NodeRoot):
 		name := strings.TrimPrefix(it.Key, protocol.NodeRoot)
 		delete(n.early, name)
+		delete(n.older, name)
 		delete(n.packing.plain, name)
 		if it.Value == nil {
 			delete(n.nodes, name)
@@ -261,7 +285,13 @@
 			n.nodes[name] = time.Now()
 		}
 		var r protocol.NodeRecord
-		if read(&r); r.Version < protocol.RecordVersion {
+		if read(&r); corrupt {
+			r = protocol.NodeRecord{} // it lives, and what it understands is not known
+		}
+		if r.Version < protocol.RecordVersion {
+			n.older[name] = true
+		}
+		if r.Version < protocol.PackedVersion {
 			n.early[name] = true
 		}
 		if r.Plain {
@@ -273,14 +303,20 @@
 	case strings.HasPrefix(it.Key, protocol.InboxRoot):
 		n.setInbox(it)
 	case it.Key == protocol.FormatKey:
-		n.packing.format, n.packing.known = protocol.FormatRecord{}, it.Value != nil
-		read(&n.packing.format)
+		var f protocol.FormatRecord
+		if read(&f); !corrupt {
+			n.packing.format, n.packing.known = f, it.Value != nil
+		}
 	case it.Key == protocol.FenceKey:
-		read(&n.rentals)
+		var f protocol.FenceRecord
+		if read(&f) || !corrupt {
+			n.rentals = f
+		}
 	case it.Key == protocol.CatalogKey:
 		var r protocol.CatalogRecord
-		read(&r)
-		n.recallTypes(r.Types)
+		if read(&r); !corrupt {
+			n.recallTypes(r.Types)
+		}
 	case it.Key == protocol.DoubtKey(n.cfg.Node):
 		var d protocol.DoubtRecord
 		if read(&d) {
@@ -289,8 +325,9 @@
 	case strings.HasPrefix(it.Key, protocol.HolderRoot):
 		if s := n.shareOfKey(it.Key); s != nil {
 			var h protocol.HolderRecord
-			read(&h)
-			n.setHolder(s, h)
+			if read(&h); !corrupt {
+				n.setHolder(s, h)
+			}
 		}
 	}
 }
--- a/internal/coordination/node/shares.go
+++ b/internal/coordination/node/shares.go
@@ -168,7 +168,7 @@
 	n.askIfEnded(now)
 	held := n.heldShares()
 	for _, s := range n.shares {
-		if s.holder.Token != 0 || s.pending {
+		if s.holder.Token != 0 || s.pending || n.corruptShare(s) {
 			continue
 		}
 		if now.Sub(s.vacant) >= n.takeDelay(s, held, now) && n.mayTake(s, held, now) {
@@ -352,7 +352,9 @@
 		return
 	}
 	n.log.Info("moves planned", "machines", len(mv.Moves))
-	n.submit(&storage.Op{For: uint8(forMoves), Conds: []storage.Cond{n.cond(protocol.HolderKey(0))},
+	// On the condition of the plan before: an earlier plan that is executed late would hand
+	// over machines by what was wanted then.
+	n.submit(&storage.Op{For: uint8(forMoves), Conds: []storage.Cond{n.cond(protocol.HolderKey(0)), n.cond(protocol.MovesKey)},
 		Writes: []storage.Write{{Put: protocol.MovesKey, Value: mustJSON(mv)}}}, func(storage.Result) {})
 }
 
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -48,6 +48,23 @@
 	frozen  map[string]time.Time // until when a node stands still
 	filter  bool                 // connections between controllers are refused
 
+	// Troubles that meet others; see meetings_test.go.
+	lateWrites  float64              // part of transactions without an answer, executed 2 to 12 s later
+	lateReports float64              // part of reports of which a copy arrives again, 2 s to two leases later
+	held        float64              // part of direct commands held up for 2 to 12 s
+	mute        map[string]bool      // nodes that the state service does not answer at all
+	noPeers     map[string]bool      // nodes cut off from the other controllers
+	noWatch     map[string]bool      // nodes that the watch tells nothing
+	deafHosts   map[string]bool      // machines that hear nothing: their reports arrive
+	slow        time.Duration        // what the state service takes beyond what it usually does
+	unheard     map[string]bool      // "node host": of that machine the node hears nothing, nor it of the node
+	hung        map[string]time.Time // until when a machine stands still
+	quietly     bool                 // what is broken is only listed
+	complaints  []string
+	leftOut     string         // a guard that is left out: the tests of meetings find it
+	met         map[string]int // how often something took place
+	writes      map[string]int // transactions that a node has had answered
+
 	// size, if set, makes a fleet of many machines, controllers of little processor time,
 	// and counts their sockets and requests; see scaled_test.go.
 	size *fleetSize
@@ -92,7 +109,9 @@
 func newWorldAt(t *testing.T, ctx context.Context, seed uint64, size *fleetSize, shape func(cfg *protocol.Settings, f *standin.Fleet)) *world {
 	w := &world{size: size, t: t, rng: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 8)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
-		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, frozen: map[string]time.Time{}}
+		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, frozen: map[string]time.Time{},
+		mute: map[string]bool{}, noPeers: map[string]bool{}, noWatch: map[string]bool{}, deafHosts: map[string]bool{}, unheard: map[string]bool{}, hung: map[string]time.Time{},
+		met: map[string]int{}, writes: map[string]int{}}
 	w.ctx, w.classes = ctx, takenClasses
 	f := standin.NewFleet(ctx)
 	f.Types = []protocol.MachineType{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 192, CacheGB: 100, FetchGBPerS: 1, Price: 10, SpotPrice: 4, BootS: 5, Zones: []string{"a", "b"}}}
@@ -188,7 +207,7 @@
 			filter := w.filter
 			w.mu.Unlock()
 			switch {
-			case other == n || w.is(w.noNet, name) || w.is(w.noNet, n.cfg.Node):
+			case other == n || w.is(w.noNet, name) || w.is(w.noNet, n.cfg.Node) || w.is(w.noPeers, name) || w.is(w.noPeers, n.cfg.Node):
 			case other == nil || filter:
 				// Its host ends what was open, and refuses what is new.
 				if was[name] != nil {
@@ -235,11 +254,21 @@
 	}
 }
 
-func (w *world) crash(name string) {
-	w.stop[name]()
-	w.set(func() { w.nodes[name] = nil })
-	time.Sleep(3 * time.Second)
-	w.boot(name)
+func (w *world) crash(name string) { w.restart(name, 3*time.Second) }
+
+// end ends a process, if there is one.
+func (w *world) end(name string) {
+	w.set(func() {
+		w.stop[name]()
+		w.nodes[name] = nil
+	})
+}
+
+// back starts a process that has ended, unless somebody has.
+func (w *world) back(name string) {
+	if w.node(name) == nil {
+		w.boot(name)
+	}
 }
 
 func (w *world) node(name string) *Node {
@@ -305,9 +334,29 @@
 		<-ctx.Done()
 		return 0, protocol.Orders{}, "", errNoAnswer
 	}
+	w.standsStill(r.Machine)
+	if w.is(w.unheard, node+" "+r.Machine) {
+		<-ctx.Done()
+		return 0, protocol.Orders{}, "", errNoAnswer
+	}
 	time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
-	a, err := w.ask(ctx, node, func(n *Node, reply chan<- answer) { n.onReport(&r, time.Now(), reply) })
-	if err == nil && w.chance(&w.lossy) {
+	if w.chance(&w.lateReports) {
+		go w.again(node, r)
+	}
+	a, err := w.ask(ctx, node, func(n *Node, reply chan<- answer) {
+		if m := n.machines[r.Machine]; m != nil && m.known && w.leftOut == "tokens" {
+			r.Token = n.token(m)
+		}
+		n.onReport(&r, time.Now(), reply)
+	})
+	if err == nil {
+		w.took("reported to " + node)
+	}
+	if err == nil && a.status == 200 {
+		w.took("answered by " + node)
+	}
+	w.standsStill(r.Machine)
+	if err == nil && (w.chance(&w.lossy) || w.is(w.deafHosts, r.Machine)) {
 		<-ctx.Done()
 		return 0, protocol.Orders{}, "", errNoAnswer
 	}
@@ -324,6 +373,63 @@
 	return a.status, protocol.Orders{}, "", nil
 }
 
+// again delivers a copy of a report, long after.
+func (w *world) again(node string, r protocol.Report) {
+	lease := time.Duration(w.cfg[node].Params.Workers.LeaseS * float64(time.Second))
+	time.Sleep(w.between(2*time.Second, 2*lease))
+	w.ask(w.ctx, node, func(n *Node, reply chan<- answer) {
+		switch m := n.machines[r.Machine]; {
+		case m == nil:
+		case w.leftOut == "newest": // as if it were the newest
+			r.Session, r.Seq = m.session, m.seq+1
+		case r.Session < m.session:
+			w.took("report of an earlier session")
+		case r.Session == m.session && r.Seq < m.seq:
+			w.took("old report")
+		}
+		n.onReport(&r, time.Now(), reply)
+	})
+}
+
+// standsStill waits until a machine goes on.
+func (w *world) standsStill(machine string) {
+	w.mu.Lock()
+	until := w.hung[machine]
+	w.mu.Unlock()
+	if d := time.Until(until); d > 0 {
+		time.Sleep(d)
+	}
+}
+
+// complain tells that something is broken.
+func (w *world) complain(format string, a ...any) {
+	w.mu.Lock()
+	w.complaints = append(w.complaints, fmt.Sprintf(format, a...))
+	w.mu.Unlock()
+	if !w.quietly {
+		w.t.Errorf(format, a...)
+	}
+}
+
+// rngBetween is between for who has the lock.
+func (w *world) rngBetween(a, b time.Duration) time.Duration {
+	return a + time.Duration(w.rng.Int64N(int64(b-a)))
+}
+
+// took notes that something took place: a test of a meeting asserts that it did.
+func (w *world) took(what string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.met[what]++
+}
+
+// times is how often something took place.
+func (w *world) times(what string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.met[what]
+}
+
 // faultyWorkers are direct calls to workers as one node makes them: some are held
 // on their way and executed much later, some answers are lost.
 type faultyWorkers struct {
@@ -331,7 +437,7 @@
 	node string
 }
 
-func (f *faultyWorkers) Command(ctx context.Context, addr string, o protocol.Orders) (*protocol.Report, bool, error) {
+func (f *faultyWorkers) Command(ctx context.Context, addr string, o protocol.Orders) (r *protocol.Report, ok bool, err error) {
 	f.w.thaw(f.node)
 	defer f.w.thaw(f.node)
 	f.w.size.calls(f.node, o)
@@ -346,7 +452,32 @@
 		time.Sleep(2 * time.Second)
 		return nil, false, errNoAnswer
 	}
-	r, ok, err := f.w.fleet.Command(ctx, addr, o)
+	host, _, _ := strings.Cut(addr, ":")
+	f.w.mu.Lock()
+	still := time.Until(f.w.hung[host])
+	f.w.mu.Unlock()
+	switch held := f.w.chance(&f.w.held); {
+	case f.w.is(f.w.deafHosts, host), f.w.is(f.w.unheard, f.node+" "+host):
+		time.Sleep(2 * time.Second)
+		return nil, false, errNoAnswer
+	case held, still > 0:
+		before, _ := f.w.fleet.Inspect(ctx, addr)
+		if held {
+			still = max(still, f.w.between(2*time.Second, 12*time.Second))
+		}
+		if f.w.leftOut == "doubt" { // as if what is not answered were refused
+			defer func() { r, ok, err = before, false, nil }()
+		}
+		go func() { // the machine, or the command, goes on
+			time.Sleep(still)
+			if r, ok, _ := f.w.fleet.Command(f.w.ctx, addr, o); ok && r != nil && len(o.Commands) > 0 {
+				f.w.took("held command executed")
+			}
+		}()
+		time.Sleep(2 * time.Second)
+		return nil, false, errNoAnswer
+	}
+	r, ok, err = f.w.fleet.Command(ctx, addr, o)
 	if f.w.chance(&f.w.lossy) {
 		time.Sleep(2 * time.Second)
 		return nil, false, errNoAnswer // executed, but the answer is lost
@@ -358,7 +489,8 @@
 	f.w.thaw(f.node)
 	defer f.w.thaw(f.node)
 	time.Sleep(f.w.between(time.Millisecond, 5*time.Millisecond))
-	if f.w.is(f.w.noNet, f.node) || f.w.is(f.w.deaf, f.node) || f.w.chance(&f.w.lossy) {
+	host, _, _ := strings.Cut(addr, ":")
+	if f.w.is(f.w.noNet, f.node) || f.w.is(f.w.deaf, f.node) || f.w.is(f.w.deafHosts, host) || f.w.is(f.w.unheard, f.node+" "+host) || f.w.chance(&f.w.lossy) {
 		time.Sleep(2 * time.Second)
 		return nil, errNoAnswer
 	}
@@ -407,6 +539,9 @@
 	}
 	defer f.w.thaw(f.node)
 	f.w.size.returns(len(names))
+	if f.w.leftOut == "return" { // as if silence proved that a machine is gone
+		return nil
+	}
 	return f.CloudService.Return(ctx, names)
 }
 
@@ -422,9 +557,12 @@
 	if !f.w.size.requests(f.node) {
 		return storage.ErrRefused
 	}
-	time.Sleep(f.w.between(time.Millisecond, 8*time.Millisecond))
 	f.w.mu.Lock()
-	outage, refused, cut := f.w.outage, f.w.noState[f.node], f.w.noNet[f.node]
+	slow := f.w.slow
+	f.w.mu.Unlock()
+	time.Sleep(f.w.between(time.Millisecond, 8*time.Millisecond+slow))
+	f.w.mu.Lock()
+	outage, refused, cut := f.w.outage, f.w.noState[f.node], f.w.noNet[f.node] || f.w.mute[f.node]
 	f.w.mu.Unlock()
 	switch {
 	case ctx.Err() != nil:
@@ -468,14 +606,44 @@
 		}
 		return false, 0, nil, err
 	}
+	if f.w.chance(&f.w.lateWrites) {
+		sent := f.w.answered(f.node, 0)
+		go func() {
+			time.Sleep(f.w.between(2*time.Second, 12*time.Second))
+			newer := f.w.answered(f.node, 0) > sent
+			if f.w.leftOut == "conditions" {
+				conds = nil
+			}
+			ok, _, _, _ := f.w.state.Txn(f.w.ctx, conds, writes)
+			if newer && len(writes) > 0 {
+				f.w.took("write late")
+				if ok {
+					f.w.took("write late executed")
+				}
+			}
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		return false, 0, nil, storage.ErrUnknown
+	}
 	ok, rev, failed, err := f.w.state.Txn(ctx, conds, writes)
 	if f.w.chance(&f.w.lossy) {
 		time.Sleep(1500 * time.Millisecond)
 		return false, 0, nil, storage.ErrUnknown // executed, but the answer is lost
 	}
+	if len(writes) > 0 {
+		f.w.answered(f.node, 1)
+	}
 	return ok, rev, failed, err
 }
 
+// answered counts the transactions that a node has had answered.
+func (w *world) answered(node string, more int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writes[node] += more
+	return w.writes[node]
+}
+
 func (f *faultyState) Grant(ctx context.Context, life time.Duration) (uint64, error) {
 	defer f.w.thaw(f.node)
 	if err := f.meet(ctx); err != nil {
@@ -509,7 +677,7 @@
 	f.w.size.reads(f.node, len(items))
 	for err == nil { // an open watch waits during an outage
 		f.w.mu.Lock()
-		dark := f.w.outage || f.w.noState[f.node] || f.w.noNet[f.node]
+		dark := f.w.outage || f.w.noState[f.node] || f.w.noNet[f.node] || f.w.mute[f.node] || f.w.noWatch[f.node]
 		f.w.mu.Unlock()
 		if !dark || ctx.Err() != nil {
 			break
@@ -542,7 +710,7 @@
 		cancel()
 		u.accepted = err == nil && (a.status == 200 || a.status == 201)
 		if err == nil && (a.status == 400 || a.status == 422) {
-			w.t.Errorf("%s refused with %d", u.spec.ID, a.status)
+			w.complain("%s refused with %d", u.spec.ID, a.status)
 			return
 		}
 		if w.ctx.Err() != nil {
@@ -559,7 +727,7 @@
 			if err == nil && a.status == 200 {
 				u.told(a.body.(protocol.JobStatus).Status, asked)
 			} else if err == nil && a.status == 404 {
-				w.t.Errorf("%s forgotten at its cancellation", u.spec.ID)
+				w.complain("%s forgotten at its cancellation", u.spec.ID)
 			}
 		}
 		a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { n.onPoll(u.spec.ID, reply) })
@@ -569,7 +737,7 @@
 			case 200:
 				u.told(a.body.(protocol.JobStatus).Status, asked)
 			case 404:
-				w.t.Errorf("%s forgotten", u.spec.ID)
+				w.complain("%s forgotten", u.spec.ID)
 			}
 		}
 		time.Sleep(w.size.pollPause(w.between(time.Second, 3*time.Second)))
@@ -584,20 +752,30 @@
 }
 
 func (u *user) told(status string, asked bool) {
+	var wrong []string
+	defer func() {
+		for _, x := range wrong {
+			u.w.complain("%s", x)
+		}
+	}()
 	u.w.mu.Lock()
 	defer u.w.mu.Unlock()
+	u.w.met["asked"]++
 	if u.final != "" && status != u.final {
-		u.w.t.Errorf("%s went back from %s to %s", u.spec.ID, u.final, status)
+		wrong = append(wrong, fmt.Sprintf("%s went back from %s to %s", u.spec.ID, u.final, status))
 	}
 	switch status {
 	case protocol.JobDone:
+		if n, of := u.w.fleet.Finished(u.spec.ID), u.spec.Tasks; u.final == "" && n < of && (u.spec.Shape != protocol.Gang || n == 0) {
+			wrong = append(wrong, fmt.Sprintf("%s is called done with %d of %d tasks completed", u.spec.ID, n, of))
+		}
 		u.final = status
 	case protocol.JobCancelled:
 		if !asked {
-			u.w.t.Errorf("%s is called cancelled, but nobody asked", u.spec.ID)
+			wrong = append(wrong, fmt.Sprintf("%s is called cancelled, but nobody asked", u.spec.ID))
 		}
-		if left := u.w.fleet.Left(u.spec.ID); u.final == "" && left > 0 && u.w.classes == nil {
-			u.w.t.Errorf("%s is called cancelled with %d tasks left", u.spec.ID, left)
+		if left := u.w.fleet.Left(u.spec.ID); u.final == "" && left > 0 {
+			wrong = append(wrong, fmt.Sprintf("%s is called cancelled with %d tasks left", u.spec.ID, left))
 		}
 		u.final = status
 		u.w.fleet.Cancelled(u.spec.ID)
@@ -674,10 +852,10 @@
 	}
 	faults(w)
 	w.set(func() {
-		w.outage, w.lossy, w.late = false, 0, 0
-		clear(w.noState)
-		clear(w.noNet)
-		clear(w.deaf)
+		w.outage, w.lossy, w.late, w.lateWrites, w.lateReports, w.held, w.slow = false, 0, 0, 0, 0, 0, 0
+		for _, m := range []map[string]bool{w.noState, w.noNet, w.deaf, w.mute, w.noPeers, w.noWatch, w.deafHosts, w.unheard} {
+			clear(m)
+		}
 	})
 	deadline := time.Now().Add(6 * time.Minute)
 	for time.Now().Before(deadline) {
@@ -695,14 +873,14 @@
 	}
 	for _, u := range us {
 		if u.ended() == "" {
-			w.t.Errorf("%s (%s, %d tasks) never ended: %s", u.spec.ID, u.spec.Shape, u.spec.Tasks, w.about(u.spec.ID))
+			w.complain("%s (%s, %d tasks) never ended: %s", u.spec.ID, u.spec.Shape, u.spec.Tasks, w.about(u.spec.ID))
 		}
 	}
 	for _, b := range w.fleet.Broken {
-		w.t.Errorf("rule broken: %s", b)
+		w.complain("rule broken: %s", b)
 	}
 	if w.fleet.Started == 0 || checkedPlacings.Load() == 0 {
-		w.t.Errorf("%d tasks started, %d decisions checked", w.fleet.Started, checkedPlacings.Load())
+		w.complain("%d tasks started, %d decisions checked", w.fleet.Started, checkedPlacings.Load())
 	}
 	for _, stop := range w.stop {
 		stop()
@@ -800,8 +978,8 @@
 // submit submits a job until it is accepted.
 func (w *world) submit(s *protocol.JobSpec) {
 	w.fleet.Submitted(s)
-	for range 60 {
-		a, err := w.ask(w.ctx, w.names[0], func(n *Node, reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
+	for k := range 60 {
+		a, err := w.ask(w.ctx, w.names[k%3], func(n *Node, reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
 		if err == nil && a.status < 300 {
 			return
 		}
--- a/internal/coordination/node/standby.go
+++ b/internal/coordination/node/standby.go
@@ -32,6 +32,9 @@
 	seq     uint64
 	known   []protocol.Known
 	refused []protocol.RefusedOffer
+	// Jobs that are being cancelled: a holder that can't read that in the state service
+	// stops their tasks.
+	cancelled []protocol.CancelledJob
 }
 
 // taking is how the present holder came to a share, and when it first decided.
@@ -63,6 +66,7 @@
 			w.known = append(w.known, protocol.Known{Machine: m.name, SecPerGB: m.secPerGB, AgeS: now.Sub(m.reported).Seconds()})
 		}
 	}
+	w.cancelled = n.tellCancelled()
 	for o, till := range n.cloudside.refusedTill {
 		if d := till.Sub(now); d > 0 {
 			w.refused = append(w.refused, protocol.RefusedOffer{Type: o.Type, Zone: o.Zone, Spot: o.Spot, ForS: d.Seconds()})
@@ -103,6 +107,7 @@
 		}
 		m.toldAt = now
 	}
+	n.learnCancelled(name, h.Cancelled)
 	s.offers = s.offers[:0]
 	for _, r := range h.Refused {
 		if r.ForS > 0 && r.ForS <= mostRefusedS {
--- a/internal/coordination/node/ticketapi.go
+++ b/internal/coordination/node/ticketapi.go
@@ -162,7 +162,7 @@
 		Conds: []storage.Cond{{Key: protocol.JobKey(a.ID)}, {Key: protocol.FinalKey(a.ID)}},
 		Writes: []storage.Write{
 			{Put: protocol.TicketKey(a.ID), Value: mustJSON(packedTicket{a.Packed})},
-			{Put: protocol.JobKey(a.ID), Value: mustJSON(t.head(rec, false))}}}
+			{Put: protocol.JobKey(a.ID), Value: mustJSON(t.head(rec))}}}
 	d := ticket.Decide(rec, false, make([]ticket.StepNow, len(rec.Steps)), n.tickets.most)
 	n.openSteps(rec, t.steps, d.Open, now, op)
 	n.forUser(op, reply, func(r storage.Result) {
@@ -196,8 +196,15 @@
 		reply <- answer{status: 200, body: protocol.JobStatus{ID: t.id, Status: protocol.JobFailed}}
 		return
 	}
+	if t.asked {
+		n.awaitEnd(t.id, n.openJobs(t), tries, reply)
+		return
+	}
 	head := protocol.JobKey(t.id)
-	op := &storage.Op{Conds: []storage.Cond{n.cond(head)}, Writes: []storage.Write{{Put: head, Value: mustJSON(t.head(t.rec, true))}}}
+	late := n.tellsLate()
+	rec := t.head(t.rec)
+	rec.Cancelled, rec.Asked = !late, late
+	op := &storage.Op{Conds: []storage.Cond{n.cond(head)}, Writes: []storage.Write{{Put: head, Value: mustJSON(rec)}}}
 	for _, j := range n.openJobs(t) {
 		n.stopStep(j, op, func(r *protocol.JobRecord) { r.Cancelled = true })
 	}
@@ -211,6 +218,10 @@
 			for _, w := range op.Writes {
 				n.learn(w, r.Epoch)
 			}
+			if late && n.tickets.byID[id] == t {
+				n.awaitEnd(id, n.openJobs(t), tries, reply)
+				return
+			}
 			reply <- answer{status: 200, body: protocol.JobStatus{ID: id, Status: protocol.JobCancelled}}
 		case r.Err == nil && tries > 0:
 			n.resync(append(r.Failed, protocol.FinalKey(id)), func(_ []storage.Item, err error) {
@@ -238,7 +249,7 @@
 	switch {
 	case t.rec.Failing != "":
 		s.Status = protocol.JobFailed
-	case t.cancelled:
+	case t.cancelled && !t.asked:
 		s.Status = protocol.JobCancelled
 	case s.Running > 0:
 		s.Status = protocol.JobRunning
--- a/internal/coordination/node/tickets.go
+++ b/internal/coordination/node/tickets.go
@@ -41,6 +41,7 @@
 	share     int
 	submitted time.Time
 	cancelled bool
+	asked     bool      // cancelled, and nobody was told: something of it may be left
 	steps     []string  // the ids of its steps' jobs
 	busy      bool      // a change of it is being stored
 	quiet     bool      // no change of its jobs begins: they are about to be stopped
@@ -89,7 +90,7 @@
 	if r.Ticket.Failing != "" && t.rec != nil && t.rec.Failing == "" {
 		n.log.Info("ticket fails", "ticket", id, "name", r.Ticket.Name, "why", r.Ticket.Failing)
 	}
-	t.rec, t.cancelled = r.Ticket, r.Cancelled
+	t.rec, t.cancelled, t.asked = r.Ticket, r.Cancelled || r.Asked, r.Asked && !r.Cancelled
 	n.ticketChanged(id)
 }
 
@@ -97,14 +98,15 @@
 func (n *Node) dropTicket(id string) {
 	if t := n.tickets.byID[id]; t != nil {
 		n.noteTicketEnd(t)
+		defer n.tellAskers(id)
 	}
 	delete(n.tickets.byID, id)
 	delete(n.tickets.dirty, id)
 }
 
 // head is a ticket's record as it is stored.
-func (t *openTicket) head(rec *protocol.TicketRecord, cancelled bool) protocol.JobRecord {
-	return protocol.JobRecord{Ticket: rec, SubmittedMS: t.submitted.UnixMilli(), Cancelled: cancelled, Next: 1}
+func (t *openTicket) head(rec *protocol.TicketRecord) protocol.JobRecord {
+	return protocol.JobRecord{Ticket: rec, SubmittedMS: t.submitted.UnixMilli(), Cancelled: t.cancelled && !t.asked, Asked: t.asked, Next: 1}
 }
 
 // now is how the steps of a ticket are. without, if not nil, is a job whose end is
@@ -178,7 +180,7 @@
 	}
 	switch {
 	case d.Fail != "":
-		put(head, t.head(ticket.Failing(t.rec, d.Fail), t.cancelled))
+		put(head, t.head(ticket.Failing(t.rec, d.Fail)))
 		for _, j := range n.openJobs(t) {
 			n.stopStep(j, op, func(r *protocol.JobRecord) { r.Failed = true })
 		}
@@ -264,7 +266,7 @@
 	case d.Over != "":
 		op.Writes = append(op.Writes, n.ticketEnds(t, rec, d.Over)...)
 	default:
-		op.Writes = append(op.Writes, storage.Write{Put: protocol.JobKey(t.id), Value: mustJSON(t.head(rec, t.cancelled))})
+		op.Writes = append(op.Writes, storage.Write{Put: protocol.JobKey(t.id), Value: mustJSON(t.head(rec))})
 		n.openSteps(rec, t.steps, d.Open, time.Now(), op)
 	}
 	t.busy, j.ending = true, true
@@ -273,6 +275,9 @@
 
 // quieted says whether no change of a job may begin now.
 func (n *Node) quieted(j *job) bool {
+	if n.corruptJob(j) {
+		return true
+	}
 	if j.step == nil {
 		return false
 	}
--- a/internal/coordination/node/tickets_test.go
+++ b/internal/coordination/node/tickets_test.go
@@ -181,7 +181,11 @@
 		u.final = status
 		if status == protocol.JobCancelled {
 			for i := range u.adm.Record.Steps {
-				u.w.fleet.Cancelled(ticket.StepSpec(u.adm.Record, i).ID)
+				step := ticket.StepSpec(u.adm.Record, i).ID
+				if left := u.w.fleet.Left(step); left > 0 {
+					u.w.t.Errorf("%s is called cancelled with %d tasks of %s left", u.id, left, step)
+				}
+				u.w.fleet.Cancelled(step)
 			}
 		}
 	}
--- a/internal/coordination/node/users.go
+++ b/internal/coordination/node/users.go
@@ -434,7 +434,7 @@
 			reply <- answer{status: 404, body: errorBody{"no such job"}}
 		case n.gateways(id):
 			reply <- askGateway
-		case s.Status == protocol.JobDone || s.Status == protocol.JobCancelled:
+		case s.Status == protocol.JobDone || s.Status == protocol.JobCancelled || s.Status == protocol.JobFailed:
 			reply <- answer{status: 200, body: protocol.JobStatus{ID: id, Status: s.Status}}
 		case n.tickets.byID[id] != nil:
 			n.cancelTicket(n.tickets.byID[id], tries, reply)
@@ -454,7 +454,7 @@
 // ended with their leases after 47 s.)
 func (n *Node) cancel(j *job, tries int, reply chan<- answer) {
 	if j.asked {
-		n.awaitEnd(j, tries, reply)
+		n.awaitEnd(j.id, []*job{j}, tries, reply)
 		return
 	}
 	rec := n.storedHead(j)
@@ -475,7 +475,7 @@
 				n.learn(w, r.Epoch)
 			}
 			if late && n.jobs[j.id] == j {
-				n.awaitEnd(j, tries, reply)
+				n.awaitEnd(j.id, []*job{j}, tries, reply)
 				return
 			}
 			reply <- answer{status: 200, body: protocol.JobStatus{ID: j.id, Status: protocol.JobCancelled}}
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -91,6 +91,16 @@
 
 func (n *Node) setMachine(b *batch, r protocol.MachineRecord) {
 	m := n.machine(r.Name)
+	if m.known && m.batch != b && r.Token < m.rec.Token {
+		// A rental's change that was executed long after it was sent, when its answer was
+		// lost, the change tried again and the machine moved meanwhile. It was moved: the
+		// higher token tells, in whatever order the two are read. The batch is mended by
+		// its holder.
+		n.log.Warn("a record of a machine is older than its move, and is dropped", "machine", r.Name, "batch", b.key, "moved_in", m.batch.key)
+		n.metrics.refused.WithLabelValues("old_record").Inc()
+		b.changed(time.Now())
+		return
+	}
 	m.batch = b
 	n.touch(m)
 	if m.known && (m.rec.Share != r.Share || m.rec.Token != r.Token) {
@@ -147,14 +157,16 @@
 // mayAnswer says whether leases may still be extended. Without the store a cancellation
 // may be missed. If users are told of one only when nothing of the job is left, that is
 // no harm; else the last answer must be early enough for the lease to end within cancel_s
-// of it.
+// of it. That counts from when this node last knew all that was stored, not from its last
+// answered call: with the watch silent for seconds before an outage, and other calls
+// answered, it missed what had been told meanwhile (TestGap).
 func (n *Node) mayAnswer(now time.Time) bool {
 	if n.tellsLate() {
 		return true
 	}
 	w := n.cfg.Params.Workers
 	limit := (w.CancelS-w.LeaseS)*0.99 - 2
-	return n.sinceContact(now).Seconds() < limit
+	return now.Sub(n.complete).Seconds() < limit
 }
 
 // onReport answers a worker's report. It calls reply exactly once, perhaps later.
@@ -195,7 +207,7 @@
 	}
 	m.reported = now
 	if !m.fenced || m.inDoubt(r) {
-		reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: []protocol.Command{}}}
+		reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: n.halts(r, now)}}
 		return
 	}
 	cmds := n.orders(m, r, now)
@@ -205,6 +217,25 @@
 	reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: cmds}}
 }
 
+// halts stop what a report lists and nobody wants any more. They are safe in every answer,
+// also where nothing else may be ordered or concluded: a halt names an attempt of a job that
+// is over, or that may not run here, whoever holds the share. (With a machine in doubt for
+// as long as the state service was down, what was cancelled ran on all that time.)
+func (n *Node) halts(r *protocol.Report, now time.Time) []protocol.Command {
+	cmds := []protocol.Command{}
+	for i := range r.Tasks {
+		tr := &r.Tasks[i]
+		id, _, _ := protocol.ParseTaskID(tr.Task)
+		// With a gateway and no lease also what this node does not know: a replica that
+		// is behind does not know the newest jobs of the gateway.
+		j := n.jobs[id]
+		if (j != nil && (j.cancelled || n.hinted(j) || n.closed(j, now)) || j == nil && n.SiteFrom != "" && n.shut(now)) && tr.State != protocol.TaskExited {
+			cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt})
+		}
+	}
+	return cmds
+}
+
 // hear takes in a report's frame; false if a newer one was heard already.
 func (n *Node) hear(m *machine, r *protocol.Report, token uint64, now time.Time) bool {
 	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
@@ -264,9 +295,9 @@
 		}
 		listed[taskKey{j, num}] = true
 		n.observe(m, j, num, tr, now)
-		if tr.State != protocol.TaskExited && n.unwanted(j, t) && (tr.State != protocol.TaskSaving || j.cancelled || n.closed(j, now)) {
+		if tr.State != protocol.TaskExited && n.unwanted(j, t) && (tr.State != protocol.TaskSaving || j.cancelled || n.hinted(j) || n.closed(j, now)) {
 			grace := t.graceS
-			if j.cancelled || n.closed(j, now) {
+			if j.cancelled || n.hinted(j) || n.closed(j, now) {
 				grace = 0
 			}
 			cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: tr.Task, Attempt: tr.Attempt, GraceS: grace})
@@ -316,7 +347,7 @@
 
 // unwanted says whether a placed task is to leave its machine.
 func (n *Node) unwanted(j *job, t *task) bool {
-	return j.cancelled || j.abandon || t.stop || j.claim > 0 && n.closed(j, time.Now())
+	return j.cancelled || n.hinted(j) || j.abandon || t.stop || j.claim > 0 && n.closed(j, time.Now())
 }
 
 // observe learns from one listed task of ours.
--- a/internal/coordination/packed/packed.go
+++ b/internal/coordination/packed/packed.go
@@ -33,17 +33,8 @@
 	if e.Version > protocol.EntryVersion {
 		return nil, fmt.Errorf("entry of version %d: %w", e.Version, ErrNewer)
 	}
-	for _, p := range e.Parts {
-		for _, r := range p.Placed {
-			if r[3] >= uint64(len(e.Machines)) || r[0] > r[1] {
-				return nil, fmt.Errorf("job %s: run %v of %d machines", p.Job, r, len(e.Machines))
-			}
-		}
-	}
-	for i, a := range e.Jobs {
-		if a.Spec == nil {
-			return nil, fmt.Errorf("job %d of the entry has no submission", i)
-		}
+	if err := e.Check(); err != nil {
+		return nil, err
 	}
 	return e, nil
 }
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -25,6 +25,14 @@
 	Seq      uint64 // of this hint in that life
 	Known    []Known
 	Refused  []RefusedOffer
+	// Cancelled are some of the jobs that are being cancelled.
+	Cancelled []CancelledJob
+}
+
+// CancelledJob is a job that is being cancelled, and the revision of the record that says so.
+type CancelledJob struct {
+	Job      string
+	Revision uint64
 }
 
 // Known is what a holder has learned of a machine and the state service does not know.
@@ -101,6 +109,15 @@
 		peerfb.RefusedAddForS(b, float32(r.ForS))
 		refused = append(refused, peerfb.RefusedEnd(b))
 	}
+	var cancelled []flatbuffers.UOffsetT
+	for _, c := range h.Cancelled {
+		job := b.CreateString(c.Job)
+		peerfb.CancelledStart(b)
+		peerfb.CancelledAddJob(b, job)
+		peerfb.CancelledAddRevision(b, c.Revision)
+		cancelled = append(cancelled, peerfb.CancelledEnd(b))
+	}
+	cancelledVec := b.CreateVectorOfTables(cancelled)
 	knownVec, refusedVec := b.CreateVectorOfTables(known), b.CreateVectorOfTables(refused)
 	imageVec := b.CreateVectorOfTables(images)
 	cacheVec := b.CreateVectorOfTables(caches)
@@ -116,6 +133,7 @@
 	peerfb.HintAddSeq(b, h.Seq)
 	peerfb.HintAddKnown(b, knownVec)
 	peerfb.HintAddRefused(b, refusedVec)
+	peerfb.HintAddCancelled(b, cancelledVec)
 	b.Finish(peerfb.HintEnd(b))
 	return b.FinishedBytes()
 }
@@ -161,5 +179,10 @@
 		f.Refused(&r, i)
 		h.Refused = append(h.Refused, RefusedOffer{string(r.Type()), string(r.Zone()), r.Spot(), float64(r.ForS())})
 	}
+	var x peerfb.Cancelled
+	for i := range min(f.CancelledLength(), len(data)) {
+		f.Cancelled(&x, i)
+		h.Cancelled = append(h.Cancelled, CancelledJob{string(x.Job()), x.Revision()})
+	}
 	return h, nil
 }
--- a/internal/protocol/peerfb/Hint.go
+++ b/internal/protocol/peerfb/Hint.go
@@ -193,8 +193,28 @@
 	return 0
 }
 
+func (rcv *Hint) Cancelled(obj *Cancelled, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Hint) CancelledLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func HintStart(builder *flatbuffers.Builder) {
-	builder.StartObject(11)
+	builder.StartObject(12)
 }
 func HintAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -241,6 +261,12 @@
 func HintStartRefusedVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func HintAddCancelled(builder *flatbuffers.Builder, cancelled flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(cancelled), 0)
+}
+func HintStartCancelledVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func HintEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -1,6 +1,9 @@
 package protocol
 
-import "strconv"
+import (
+	"fmt"
+	"strconv"
+)
 
 // Keys in the state service. Everything under Root is watched by every node;
 // what is final moves to FinalKey, so that the watched part stays small.
@@ -252,8 +255,11 @@
 
 // RecordVersion is the version of the records of this release: 1 records rentals under
 // the fence, and tells that a job is cancelled only when nothing of it is left; 2 reads
-// and writes entries.
-const RecordVersion = 2
+// and writes entries; 3 tells that a ticket is cancelled only when nothing of it is left.
+const RecordVersion = 3
+
+// PackedVersion is the first version that reads and writes entries.
+const PackedVersion = 2
 
 // CatalogRecord is the cloud's catalogue as a node last read it: who starts while the cloud
 // does not answer knows the types of the machines that run.
@@ -281,3 +287,78 @@
 	Spare   bool   `json:"s,omitempty"`
 	Rank    int    `json:"r,omitempty"` // of the job that it is for: only less urgent work makes way
 }
+
+// Check says what of a chunk can't be true.
+func (c *Chunk) Check() error {
+	for _, d := range c.Done {
+		if d[0] < 0 || d[0] > d[1] || d[1] >= MaxTasks {
+			return fmt.Errorf("done tasks %v", d)
+		}
+	}
+	for _, p := range c.Placed {
+		if p.Task < 0 || p.Task >= MaxTasks || p.Machine == "" {
+			return fmt.Errorf("task %d on %q", p.Task, p.Machine)
+		}
+	}
+	for _, e := range c.Errors {
+		if e[0] < 0 || e[0] >= MaxTasks || e[1] < 0 {
+			return fmt.Errorf("errors %v", e)
+		}
+	}
+	return nil
+}
+
+// Check says what of a job's head can't be true. A head of neither a job nor a ticket that
+// this release knows is left alone.
+func (r *JobRecord) Check() error {
+	if s := r.Spec; s != nil && (s.Tasks < 1 || s.Tasks > MaxTasks || s.CPUs < 0 || s.GPUs < 0) {
+		return fmt.Errorf("a job of %d tasks of %v CPUs and %v GPUs", s.Tasks, s.CPUs, s.GPUs)
+	}
+	if t := r.Ticket; t != nil && t.Base != nil {
+		for _, st := range t.Steps {
+			if st.Tasks < 1 || st.Tasks > MaxTasks {
+				return fmt.Errorf("step %s of %d tasks", st.Name, st.Tasks)
+			}
+			for _, d := range st.Deps {
+				if d < 0 || d >= len(t.Steps) {
+					return fmt.Errorf("step %s depends on step %d of %d", st.Name, d, len(t.Steps))
+				}
+			}
+		}
+	}
+	return r.Chunk.Check()
+}
+
+// Check says what of a batch can't be true.
+func (r *BatchRecord) Check() error {
+	for _, m := range r.Machines {
+		if m.Name == "" || m.Type == "" {
+			return fmt.Errorf("a machine %q of type %q", m.Name, m.Type)
+		}
+	}
+	return nil
+}
+
+// Check says what of an entry can't be true.
+func (e *Entry) Check() error {
+	for _, p := range e.Parts {
+		for _, r := range p.Placed {
+			if r[3] >= uint64(len(e.Machines)) || r[0] > r[1] || r[1] >= MaxTasks {
+				return fmt.Errorf("job %s: run %v of %d machines", p.Job, r, len(e.Machines))
+			}
+		}
+		for _, ranges := range [][][2]int{p.Gone, p.Done} {
+			for _, r := range ranges {
+				if r[0] < 0 || r[0] > r[1] || r[1] >= MaxTasks {
+					return fmt.Errorf("job %s: tasks %v", p.Job, r)
+				}
+			}
+		}
+	}
+	for i, a := range e.Jobs {
+		if a.Spec == nil || a.Spec.Tasks < 1 || a.Spec.Tasks > MaxTasks {
+			return fmt.Errorf("job %d of the entry has no submission that can be", i)
+		}
+	}
+	return nil
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -30,6 +30,13 @@
 	Slow func() time.Duration
 	// Fetch is what an image takes; 0: fetchTime.
 	Fetch time.Duration
+	// Takes, if set, is how long a task runs; else it is what its job estimates.
+	Takes func(job *protocol.JobSpec, task int) time.Duration
+	// ToldLate says that users are told that a job is cancelled when nothing of it is left:
+	// then nothing of it may be started after, however soon.
+	ToldLate bool
+	// IgnoreTokens leaves out that workers refuse lower tokens, for tests of tests.
+	IgnoreTokens bool
 	// Fails, if set, says whether a task that failed so often fails once more.
 	Fails func(job *protocol.JobSpec, task, errors int) bool
 	// Taken, if set, says whether the machine on which a task starts for the first time
@@ -55,6 +62,8 @@
 	errors    map[string]int // by task
 	began     map[string]bool
 	stalled   map[string]bool // jobs
+	finished  map[string]int  // tasks that completed, by job
+	complete  map[string]bool // those tasks
 	Started   int
 	Stopped   int // running tasks that were told to stop
 	Expired   int // tasks that ended with their worker's lease
@@ -97,7 +106,7 @@
 
 // NewFleet makes a fleet that lives until ctx ends.
 func NewFleet(ctx context.Context) *Fleet {
-	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, at: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}}
+	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, at: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}, finished: map[string]int{}, complete: map[string]bool{}}
 }
 
 // Submitted tells the workers of a job, as users do.
@@ -136,6 +145,22 @@
 	return false
 }
 
+// Busy says whether anything runs on a machine.
+func (f *Fleet) Busy(machine string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[machine]
+	if m == nil {
+		return false
+	}
+	for _, p := range m.tasks {
+		if p.state == protocol.TaskRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // Running is how many tasks run.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
@@ -356,7 +381,7 @@
 		return nil, false, storage.ErrUnknown
 	}
 	m.expire()
-	ok := o.Token >= m.token && o.Session == m.session
+	ok := (o.Token >= m.token || f.IgnoreTokens) && o.Session == m.session
 	if ok {
 		if o.Token > m.token {
 			m.token = o.Token
@@ -484,7 +509,7 @@
 		switch {
 		case err == nil && !late && status == 200:
 			m.f.mu.Lock()
-			if r.Session == m.session && o.Token >= m.token && !m.gone {
+			if r.Session == m.session && (o.Token >= m.token || m.f.IgnoreTokens) && !m.gone {
 				if o.Token > m.token {
 					m.token = o.Token
 					m.changed()
@@ -546,8 +571,12 @@
 				if at, ok := m.f.cancelled[p.job.ID]; ok && time.Since(at).Seconds() > m.f.Workers.CancelS {
 					m.f.broken("ran_cancelled %s", id)
 				}
-				if p.job.Shape != protocol.Service && p.ran.Seconds() >= p.job.EstimateS {
+				if p.job.Shape != protocol.Service && p.ran >= m.f.takes(p) {
 					m.ended("done", id, p, time.Now())
+					if !m.f.complete[id] {
+						m.f.complete[id] = true
+						m.f.finished[p.job.ID]++
+					}
 					p.state, p.cause = protocol.TaskExited, protocol.CauseDone
 					m.changed()
 				}
@@ -557,6 +586,24 @@
 	}
 }
 
+// takes is how long a task runs. One that completed before exits as soon as it has its image.
+func (f *Fleet) takes(p *proc) time.Duration {
+	switch id := protocol.TaskID(p.job.ID, p.num); {
+	case f.complete[id]:
+		return 0
+	case f.Takes != nil:
+		return f.Takes(p.job, p.num)
+	}
+	return time.Duration(p.job.EstimateS * float64(time.Second))
+}
+
+// Finished is how many tasks of a job have completed.
+func (f *Fleet) Finished(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.finished[job]
+}
+
 // begin is when a task counts as on its machine: the rules are checked.
 func (m *Machine) begin(id string, p *proc) {
 	f := m.f
@@ -657,6 +704,8 @@
 			job := m.f.jobs[id]
 			switch {
 			case p != nil && p.attempt == c.Attempt || job == nil:
+			case m.f.ToldLate && !m.f.cancelled[id].IsZero():
+				m.f.broken("started_cancelled %s on %s", c.Task, m.info.ID)
 			case p != nil && p.state != protocol.TaskExited:
 				m.f.broken("in_use %s on %s", c.Task, m.info.ID)
 			case !m.fits(job):
