--- a/internal/coordination/node/gap_test.go
+++ b/internal/coordination/node/gap_test.go
@@ -53,7 +53,7 @@
 			w.set(func() { w.noNet[w.names[g.nodes+i]] = true })
 		}
 		time.Sleep(20 * time.Second)
-		leader := onActor(w.node("n-0"), func() string { return n0holder(w) })
+		leader := w.leader(0)
 		others := []string{}
 		for _, name := range w.names[:g.nodes] {
 			if name != leader {
@@ -73,6 +73,7 @@
 				}
 			}
 		}
+		var mu sync.Mutex // guards what follows, and done
 		var outageFrom, outageTill time.Time
 		lose := func(is bool) {
 			w.set(func() {
@@ -85,6 +86,8 @@
 		}
 		down := func(is bool) {
 			w.set(func() { w.outage = is })
+			mu.Lock()
+			defer mu.Unlock()
 			if is {
 				outageFrom = time.Now()
 			} else {
@@ -98,7 +101,6 @@
 		}
 		lost := time.Now()
 		var wg sync.WaitGroup
-		var mu sync.Mutex
 		for i := range 10 {
 			wg.Go(func() {
 				id := fmt.Sprintf("job-%06d", i)
@@ -163,9 +165,6 @@
 	return done
 }
 
-// n0holder is who holds the first share, as n-0 knows. Called on its actor.
-func n0holder(w *world) string { return w.nodes["n-0"].shares[0].holder.Node }
-
 // The state service refuses the leader alone, another controller confirms cancellations,
 // then it is down for all for longer than cancel_s, while workers go on reporting to the old
 // leader: the tasks of those jobs are gone within cancel_s all the same. The ways differ in
