--- a/internal/coordination/node/meetings_test.go
+++ b/internal/coordination/node/meetings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,13 +124,15 @@
 				w.submit(&protocol.JobSpec{ID: fmt.Sprintf("job-92%02d%02d", round, i), Team: []string{"red", "blue", "green"}[i], Class: "c", Shape: protocol.Array, Priority: "high", Tasks: 2 + i%2, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1, EstimateS: 40})
 			}
 			time.Sleep(w.between(12*time.Second, 20*time.Second))
-			apart := w.halfDone()
+			apart, changes := w.halfDone(), w.times("handed over")
 			if name := w.leader(w.pick(3)); name != "" {
-				w.restart(name, w.between(0, 4*time.Second))
+				w.end(name)
+				time.Sleep(4 * time.Second) // until another has its share
+				w.back(name)
 			}
-			time.Sleep(4 * time.Second)
+			still := w.halfDone()
 			for _, id := range apart {
-				if w.fleet.Finished(id) > 0 {
+				if slices.Contains(still, id) && w.times("handed over") > changes {
 					w.took("ended before and after a change")
 				}
 			}
@@ -232,7 +235,8 @@
 		for round := range 6 {
 			for i, m := range w.fleet.Names() {
 				if i%3 == 0 {
-					w.set(func() { w.hung[m] = time.Now().Add(w.rngBetween(2*time.Second, 12*time.Second)) })
+					till := time.Now().Add(w.between(2*time.Second, 12*time.Second))
+					w.set(func() { w.hung[m] = till })
 				}
 			}
 			w.cancelSoon(round, 4*time.Second)
@@ -395,7 +399,12 @@
 				}
 				// What must have taken place is asserted of each alone.
 				p[0].took, p[1].took = nil, nil
-				meet(t, 4000+100*seed+uint64(i), "", p[0], p[1])
+				meet(t, 4000+100*seed+uint64(i), "", p[0], p[1], meeting{name: "fast restarts", faults: func(w *world) {
+					for range 5 {
+						time.Sleep(w.between(time.Second, 12*time.Second))
+						w.restart(w.some(), w.between(0, time.Second))
+					}
+				}})
 			})
 		}
 	}
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -245,9 +245,14 @@
 }
 
 // thaw waits until a node goes on.
-func (w *world) thaw(name string) {
+func (w *world) thaw(name string) { w.goesOn(w.frozen, name) }
+
+// standsStill waits until a machine goes on.
+func (w *world) standsStill(machine string) { w.goesOn(w.hung, machine) }
+
+func (w *world) goesOn(till map[string]time.Time, name string) {
 	w.mu.Lock()
-	until := w.frozen[name]
+	until := till[name]
 	w.mu.Unlock()
 	if d := time.Until(until); d > 0 {
 		time.Sleep(d)
@@ -391,16 +396,6 @@
 	})
 }
 
-// standsStill waits until a machine goes on.
-func (w *world) standsStill(machine string) {
-	w.mu.Lock()
-	until := w.hung[machine]
-	w.mu.Unlock()
-	if d := time.Until(until); d > 0 {
-		time.Sleep(d)
-	}
-}
-
 // complain tells that something is broken.
 func (w *world) complain(format string, a ...any) {
 	w.mu.Lock()
@@ -411,11 +406,6 @@
 	}
 }
 
-// rngBetween is between for who has the lock.
-func (w *world) rngBetween(a, b time.Duration) time.Duration {
-	return a + time.Duration(w.rng.Int64N(int64(b-a)))
-}
-
 // took notes that something took place: a test of a meeting asserts that it did.
 func (w *world) took(what string) {
 	w.mu.Lock()
