--- /dev/null
+++ b/internal/coordination/node/cancel_now_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// cancelNow lets the users of up to count jobs that have tasks on machines cancel them within a
+// fifth of a second, each at a node of its own choice. With hang set, the machines of these jobs
+// stand still for that long from the same moment. It returns the jobs.
+func (w *world) cancelNow(count int, hang time.Duration) []*user {
+	w.mu.Lock()
+	users := w.users
+	w.mu.Unlock()
+	var called []*user
+	for _, u := range users {
+		if len(called) < count && u.ended() == "" && w.fleet.Left(u.spec.ID) > 0 {
+			called = append(called, u)
+		}
+	}
+	for _, u := range called {
+		if hang > 0 {
+			w.hangMachinesOf(u.spec.ID, hang)
+		}
+		go u.cancelUntilTold(w.between(0, 200*time.Millisecond))
+	}
+	return called
+}
+
+// hangMachinesOf makes the machines on which a job runs stand still.
+func (w *world) hangMachinesOf(job string, lasts time.Duration) {
+	till := time.Now().Add(lasts)
+	for _, machine := range w.fleet.Names() {
+		if w.fleet.Runs(machine, job) {
+			w.set(func() { w.hung[machine] = till })
+			w.took("machine of a cancelled job hangs")
+		}
+	}
+}
+
+// cancelUntilTold asks for a cancellation after a while, again and again, until a final answer
+// has come.
+func (u *user) cancelUntilTold(after time.Duration) {
+	time.Sleep(after)
+	u.w.set(func() { u.asked = true })
+	for u.w.ctx.Err() == nil && u.ended() == "" {
+		a := u.w.cancelOnce(u.any(), u.spec.ID)
+		if a.status == 200 {
+			u.told(a.body.(protocol.JobStatus).Status)
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// releaseReports lets all kept copies of reports arrive at all nodes now.
+func (w *world) releaseReports() {
+	w.mu.Lock()
+	kept := w.kept
+	w.kept = nil
+	w.mu.Unlock()
+	for _, r := range kept {
+		for _, name := range w.names {
+			go w.deliver(name, r)
+		}
+	}
+}
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -59,6 +59,11 @@
 	slow        time.Duration        // what the state service takes beyond what it usually does
 	unheard     map[string]bool      // "node host": of that machine the node hears nothing, nor it of the node
 	hung        map[string]time.Time // until when a machine stands still
+	lostAnswers float64              // part of transactions that are executed at once and whose answer is lost
+	muteHosts   map[string]bool      // machines whose reports reach no node: direct commands reach them
+	keptReports float64              // part of reports of which a copy is kept, for releaseReports
+	kept        []protocol.Report    // those copies
+	users       []*user              // of the day under way
 	quietly     bool                 // what is broken is only listed
 	complaints  []string
 	leftOut     string         // a guard that is left out: the tests of meetings find it
@@ -110,7 +115,7 @@
 	w := &world{size: size, t: t, rng: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 8)), cfg: map[string]*protocol.Settings{}, names: []string{"n-0", "n-1", "n-2"},
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
 		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, frozen: map[string]time.Time{},
-		mute: map[string]bool{}, noPeers: map[string]bool{}, noWatch: map[string]bool{}, deafHosts: map[string]bool{}, unheard: map[string]bool{}, hung: map[string]time.Time{},
+		mute: map[string]bool{}, noPeers: map[string]bool{}, noWatch: map[string]bool{}, deafHosts: map[string]bool{}, unheard: map[string]bool{}, hung: map[string]time.Time{}, muteHosts: map[string]bool{},
 		met: map[string]int{}, writes: map[string]int{}}
 	w.ctx, w.classes = ctx, takenClasses
 	f := standin.NewFleet(ctx)
@@ -340,7 +345,7 @@
 		return 0, protocol.Orders{}, "", errNoAnswer
 	}
 	w.standsStill(r.Machine)
-	if w.is(w.unheard, node+" "+r.Machine) {
+	if w.is(w.unheard, node+" "+r.Machine) || w.is(w.muteHosts, r.Machine) {
 		<-ctx.Done()
 		return 0, protocol.Orders{}, "", errNoAnswer
 	}
@@ -348,6 +353,9 @@
 	if w.chance(&w.lateReports) {
 		go w.again(node, r)
 	}
+	if w.chance(&w.keptReports) {
+		w.set(func() { w.kept = append(w.kept, r) })
+	}
 	a, err := w.ask(ctx, node, func(n *Node, reply chan<- answer) {
 		if m := n.machines[r.Machine]; m != nil && m.known && w.leftOut == "tokens" {
 			r.Token = n.token(m)
@@ -382,6 +390,11 @@
 func (w *world) again(node string, r protocol.Report) {
 	lease := time.Duration(w.cfg[node].Params.Workers.LeaseS * float64(time.Second))
 	time.Sleep(w.between(2*time.Second, 2*lease))
+	w.deliver(node, r)
+}
+
+// deliver delivers a copy of a report that was sent before.
+func (w *world) deliver(node string, r protocol.Report) {
 	w.ask(w.ctx, node, func(n *Node, reply chan<- answer) {
 		switch m := n.machines[r.Machine]; {
 		case m == nil:
@@ -616,7 +629,10 @@
 		return false, 0, nil, storage.ErrUnknown
 	}
 	ok, rev, failed, err := f.w.state.Txn(ctx, conds, writes)
-	if f.w.chance(&f.w.lossy) {
+	if f.w.chance(&f.w.lossy) || f.w.chance(&f.w.lostAnswers) {
+		if ok && len(writes) > 0 {
+			f.w.took("executed without an answer")
+		}
 		time.Sleep(1500 * time.Millisecond)
 		return false, 0, nil, storage.ErrUnknown // executed, but the answer is lost
 	}
@@ -683,6 +699,7 @@
 	w        *world
 	spec     *protocol.JobSpec
 	accepted bool
+	asked    bool   // the user has asked to cancel it; guarded by the world's mu
 	final    string // guarded by the world's mu
 	cancelAt time.Duration
 }
@@ -708,14 +725,13 @@
 		}
 		time.Sleep(time.Second)
 	}
-	asked := false
 	for w.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
 		if u.cancelAt > 0 && time.Since(start) > u.cancelAt && u.ended() == "" {
-			asked = true
+			w.set(func() { u.asked = true })
 			a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { n.onCancel(u.spec.ID, 5, reply) })
 			if err == nil && a.status == 200 {
-				u.told(a.body.(protocol.JobStatus).Status, asked)
+				u.told(a.body.(protocol.JobStatus).Status)
 			} else if err == nil && a.status == 404 {
 				w.complain("%s forgotten at its cancellation", u.spec.ID)
 			}
@@ -725,7 +741,7 @@
 		if err == nil {
 			switch a.status {
 			case 200:
-				u.told(a.body.(protocol.JobStatus).Status, asked)
+				u.told(a.body.(protocol.JobStatus).Status)
 			case 404:
 				w.complain("%s forgotten", u.spec.ID)
 			}
@@ -741,7 +757,7 @@
 	return u.final
 }
 
-func (u *user) told(status string, asked bool) {
+func (u *user) told(status string) {
 	var wrong []string
 	defer func() {
 		for _, x := range wrong {
@@ -761,7 +777,7 @@
 		}
 		u.final = status
 	case protocol.JobCancelled:
-		if !asked {
+		if !u.asked {
 			wrong = append(wrong, fmt.Sprintf("%s is called cancelled, but nobody asked", u.spec.ID))
 		}
 		if left := u.w.fleet.Left(u.spec.ID); u.final == "" && left > 0 {
@@ -834,6 +850,7 @@
 // everything and waits for the end of all jobs.
 func (w *world) run(count int, faults func(w *world)) {
 	us := w.jobs(count)
+	w.set(func() { w.users = us })
 	var wg sync.WaitGroup
 	for _, u := range us {
 		wg.Add(1)
@@ -843,7 +860,8 @@
 	faults(w)
 	w.set(func() {
 		w.outage, w.lossy, w.late, w.lateWrites, w.lateReports, w.held, w.slow = false, 0, 0, 0, 0, 0, 0
-		for _, m := range []map[string]bool{w.noState, w.noNet, w.deaf, w.mute, w.noPeers, w.noWatch, w.deafHosts, w.unheard} {
+		w.lostAnswers, w.keptReports = 0, 0
+		for _, m := range []map[string]bool{w.noState, w.noNet, w.deaf, w.mute, w.noPeers, w.noWatch, w.deafHosts, w.unheard, w.muteHosts} {
 			clear(m)
 		}
 	})
