--- a/cmd/dapplestage/report.go
+++ b/cmd/dapplestage/report.go
@@ -56,7 +56,7 @@
 	for _, n := range s.named {
 		name, addrs, ok := strings.Cut(n, "=")
 		if !ok || name == "" || addrs == "" {
-			return fmt.Errorf("%w: --site %q is not NAME=IP:PORT,...", errUsage, n)
+			return fmt.Errorf("%w: --site %q is not NAME=IP:PORT[,IP:PORT...]", errUsage, n)
 		}
 		s.all = append(s.all, &site{name: name, addrs: strings.Split(addrs, ",")})
 	}
--- a/cmd/dapplestage/ticket.go
+++ b/cmd/dapplestage/ticket.go
@@ -27,10 +27,9 @@
 
 // ticketFlags are what the ticket subcommands share.
 type ticketFlags struct {
-	addr    string
-	asJSON  bool
-	params  []string
-	classes string
+	addr   string
+	asJSON bool
+	params []string
 }
 
 // ticketCommand is `dapplestage ticket`.
--- a/cmd/lab/world.go
+++ b/cmd/lab/world.go
@@ -193,15 +193,15 @@
 
 // site is one site's processes and addresses.
 type site struct {
-	name               string
-	state, cloud       *process
-	controllers        []*process
-	daemon             *process
-	stateAddr          string
-	cloudAddr          string
-	apis               []string // of the controllers
-	local, api, listen string
-	events             string
+	name         string
+	state, cloud *process
+	controllers  []*process
+	daemon       *process
+	stateAddr    string
+	cloudAddr    string
+	apis         []string // of the controllers
+	local, api   string
+	events       string
 }
 
 type world struct {
--- a/internal/coordination/gateway/sim_test.go
+++ b/internal/coordination/gateway/sim_test.go
@@ -64,7 +64,6 @@
 	broken  []string
 	trace   []string
 	faults  Faults
-	handed  []time.Duration
 	calm    bool
 	pace    time.Duration // of a site's store; 0: milliseconds
 	// before, if set, is asked before a member's effects are carried out; 0: all of
@@ -92,19 +91,18 @@
 // simSite is a site's controllers and workers, which need its daemon only for the
 // lease and to be told of jobs.
 type simSite struct {
-	s       *sim
-	i       int
-	jobs    map[string]*siteJob
-	tomb    map[string]uint32
-	done    map[string]uint32
-	rev     uint64
-	seen    uint64 // the replica's revision
-	gate    time.Duration
-	floor   uint64
-	dead    map[string]bool
-	up      bool
-	cutOff  time.Duration // daemon and controllers can't reach one another until then
-	refuses map[string]bool
+	s      *sim
+	i      int
+	jobs   map[string]*siteJob
+	tomb   map[string]uint32
+	done   map[string]uint32
+	rev    uint64
+	seen   uint64 // the replica's revision
+	gate   time.Duration
+	floor  uint64
+	dead   map[string]bool
+	up     bool
+	cutOff time.Duration // daemon and controllers can't reach one another until then
 }
 
 type siteJob struct {
@@ -123,7 +121,6 @@
 	asked     bool // to cancel
 	toldFinal string
 	toldAt    time.Duration
-	polling   bool
 }
 
 func newSim(seed uint64, faults Faults, names []Member) *sim {
--- a/internal/coordination/node/guards_test.go
+++ b/internal/coordination/node/guards_test.go
@@ -95,9 +95,9 @@
 // A report held on its way lists what was, not what is.
 func TestOldReportProvesNothing(t *testing.T) {
 	b := newBench(t)
-	j := b.job("job-1", false, onHost1)
+	b.job("job-1", false, onHost1)
 	b.report(7, 5, protocol.TaskReport{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning})
-	j = b.job("job-1", true, onHost1)
+	j := b.job("job-1", true, onHost1)
 	if a := b.report(7, 4); a == nil || len(a.body.(protocol.Orders).Commands) != 0 {
 		t.Fatalf("an older report was answered %+v", a)
 	}
--- a/internal/coordination/node/sitejobs_test.go
+++ b/internal/coordination/node/sitejobs_test.go
@@ -151,7 +151,6 @@
 type caller struct {
 	t *testing.T
 	n *Node
-	b *bench
 }
 
 func (c *caller) call(kind wire.Kind, id string, epoch uint32) wire.Item {
--- a/internal/coordination/node/square_test.go
+++ b/internal/coordination/node/square_test.go
@@ -36,7 +36,6 @@
 	}
 	// The report of a machine under the new token squares it; until then its job's state
 	// is not known.
-	m := b.shares[0].machines[1]
 	j := b.jobs["job-000000"]
 	if n := b.unheardTasks(j); n != 2 {
 		t.Errorf("%d of 2 tasks on machines that have not spoken", n)
@@ -44,7 +43,7 @@
 	if r := b.row(j, time.Now()); r.State != "unknown" {
 		t.Errorf("state %q, %q", r.State, r.Why)
 	}
-	if m = b.machines["host-001000"]; !b.hear(m, &protocol.Report{Machine: m.name, Session: 1, Seq: 1, Token: 9}, 9, time.Now()) || b.unheardTasks(j) != 0 {
+	if m := b.machines["host-001000"]; !b.hear(m, &protocol.Report{Machine: m.name, Session: 1, Seq: 1, Token: 9}, 9, time.Now()) || b.unheardTasks(j) != 0 {
 		t.Error("heard, and not squared")
 	}
 }
--- a/internal/protocol/ticket/ticket_test.go
+++ b/internal/protocol/ticket/ticket_test.go
@@ -213,10 +213,6 @@
 // gen draws templates.
 type gen struct{ t *rapid.T }
 
-func (g gen) ident(label string) string {
-	return rapid.StringMatching(`[A-Za-z_][A-Za-z0-9_]{0,8}`).Draw(g.t, label)
-}
-
 func (g gen) rangeExpr() string {
 	var parts []string
 	at := rapid.IntRange(-500, 500).Draw(g.t, "from")
--- a/internal/storage/cloud.go
+++ b/internal/storage/cloud.go
@@ -12,7 +12,7 @@
 	"dapplestage.example/dapplestage/internal/transport"
 )
 
-// ErrNoCapacity: the cloud has no such machine to give at present.
+// ErrNoCapacity means that the cloud has no such machine to give at present.
 var ErrNoCapacity = errors.New("no capacity")
 
 // Cloud calls the cloud within this node's part of its rate.
--- a/internal/storage/journal/journal.go
+++ b/internal/storage/journal/journal.go
@@ -21,12 +21,13 @@
 
 	"github.com/cespare/xxhash/v2"
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"dapplestage.example/dapplestage/internal/storage"
 )
 
-// ErrDamaged: the file does not hold what was written. A member must not go on with
-// less than it promised, so it does not start.
+// ErrDamaged means that the file does not hold what was written. A member must not go on
+// with less than it promised, so it does not start.
 var ErrDamaged = errors.New("journal damaged")
 
 // version of the layout; another one is refused.
@@ -67,7 +68,7 @@
 	}
 	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, FreelistType: bolt.FreelistMapType})
 	switch {
-	case errors.Is(err, bolt.ErrTimeout):
+	case errors.Is(err, bolterrors.ErrTimeout):
 		return nil, nil, 0, fmt.Errorf("journal %s is in use by another process", path)
 	case errors.Is(err, os.ErrNotExist), errors.Is(err, os.ErrPermission):
 		return nil, nil, 0, fmt.Errorf("journal: %w", err)
--- a/internal/storage/segments/segments.go
+++ b/internal/storage/segments/segments.go
@@ -25,7 +25,7 @@
 	"dapplestage.example/dapplestage/internal/storage"
 )
 
-// ErrReplaced: another daemon of the same site has taken over.
+// ErrReplaced means that another daemon of the same site has taken over.
 var ErrReplaced = errors.New("another daemon of this site has taken over")
 
 // Keys. None is under the controllers' watched prefix.
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -189,7 +189,7 @@
 	return netip.Addr{}
 }
 
-// Accept, Close and Addr make it a net.Listener.
+// Accept waits for the next connection. With Close and Addr it makes a Front a net.Listener.
 func (f *Front) Accept() (net.Conn, error) {
 	if c, ok := <-f.out; ok {
 		return c, nil
