--- /dev/null
+++ b/cmd/lab/latencies.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// longestLatency is the longest duration that a histogram of latencies records.
+const longestLatency = 2 * time.Minute
+
+// latencies is a histogram of durations in milliseconds.
+type latencies struct{ histogram *hdrhistogram.Histogram }
+
+func newLatencies() latencies {
+	return latencies{hdrhistogram.New(1, longestLatency.Milliseconds(), 3)}
+}
+
+// add records durations; less than a millisecond counts as one.
+func (l latencies) add(durations ...time.Duration) {
+	for _, d := range durations {
+		l.histogram.RecordValue(max(1, d.Milliseconds()))
+	}
+}
+
+func (l latencies) count() int64 { return l.histogram.TotalCount() }
+
+// milliseconds is a quantile, in percent, in milliseconds.
+func (l latencies) milliseconds(percent float64) float64 {
+	return float64(l.histogram.ValueAtQuantile(percent))
+}
+
+// seconds is a quantile, in percent, in seconds.
+func (l latencies) seconds(percent float64) float64 { return l.milliseconds(percent) / 1000 }
+
+// maxSeconds is the longest duration recorded, in seconds.
+func (l latencies) maxSeconds() float64 { return float64(l.histogram.Max()) / 1000 }
--- a/cmd/lab/proof.go
+++ b/cmd/lab/proof.go
@@ -20,7 +20,6 @@
 	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
 
 	"dapplestage.example/dapplestage/internal/coordination/gateway"
@@ -119,7 +118,7 @@
 	}
 	wg.Wait()
 	c := memberTimes(quick)
-	hist, drains, crossed := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
+	handoffs, drains, crossed := newLatencies(), newLatencies(), newLatencies()
 	sum := struct {
 		Runs       int     `json:"runs"`
 		Broken     int     `json:"broken"`
@@ -162,20 +161,14 @@
 		sum.Late += len(r.lateCancels)
 		sum.Stores += len(r.stores)
 		sum.Moved += r.moved
-		for _, d := range r.handoffs {
-			hist.RecordValue(max(1, d.Milliseconds()))
-		}
-		for _, d := range r.crossed {
-			crossed.RecordValue(max(1, d.Milliseconds()))
-		}
-		for _, d := range r.drains {
-			drains.RecordValue(max(1, d.Milliseconds()))
-		}
-	}
-	sum.Crossed, sum.CrossMax = crossed.TotalCount(), float64(crossed.Max())/1000
-	sum.Handoffs, sum.Drains = hist.TotalCount(), drains.TotalCount()
-	sum.Median, sum.P99, sum.Max = float64(hist.ValueAtQuantile(50))/1000, float64(hist.ValueAtQuantile(99))/1000, float64(hist.Max())/1000
-	sum.DrainMed, sum.DrainP99 = float64(drains.ValueAtQuantile(50))/1000, float64(drains.ValueAtQuantile(99))/1000
+		handoffs.add(r.handoffs...)
+		crossed.add(r.crossed...)
+		drains.add(r.drains...)
+	}
+	sum.Crossed, sum.CrossMax = crossed.count(), crossed.maxSeconds()
+	sum.Handoffs, sum.Drains = handoffs.count(), drains.count()
+	sum.Median, sum.P99, sum.Max = handoffs.seconds(50), handoffs.seconds(99), handoffs.maxSeconds()
+	sum.DrainMed, sum.DrainP99 = drains.seconds(50), drains.seconds(99)
 	if err := figures(out, sum); err != nil {
 		return err
 	}
--- a/cmd/lab/report.go
+++ b/cmd/lab/report.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
 
 	"dapplestage.example/dapplestage/internal/coordination/ledger"
@@ -271,7 +270,7 @@
 }
 
 func proveReport(ctx context.Context, out io.Writer, o runOptions) error {
-	hist := hdrhistogram.New(1, 120_000, 3)
+	shown := newLatencies()
 	s := struct {
 		runTotals
 		Rows    int     `json:"rows_checked"`
@@ -286,15 +285,13 @@
 		r := oneReportRun(ctx, bin, dir, seed)
 		return func() {
 			s.Rows, s.Unknown, s.Wrong = s.Rows+r.rows, s.Unknown+r.unknown, s.Wrong+len(r.wrong)
-			for _, d := range r.shown {
-				hist.RecordValue(max(1, d.Milliseconds()))
-			}
+			shown.add(r.shown...)
 		}, runOutcome{fmt.Sprintf("%d rows checked, %d of them not known", r.rows, r.unknown), r.wrong, r.err}
 	})
 	if err != nil {
 		return err
 	}
-	s.Shown, s.Median, s.Max = hist.TotalCount(), float64(hist.ValueAtQuantile(50))/1000, float64(hist.Max())/1000
+	s.Shown, s.Median, s.Max = shown.count(), shown.seconds(50), shown.maxSeconds()
 	if err := figures(out, s); err != nil {
 		return err
 	}
--- a/cmd/lab/standby.go
+++ b/cmd/lab/standby.go
@@ -11,7 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
 
 	"dapplestage.example/dapplestage/internal/coordination/node"
@@ -175,7 +174,7 @@
 		Max    float64 `json:"max_s"`
 	}
 	measure := func(old string) (runTotals, map[string]quantiles, error) {
-		hist := map[string]*hdrhistogram.Histogram{}
+		byCause := map[string]latencies{}
 		t, err := o.each(ctx, out, "standby", func(bin, dir string, seed uint64) (func(), runOutcome) {
 			causes := standbyCauses
 			if old != "" {
@@ -192,18 +191,16 @@
 			}
 			return func() {
 				for c, gaps := range r.gaps {
-					if hist[c] == nil {
-						hist[c] = hdrhistogram.New(1, 120_000, 3)
-					}
-					for _, g := range gaps {
-						hist[c].RecordValue(max(1, g.Milliseconds()))
+					if _, known := byCause[c]; !known {
+						byCause[c] = newLatencies()
 					}
+					byCause[c].add(gaps...)
 				}
 			}, runOutcome{strings.Join(text, ", "), r.wrong, r.err}
 		})
 		told := map[string]quantiles{}
-		for c, h := range hist {
-			told[c] = quantiles{h.TotalCount(), float64(h.ValueAtQuantile(50)) / 1000, float64(h.ValueAtQuantile(95)) / 1000, float64(h.Max()) / 1000}
+		for c, l := range byCause {
+			told[c] = quantiles{l.count(), l.seconds(50), l.seconds(95), l.maxSeconds()}
 		}
 		return t, told, err
 	}
--- a/cmd/lab/start.go
+++ b/cmd/lab/start.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 	"github.com/spf13/cobra"
@@ -300,7 +299,7 @@
 		Held     map[string]int `json:"orders_held_back"`
 		Ended    int            `json:"service_tasks_ended"`
 	}{Machines: machines, Place: place, Given: map[string]int{}, Held: map[string]int{}}
-	serve, half, all := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
+	serve, half, all := newLatencies(), newLatencies(), newLatencies()
 	var err error
 	t := startTimes
 	t.place = place
@@ -315,19 +314,15 @@
 			for k, n := range r.held {
 				s.Held[k] += n
 			}
-			for i := range r.all {
-				serve.RecordValue(max(1, r.serve[i].Milliseconds()))
-				half.RecordValue(max(1, r.half[i].Milliseconds()))
-				all.RecordValue(max(1, r.all[i].Milliseconds()))
-			}
+			serve.add(r.serve...)
+			half.add(r.half...)
+			all.add(r.all...)
 		}, runOutcome{fmt.Sprintf("%d starts, all squared after %v, %d service tasks ended", len(r.all), r.all, r.ended), r.wrong, r.err}
 	})
 	if err != nil {
 		return err
 	}
-	told := func(h *hdrhistogram.Histogram) quantiles {
-		return quantiles{float64(h.ValueAtQuantile(50)) / 1000, float64(h.Max()) / 1000}
-	}
+	told := func(l latencies) quantiles { return quantiles{l.seconds(50), l.maxSeconds()} }
 	s.Serve, s.Half, s.All = told(serve), told(half), told(all)
 	if err := figures(out, s); err != nil {
 		return err
--- a/cmd/lab/ticketload.go
+++ b/cmd/lab/ticketload.go
@@ -14,7 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
 
 	"dapplestage.example/dapplestage/internal/coordination/node"
@@ -155,7 +154,7 @@
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
-		hist := hdrhistogram.New(1, 60_000, 3)
+		hist := newLatencies()
 		var mu sync.Mutex
 		var wg sync.WaitGroup
 		var next atomic.Int64
@@ -175,14 +174,14 @@
 					}
 					mu.Lock()
 					l.Accepted++
-					hist.RecordValue(max(1, time.Since(came).Milliseconds()))
+					hist.add(time.Since(came))
 					mu.Unlock()
 				}
 			}()
 		}
 		wg.Wait()
 		l.PerSecond = float64(l.Accepted) / lasts.Seconds()
-		l.MedianMS, l.P99MS = float64(hist.ValueAtQuantile(50)), float64(hist.ValueAtQuantile(99))
+		l.MedianMS, l.P99MS = hist.milliseconds(50), hist.milliseconds(99)
 		for _, p := range f.procs {
 			if strings.HasPrefix(p.name, "n-") {
 				l.MemoryMB = max(l.MemoryMB, p.memoryMB())
--- a/cmd/lab/tickets.go
+++ b/cmd/lab/tickets.go
@@ -16,7 +16,6 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
 
 	"dapplestage.example/dapplestage/internal/coordination/node"
@@ -640,7 +639,7 @@
 }
 
 func proveTickets(ctx context.Context, out io.Writer, o runOptions) error {
-	hist := hdrhistogram.New(1, 120_000, 3)
+	accepts := newLatencies()
 	sum := struct {
 		runTotals
 		Tickets int     `json:"tickets_each_way"`
@@ -657,15 +656,13 @@
 		return func() {
 			sum.Tickets += 6
 			sum.Lines, sum.Starts, sum.Errors, sum.Lost = sum.Lines+r.lines, sum.Starts+r.starts, sum.Errors+r.errors, sum.Lost+r.lost
-			for _, d := range r.accepts {
-				hist.RecordValue(max(1, d.Milliseconds()))
-			}
+			accepts.add(r.accepts...)
 		}, runOutcome{fmt.Sprintf("%d lines equal, %d starts, %d errors, %d ended otherwise", r.lines, r.starts, r.errors, r.lost), r.broken, r.err}
 	})
 	if err != nil {
 		return err
 	}
-	sum.Median, sum.P99 = float64(hist.ValueAtQuantile(50)), float64(hist.ValueAtQuantile(99))
+	sum.Median, sum.P99 = accepts.milliseconds(50), accepts.milliseconds(99)
 	if err := figures(out, sum); err != nil {
 		return err
 	}
--- a/cmd/lab/why.go
+++ b/cmd/lab/why.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
 
 	"dapplestage.example/dapplestage/internal/coordination/node"
@@ -371,24 +370,20 @@
 		StartMax float64 `json:"start_after_release_max_s"`
 		ToldP99  float64 `json:"answer_p99_ms"`
 	}{}
-	starts, told := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
+	starts, told := newLatencies(), newLatencies()
 	var err error
 	sum.runTotals, err = o.each(ctx, out, "why", func(bin, dir string, seed uint64) (func(), runOutcome) {
 		r := oneWhyRun(ctx, bin, dir, seed)
 		return func() {
 			sum.Checked, sum.Wrong = sum.Checked+r.checked, sum.Wrong+len(r.wrong)
-			for _, d := range r.starts {
-				starts.RecordValue(max(1, d.Milliseconds()))
-			}
-			for _, d := range r.told {
-				told.RecordValue(max(1, d.Milliseconds()))
-			}
+			starts.add(r.starts...)
+			told.add(r.told...)
 		}, runOutcome{fmt.Sprintf("%d answers checked, %d starts after a release", r.checked, len(r.starts)), r.wrong, r.err}
 	})
 	if err != nil {
 		return err
 	}
-	sum.StartP50, sum.StartMax, sum.ToldP99 = float64(starts.ValueAtQuantile(50))/1000, float64(starts.Max())/1000, float64(told.ValueAtQuantile(99))
+	sum.StartP50, sum.StartMax, sum.ToldP99 = starts.seconds(50), starts.maxSeconds(), told.milliseconds(99)
 	if err := figures(out, sum); err != nil {
 		return err
 	}
