--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -54,6 +54,14 @@
 	c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: code, State: c.state(q.ID, rec)})
 }
 
+// refuse answers with an error that trying again would not change.
+func (c *Core) refuse(q *Request, code int, why string) {
+	c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: code, Why: why})
+}
+
+// noMajority is what a user is told whose request too few members have answered.
+const noMajority = "no majority answered in time"
+
 func (c *Core) turnAway(q *Request, retryS int, why string) {
 	c.counts.Refused++
 	c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusServiceUnavailable, RetryS: retryS, Why: why})
@@ -92,43 +100,40 @@
 	case Submit:
 		c.submit(q)
 	case Poll:
-		c.read(q.ID, func(rec *wire.Record, exists, ok bool) {
-			switch {
-			case !ok:
-				c.turnAway(q, 1, "no majority answered in time")
-			case !exists:
-				c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusNotFound, Why: "no such job"})
-			default:
-				c.answer(q, http.StatusOK, rec)
-			}
-		})
+		c.readExisting(q, func(rec *wire.Record) { c.answer(q, http.StatusOK, rec) })
 	case Cancel:
 		if r := c.regs[q.ID]; r == nil || !r.exists {
 			// A proposal would leave a promise at every member, for a job that perhaps
 			// nobody has submitted.
-			c.read(q.ID, func(_ *wire.Record, exists, ok bool) {
-				switch {
-				case !ok:
-					c.turnAway(q, 1, "no majority answered in time")
-				case !exists:
-					c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusNotFound, Why: "no such job"})
-				default:
-					c.cancel(q)
-				}
-			})
+			c.readExisting(q, func(*wire.Record) { c.cancel(q) })
 			return
 		}
 		c.cancel(q)
 	}
 }
 
+// readExisting reads a job from a majority and hands its record over. Without a majority,
+// or if there is no such job, it answers the user itself.
+func (c *Core) readExisting(q *Request, then func(rec *wire.Record)) {
+	c.read(q.ID, func(rec *wire.Record, exists, ok bool) {
+		switch {
+		case !ok:
+			c.turnAway(q, 1, noMajority)
+		case !exists:
+			c.refuse(q, http.StatusNotFound, "no such job")
+		default:
+			then(rec)
+		}
+	})
+}
+
 func (c *Core) cancel(q *Request) {
 	c.propose(q.ID, op{kind: opCancel}, userPatience, func(rec wire.Record, exists bool, o outcome) {
 		switch {
 		case o == unknown:
-			c.turnAway(q, 1, "no majority answered in time")
+			c.turnAway(q, 1, noMajority)
 		case !exists:
-			c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusNotFound, Why: "no such job"})
+			c.refuse(q, http.StatusNotFound, "no such job")
 		default:
 			if o == changed {
 				c.counts.Cancelled++
@@ -151,11 +156,11 @@
 			c.inFlight--
 			switch {
 			case !ok:
-				c.turnAway(q, 1, "no majority answered in time")
+				c.turnAway(q, 1, noMajority)
 			case exists:
 				c.answer(q, http.StatusOK, rec)
 			case why == neverFits:
-				c.out.Answers = append(c.out.Answers, Answer{Token: q.Token, Code: http.StatusUnprocessableEntity, Why: "it can run at no site: unknown team, above the team's limit, or a task fits no allowed machine type"})
+				c.refuse(q, http.StatusUnprocessableEntity, "it can run at no site: unknown team, above the team's limit, or a task fits no allowed machine type")
 			case why == full:
 				c.turnAway(q, 2+c.rng.IntN(4), "all sites have as much under way as they may")
 			default:
@@ -170,7 +175,7 @@
 		c.inFlight--
 		switch got {
 		case unknown:
-			c.turnAway(q, 1, "no majority answered in time")
+			c.turnAway(q, 1, noMajority)
 		case changed:
 			c.counts.Accepted++
 			c.answer(q, http.StatusCreated, &rec)
