--- a/internal/protocol/ask.go
+++ b/internal/protocol/ask.go
@@ -63,17 +63,16 @@
 }
 
 // IsAsk says whether a frame holds a question; other frames are hints.
-func IsAsk(data []byte) bool { return len(data) >= 8 && flatbuffers.BufferHasIdentifier(data, askID) }
+func IsAsk(data []byte) bool {
+	return len(data) >= minMessage && flatbuffers.BufferHasIdentifier(data, askID)
+}
 
 // DecodeAsk reads a question.
-func DecodeAsk(data []byte) (a Ask, err error) {
-	defer func() {
-		if recover() != nil {
-			a, err = Ask{}, errors.New("malformed question")
-		}
-	}()
+func DecodeAsk(data []byte) (Ask, error) { return decode("question", data, readAsk) }
+
+func readAsk(data []byte) (Ask, error) {
 	if !IsAsk(data) {
-		return a, errors.New("malformed question")
+		return Ask{}, errors.New("malformed question")
 	}
 	f := peerfb.GetRootAsAsk(data, 0)
 	return Ask{Job: string(f.Job()), Team: string(f.Team()), Cause: string(f.Cause()), SinceS: float64(f.SinceS()), After: string(f.After()), Most: int(f.Most()),
@@ -93,17 +92,11 @@
 }
 
 // DecodeTold reads an answer.
-func DecodeTold(data []byte) (t Told, err error) {
-	defer func() {
-		if recover() != nil {
-			t, err = Told{}, errors.New("malformed answer")
-		}
-	}()
-	if len(data) < 8 {
-		return t, errors.New("malformed answer")
-	}
+func DecodeTold(data []byte) (Told, error) { return decode("answer", data, readTold) }
+
+func readTold(data []byte) (Told, error) {
 	f := peerfb.GetRootAsTold(data, 0)
-	t = Told{string(f.Node()), int(f.Status()), append([]byte{}, f.BodyBytes()...)}
+	t := Told{string(f.Node()), int(f.Status()), append([]byte{}, f.BodyBytes()...)}
 	if t.Node == "" || t.Status == 0 {
 		return Told{}, errors.New("answer without a node or a status")
 	}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"slices"
 
@@ -66,123 +67,167 @@
 func (h Hint) Encode() []byte {
 	b := flatbuffers.NewBuilder(64)
 	node := b.CreateString(h.Node)
+	images, caches := encodeCaches(b, h.Caches)
+	known := encodeKnown(b, h.Known)
+	refused := encodeRefused(b, h.Refused)
+	cancelled := encodeCancelled(b, h.Cancelled)
+	peerfb.HintStart(b)
+	peerfb.HintAddImages(b, images)
+	peerfb.HintAddCaches(b, caches)
+	peerfb.HintAddNode(b, node)
+	peerfb.HintAddStateOk(b, h.StateOK)
+	peerfb.HintAddRevision(b, h.Revision)
+	peerfb.HintAddBlind(b, h.Blind)
+	peerfb.HintAddChanges(b, h.Changes)
+	peerfb.HintAddLife(b, h.Life)
+	peerfb.HintAddSeq(b, h.Seq)
+	peerfb.HintAddKnown(b, known)
+	peerfb.HintAddRefused(b, refused)
+	peerfb.HintAddCancelled(b, cancelled)
+	b.Finish(peerfb.HintEnd(b))
+	return b.FinishedBytes()
+}
+
+// encodeCaches writes each image once, and for each machine which of them it holds.
+func encodeCaches(b *flatbuffers.Builder, all []Cache) (images, caches flatbuffers.UOffsetT) {
 	index := map[CachedImage]uint16{}
-	var images, caches []flatbuffers.UOffsetT
-	for _, c := range h.Caches {
+	var imageOffsets, cacheOffsets []flatbuffers.UOffsetT
+	for _, c := range all {
 		for _, im := range c.Images {
-			if _, ok := index[im]; ok || len(images) > math.MaxUint16 {
+			if _, ok := index[im]; ok || len(imageOffsets) > math.MaxUint16 {
 				continue
 			}
-			index[im] = uint16(len(images))
-			name := b.CreateString(im.Name)
-			peerfb.ImageStart(b)
-			peerfb.ImageAddName(b, name)
-			peerfb.ImageAddGb(b, float32(im.GB))
-			images = append(images, peerfb.ImageEnd(b))
+			index[im] = uint16(len(imageOffsets))
+			imageOffsets = append(imageOffsets, encodeImage(b, im))
 		}
-		name := b.CreateString(c.Machine)
-		peerfb.CacheStartHoldsVector(b, len(c.Images))
-		for _, im := range slices.Backward(c.Images) {
-			b.PrependUint16(index[im])
-		}
-		holds := b.EndVector(len(c.Images))
-		peerfb.CacheStart(b)
-		peerfb.CacheAddMachine(b, name)
-		peerfb.CacheAddHolds(b, holds)
-		caches = append(caches, peerfb.CacheEnd(b))
+		cacheOffsets = append(cacheOffsets, encodeCache(b, c, index))
+	}
+	return b.CreateVectorOfTables(imageOffsets), b.CreateVectorOfTables(cacheOffsets)
+}
+
+func encodeImage(b *flatbuffers.Builder, im CachedImage) flatbuffers.UOffsetT {
+	name := b.CreateString(im.Name)
+	peerfb.ImageStart(b)
+	peerfb.ImageAddName(b, name)
+	peerfb.ImageAddGb(b, float32(im.GB))
+	return peerfb.ImageEnd(b)
+}
+
+func encodeCache(b *flatbuffers.Builder, c Cache, index map[CachedImage]uint16) flatbuffers.UOffsetT {
+	name := b.CreateString(c.Machine)
+	peerfb.CacheStartHoldsVector(b, len(c.Images))
+	for _, im := range slices.Backward(c.Images) {
+		b.PrependUint16(index[im])
 	}
-	var known, refused []flatbuffers.UOffsetT
-	for _, k := range h.Known {
+	holds := b.EndVector(len(c.Images))
+	peerfb.CacheStart(b)
+	peerfb.CacheAddMachine(b, name)
+	peerfb.CacheAddHolds(b, holds)
+	return peerfb.CacheEnd(b)
+}
+
+func encodeKnown(b *flatbuffers.Builder, all []Known) flatbuffers.UOffsetT {
+	var offsets []flatbuffers.UOffsetT
+	for _, k := range all {
 		name := b.CreateString(k.Machine)
 		peerfb.KnownStart(b)
 		peerfb.KnownAddMachine(b, name)
 		peerfb.KnownAddSecPerGb(b, float32(k.SecPerGB))
 		peerfb.KnownAddAgeS(b, float32(k.AgeS))
-		known = append(known, peerfb.KnownEnd(b))
+		offsets = append(offsets, peerfb.KnownEnd(b))
 	}
-	for _, r := range h.Refused {
+	return b.CreateVectorOfTables(offsets)
+}
+
+func encodeRefused(b *flatbuffers.Builder, all []RefusedOffer) flatbuffers.UOffsetT {
+	var offsets []flatbuffers.UOffsetT
+	for _, r := range all {
 		typ, zone := b.CreateString(r.Type), b.CreateString(r.Zone)
 		peerfb.RefusedStart(b)
 		peerfb.RefusedAddType(b, typ)
 		peerfb.RefusedAddZone(b, zone)
 		peerfb.RefusedAddSpot(b, r.Spot)
 		peerfb.RefusedAddForS(b, float32(r.ForS))
-		refused = append(refused, peerfb.RefusedEnd(b))
+		offsets = append(offsets, peerfb.RefusedEnd(b))
 	}
-	var cancelled []flatbuffers.UOffsetT
-	for _, c := range h.Cancelled {
+	return b.CreateVectorOfTables(offsets)
+}
+
+func encodeCancelled(b *flatbuffers.Builder, all []CancelledJob) flatbuffers.UOffsetT {
+	var offsets []flatbuffers.UOffsetT
+	for _, c := range all {
 		job := b.CreateString(c.Job)
 		peerfb.CancelledStart(b)
 		peerfb.CancelledAddJob(b, job)
 		peerfb.CancelledAddRevision(b, c.Revision)
-		cancelled = append(cancelled, peerfb.CancelledEnd(b))
+		offsets = append(offsets, peerfb.CancelledEnd(b))
 	}
-	cancelledVec := b.CreateVectorOfTables(cancelled)
-	knownVec, refusedVec := b.CreateVectorOfTables(known), b.CreateVectorOfTables(refused)
-	imageVec := b.CreateVectorOfTables(images)
-	cacheVec := b.CreateVectorOfTables(caches)
-	peerfb.HintStart(b)
-	peerfb.HintAddImages(b, imageVec)
-	peerfb.HintAddCaches(b, cacheVec)
-	peerfb.HintAddNode(b, node)
-	peerfb.HintAddStateOk(b, h.StateOK)
-	peerfb.HintAddRevision(b, h.Revision)
-	peerfb.HintAddBlind(b, h.Blind)
-	peerfb.HintAddChanges(b, h.Changes)
-	peerfb.HintAddLife(b, h.Life)
-	peerfb.HintAddSeq(b, h.Seq)
-	peerfb.HintAddKnown(b, knownVec)
-	peerfb.HintAddRefused(b, refusedVec)
-	peerfb.HintAddCancelled(b, cancelledVec)
-	b.Finish(peerfb.HintEnd(b))
-	return b.FinishedBytes()
+	return b.CreateVectorOfTables(offsets)
 }
 
-// DecodeHint reads a hint. FlatBuffers are not checked by their reader, so a
-// malformed one, which may make it panic, is caught here.
-func DecodeHint(data []byte) (h Hint, err error) {
+// minMessage is the length of the shortest message: its root and a file identifier.
+const minMessage = 8
+
+// decode reads a message. FlatBuffers are not checked by their reader, so that a malformed
+// one may make it panic: that is caught here. what names the message in the error.
+func decode[T any](what string, data []byte, read func(data []byte) (T, error)) (message T, err error) {
 	defer func() {
 		if recover() != nil {
-			h, err = Hint{}, errors.New("malformed hint")
+			var none T
+			message, err = none, fmt.Errorf("malformed %s", what)
 		}
 	}()
-	if len(data) < 8 {
-		return Hint{}, errors.New("malformed hint")
+	if len(data) < minMessage {
+		return message, fmt.Errorf("malformed %s", what)
 	}
+	return read(data)
+}
+
+// DecodeHint reads a hint; a malformed one is an error.
+func DecodeHint(data []byte) (Hint, error) { return decode("hint", data, readHint) }
+
+func readHint(data []byte) (Hint, error) {
 	f := peerfb.GetRootAsHint(data, 0)
-	h = Hint{Node: string(f.Node()), StateOK: f.StateOk(), Blind: f.Blind(), Changes: f.Changes(), Revision: f.Revision(), Life: f.Life(), Seq: f.Seq()}
+	h := Hint{Node: string(f.Node()), StateOK: f.StateOk(), Blind: f.Blind(), Changes: f.Changes(), Revision: f.Revision(), Life: f.Life(), Seq: f.Seq()}
 	if h.Node == "" {
 		return Hint{}, errors.New("hint without a node")
 	}
+	// A vector can't have more elements than the message has bytes, whatever it says.
+	most := len(data)
+	h.Caches = readCaches(f, most)
+	var k peerfb.Known
+	for i := range min(f.KnownLength(), most) {
+		f.Known(&k, i)
+		h.Known = append(h.Known, Known{string(k.Machine()), float64(k.SecPerGb()), float64(k.AgeS())})
+	}
+	var r peerfb.Refused
+	for i := range min(f.RefusedLength(), most) {
+		f.Refused(&r, i)
+		h.Refused = append(h.Refused, RefusedOffer{string(r.Type()), string(r.Zone()), r.Spot(), float64(r.ForS())})
+	}
+	var c peerfb.Cancelled
+	for i := range min(f.CancelledLength(), most) {
+		f.Cancelled(&c, i)
+		h.Cancelled = append(h.Cancelled, CancelledJob{string(c.Job()), c.Revision()})
+	}
+	return h, nil
+}
+
+func readCaches(f *peerfb.Hint, most int) (caches []Cache) {
 	var im peerfb.Image
-	images := make([]CachedImage, min(f.ImagesLength(), len(data)))
+	images := make([]CachedImage, min(f.ImagesLength(), most))
 	for i := range images {
 		f.Images(&im, i)
 		images[i] = CachedImage{string(im.Name()), float64(im.Gb())}
 	}
 	var c peerfb.Cache
-	for i := range min(f.CachesLength(), len(data)) {
+	for i := range min(f.CachesLength(), most) {
 		f.Caches(&c, i)
 		cache := Cache{Machine: string(c.Machine())}
-		for k := range min(c.HoldsLength(), len(data)) {
+		for k := range min(c.HoldsLength(), most) {
 			cache.Images = append(cache.Images, images[c.Holds(k)])
 		}
-		h.Caches = append(h.Caches, cache)
+		caches = append(caches, cache)
 	}
-	var k peerfb.Known
-	for i := range min(f.KnownLength(), len(data)) {
-		f.Known(&k, i)
-		h.Known = append(h.Known, Known{string(k.Machine()), float64(k.SecPerGb()), float64(k.AgeS())})
-	}
-	var r peerfb.Refused
-	for i := range min(f.RefusedLength(), len(data)) {
-		f.Refused(&r, i)
-		h.Refused = append(h.Refused, RefusedOffer{string(r.Type()), string(r.Zone()), r.Spot(), float64(r.ForS())})
-	}
-	var x peerfb.Cancelled
-	for i := range min(f.CancelledLength(), len(data)) {
-		f.Cancelled(&x, i)
-		h.Cancelled = append(h.Cancelled, CancelledJob{string(x.Job()), x.Revision()})
-	}
-	return h, nil
+	return caches
 }
