--- a/internal/coordination/packed/read.go
+++ b/internal/coordination/packed/read.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -64,85 +65,155 @@
 	told    bool   // by it, and not by a record that is as late
 }
 
+// reader puts a State together, and lists what is not as it should be.
+type reader struct {
+	*State
+	slots  int
+	chunks map[string]protocol.Chunk // of jobs' records, by key, beyond the heads
+}
+
 // Read puts together what is stored under the root; rings have so many slots.
 func Read(items []storage.Item, slots int) *State {
-	s := &State{Jobs: map[string]*Job{}, Ended: map[string]string{}, Logs: map[int]*Ring{}, Inboxes: map[string]*Ring{}, Machines: map[string]bool{}, Kinds: map[string]Kind{}}
-	bad := func(key, format string, a ...any) {
-		s.Problems = append(s.Problems, Problem{key, fmt.Sprintf(format, a...)})
-	}
-	chunks := map[string]protocol.Chunk{}
+	r := &reader{slots: slots, chunks: map[string]protocol.Chunk{}, State: &State{Jobs: map[string]*Job{}, Ended: map[string]string{},
+		Logs: map[int]*Ring{}, Inboxes: map[string]*Ring{}, Machines: map[string]bool{}, Kinds: map[string]Kind{}}}
 	for _, it := range items {
-		kind, _, _ := strings.Cut(strings.TrimPrefix(it.Key, protocol.Root), "/")
-		k := s.Kinds[kind]
-		s.Kinds[kind] = Kind{k.Values + 1, k.Bytes + len(it.Value)}
-		switch kind {
-		case "jobs":
-			id, num, chunk := strings.Cut(strings.TrimPrefix(it.Key, protocol.JobPrefix), "/")
-			var r protocol.JobRecord
-			var err error
-			if chunk {
-				var c protocol.Chunk
-				if err = json.Unmarshal(it.Value, &c); err == nil {
-					chunks[it.Key] = c
-				}
-				if _, e := strconv.Atoi(num); e != nil {
-					err = e
-				}
-			} else if err = json.Unmarshal(it.Value, &r); err == nil && r.Spec == nil && r.Ticket == nil {
-				err = fmt.Errorf("neither a submission nor a ticket")
-			} else if err == nil {
-				j := s.job(id)
-				j.Record, j.SubmittedMS, j.Ticket = true, r.SubmittedMS, r.Ticket != nil
-				j.Cancelled, j.next = r.Cancelled || r.Asked, r.Next
-				if r.Spec != nil {
-					j.take(r.Spec)
-					j.base(0, &r.Chunk, func(why string) { bad(it.Key, "%s", why) })
-				}
-			}
-			if err != nil {
-				bad(it.Key, "not understood: %v", err)
-			}
-		case "machines":
-			var b protocol.BatchRecord
-			if err := json.Unmarshal(it.Value, &b); err != nil {
-				bad(it.Key, "not understood: %v", err)
-			}
-			for _, m := range b.Machines {
-				s.Machines[m.Name] = true
-			}
-		case "log":
-			share, slot, ok := LogSlot(it.Key)
-			if s.Logs[share] == nil {
-				s.Logs[share] = NewRing(slots)
-			}
-			s.put(it, s.Logs[share], slot, ok, bad)
-		case "in":
-			node, slot, ok := InboxSlot(it.Key)
-			if s.Inboxes[node] == nil {
-				s.Inboxes[node] = NewRing(slots)
-			}
-			s.put(it, s.Inboxes[node], slot, ok, bad)
+		r.value(it)
+	}
+	r.endings()
+	r.accepted()
+	r.chunksOfJobs()
+	for id := range r.Ended {
+		delete(r.Jobs, id)
+	}
+	r.overlays()
+	r.finish()
+	return r.State
+}
+
+func (r *reader) bad(key, format string, a ...any) {
+	r.Problems = append(r.Problems, Problem{key, fmt.Sprintf(format, a...)})
+}
+
+// value takes in one stored value.
+func (r *reader) value(it storage.Item) {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(it.Key, protocol.Root), "/")
+	k := r.Kinds[kind]
+	r.Kinds[kind] = Kind{k.Values + 1, k.Bytes + len(it.Value)}
+	switch kind {
+	case "jobs":
+		if err := r.jobValue(it); err != nil {
+			r.bad(it.Key, "not understood: %v", err)
 		}
+	case "machines":
+		r.machines(it)
+	case "log":
+		share, slot, ok := LogSlot(it.Key)
+		r.entry(it, ringOf(r.Logs, share, r.slots), slot, ok)
+	case "in":
+		node, slot, ok := InboxSlot(it.Key)
+		r.entry(it, ringOf(r.Inboxes, node, r.slots), slot, ok)
 	}
-	for share, r := range s.Logs {
-		if !r.Whole() {
-			bad(protocol.LogRoot+strconv.Itoa(share), "entry %d is missing, and entry %d is there", r.Known()+1, r.Last())
+}
+
+// jobValue takes in a job's head, or keeps another chunk of it until all heads are there.
+func (r *reader) jobValue(it storage.Item) error {
+	id, _, isChunk := strings.Cut(strings.TrimPrefix(it.Key, protocol.JobPrefix), "/")
+	if isChunk {
+		var c protocol.Chunk
+		if _, _, err := chunkKey(it.Key); err != nil {
+			return err
+		}
+		if err := json.Unmarshal(it.Value, &c); err != nil {
+			return err
 		}
-		r.Entries(func(e *protocol.Entry) {
+		r.chunks[it.Key] = c
+		return nil
+	}
+	var head protocol.JobRecord
+	if err := json.Unmarshal(it.Value, &head); err != nil {
+		return err
+	}
+	if head.Spec == nil && head.Ticket == nil {
+		return errors.New("neither a submission nor a ticket")
+	}
+	j := r.job(id)
+	j.Record, j.SubmittedMS, j.Ticket = true, head.SubmittedMS, head.Ticket != nil
+	j.Cancelled, j.next = head.Cancelled || head.Asked, head.Next
+	if head.Spec != nil {
+		j.take(head.Spec)
+		j.base(0, &head.Chunk, func(why string) { r.bad(it.Key, "%s", why) })
+	}
+	return nil
+}
+
+// chunkKey reads the key of a chunk beyond the head.
+func chunkKey(key string) (id string, chunk int, err error) {
+	id, num, _ := strings.Cut(strings.TrimPrefix(key, protocol.JobPrefix), "/")
+	chunk, err = strconv.Atoi(num)
+	if err == nil && chunk < 1 {
+		err = fmt.Errorf("chunk %d", chunk)
+	}
+	return id, chunk, err
+}
+
+func (r *reader) machines(it storage.Item) {
+	var b protocol.BatchRecord
+	if err := json.Unmarshal(it.Value, &b); err != nil {
+		r.bad(it.Key, "not understood: %v", err)
+	}
+	for _, m := range b.Machines {
+		r.Machines[m.Name] = true
+	}
+}
+
+// ringOf is the ring of a share's log or of a node's inbox.
+func ringOf[K comparable](rings map[K]*Ring, of K, slots int) *Ring {
+	if rings[of] == nil {
+		rings[of] = NewRing(slots)
+	}
+	return rings[of]
+}
+
+// entry takes a slot's value into its ring.
+func (r *reader) entry(it storage.Item, ring *Ring, slot int, ok bool) {
+	if !ok {
+		r.bad(it.Key, "not a slot")
+		return
+	}
+	e, err := Parse(it.Value)
+	if err == nil {
+		_, err = ring.Put(slot, e)
+	}
+	if err != nil {
+		r.bad(it.Key, "not understood: %v", err)
+	}
+}
+
+// endings finds the jobs that logs say have ended, and entries that are missing.
+func (r *reader) endings() {
+	for share, log := range r.Logs {
+		if !log.Whole() {
+			r.bad(protocol.LogRoot+strconv.Itoa(share), "entry %d is missing, and entry %d is there", log.Known()+1, log.Last())
+		}
+		log.Entries(func(e *protocol.Entry) {
 			for i := range e.Parts {
 				if p := &e.Parts[i]; p.End != "" {
-					s.Ended[p.Job] = p.End
+					r.Ended[p.Job] = p.End
 				}
 			}
 		})
 	}
-	for node, r := range s.Inboxes {
-		r.Entries(func(e *protocol.Entry) {
+}
+
+// accepted takes in the submissions of inboxes, unless a record of its own is later.
+func (r *reader) accepted() {
+	for node, inbox := range r.Inboxes {
+		inbox.Entries(func(e *protocol.Entry) {
 			for _, a := range e.Jobs {
-				if s.Ended[a.Spec.ID] != "" {
+				if r.Ended[a.Spec.ID] != "" {
 					continue
 				}
-				j := s.job(a.Spec.ID)
+				j := r.job(a.Spec.ID)
 				j.Inbox = node
 				if !j.Record {
 					j.take(a.Spec)
@@ -151,44 +222,31 @@
 			}
 		})
 	}
-	for key, c := range chunks {
-		id, num, _ := strings.Cut(strings.TrimPrefix(key, protocol.JobPrefix), "/")
-		k, _ := strconv.Atoi(num)
-		if j := s.Jobs[id]; j != nil && j.Spec != nil {
-			j.base(k, &c, func(why string) { bad(key, "%s", why) })
+}
+
+func (r *reader) chunksOfJobs() {
+	for key, c := range r.chunks {
+		id, chunk, _ := chunkKey(key)
+		if j := r.Jobs[id]; j != nil && j.Spec != nil {
+			j.base(chunk, &c, func(why string) { r.bad(key, "%s", why) })
 		}
 	}
-	for id := range s.Ended {
-		delete(s.Jobs, id)
-	}
-	for share, r := range s.Logs {
-		r.Entries(func(e *protocol.Entry) {
+}
+
+// overlays puts what the logs say over the jobs' records.
+func (r *reader) overlays() {
+	for share, log := range r.Logs {
+		log.Entries(func(e *protocol.Entry) {
 			for i := range e.Parts {
 				p := &e.Parts[i]
-				if j := s.Jobs[p.Job]; j != nil && j.Spec != nil {
+				if j := r.Jobs[p.Job]; j != nil && j.Spec != nil {
 					j.overlay(e, p, func(why string) {
-						bad(protocol.LogKey(share, int(e.Seq%uint64(slots))), "%s: %s", p.Job, why)
+						r.bad(protocol.LogKey(share, int(e.Seq%uint64(r.slots))), "%s: %s", p.Job, why)
 					})
 				}
 			}
 		})
 	}
-	s.finish(bad)
-	return s
-}
-
-func (s *State) put(it storage.Item, r *Ring, slot int, ok bool, bad func(key, format string, a ...any)) {
-	if !ok {
-		bad(it.Key, "not a slot")
-		return
-	}
-	e, err := Parse(it.Value)
-	if err == nil {
-		_, err = r.Put(slot, e)
-	}
-	if err != nil {
-		bad(it.Key, "not understood: %v", err)
-	}
 }
 
 func (s *State) job(id string) *Job {
@@ -272,8 +330,9 @@
 	return out
 }
 
-func (s *State) finish(bad func(key, format string, a ...any)) {
-	for id, j := range s.Jobs {
+// finish counts each job's tasks and sorts the problems.
+func (r *reader) finish() {
+	for id, j := range r.Jobs {
 		j.Next = j.next
 		for i, t := range j.all {
 			switch {
@@ -283,16 +342,20 @@
 				j.Placed++
 				t.Task = i
 				j.Tasks = append(j.Tasks, t)
-				if t.Attempt >= j.next {
-					bad(protocol.JobKey(id), "task %d has try %d, and the next one is %d", i, t.Attempt, j.next)
-				}
-				if !s.Machines[t.Machine] {
-					bad(protocol.JobKey(id), "task %d is on %s, which has no record: its holder returns it", i, t.Machine)
-				}
+				r.checkPlaced(id, j, t)
 			default:
 				j.Waiting++
 			}
 		}
 	}
-	slices.SortFunc(s.Problems, func(a, b Problem) int { return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Why, b.Why)) })
+	slices.SortFunc(r.Problems, func(a, b Problem) int { return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Why, b.Why)) })
+}
+
+func (r *reader) checkPlaced(id string, j *Job, t Task) {
+	if t.Attempt >= j.next {
+		r.bad(protocol.JobKey(id), "task %d has try %d, and the next one is %d", t.Task, t.Attempt, j.next)
+	}
+	if !r.Machines[t.Machine] {
+		r.bad(protocol.JobKey(id), "task %d is on %s, which has no record: its holder returns it", t.Task, t.Machine)
+	}
 }
--- /dev/null
+++ b/internal/coordination/packed/read_test.go
@@ -0,0 +1,37 @@
+package packed
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// Whoever reads what is stored is told of a chunk under a key that can't be, and nothing of
+// it counts.
+func TestReadTellsOfChunksThatCannotBe(t *testing.T) {
+	value := func(v any) []byte {
+		data, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	spec := &protocol.JobSpec{ID: "job-1", Tasks: 2}
+	done := value(protocol.Chunk{Done: [][2]int{{0, 0}}})
+	for _, number := range []string{"-1", "0", "x"} {
+		key := protocol.JobPrefix + "job-1/" + number
+		s := Read([]storage.Item{
+			{Key: protocol.JobKey("job-1"), Value: value(protocol.JobRecord{Spec: spec, Next: 1})},
+			{Key: key, Value: done},
+		}, Slots)
+		if len(s.Problems) != 1 || s.Problems[0].Key != key || !strings.Contains(s.Problems[0].Why, "not understood") {
+			t.Errorf("chunk %q: problems %v, want that it is not understood", number, s.Problems)
+		}
+		if j := s.Jobs["job-1"]; j.Done != 0 || j.Waiting != 2 {
+			t.Errorf("chunk %q: %d tasks done and %d waiting, want none and 2", number, j.Done, j.Waiting)
+		}
+	}
+}
