--- a/internal/coordination/node/corrupt_test.go
+++ b/internal/coordination/node/corrupt_test.go
@@ -69,6 +69,8 @@
 			protocol.HolderRoot + "x/hold":  protocol.HolderRecord{},
 			protocol.LogRoot + "9/9":        protocol.Entry{},
 			protocol.InboxRoot + "n-1/9999": protocol.Entry{Seq: 9999},
+
+			protocol.JobKey("job-000001/-1"): protocol.Chunk{Done: [][2]int{{0, 0}}},
 		}
 		for key, rec := range good {
 			var v any
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -217,8 +217,8 @@
 // observed of placements that stay.
 func (n *Node) setTasks(j *job, k int, c *protocol.Chunk) {
 	lo, hi := j.chunkRange(k)
-	if lo >= hi {
-		return
+	if lo < 0 || lo >= hi {
+		return // there is no such chunk of this job
 	}
 	now := time.Now()
 	want := make([]protocol.Placement, hi-lo)
