--- a/cmd/lab/report.go
+++ b/cmd/lab/report.go
@@ -97,6 +97,17 @@
 	err           error
 }
 
+// reportRun is a run under way: jobs, what was done to them and what nodes told of them.
+type reportRun struct {
+	*reportResult
+	farm    *farm
+	rng     *rand.Rand
+	jobs    []*reported
+	stalls  []*reported          // of those, the ones whose tasks are made to stand still
+	told    map[string][]seenRow // by job
+	stopped string               // the node that stands still
+}
+
 func oneReportRun(ctx context.Context, bin, dir string, seed uint64) *reportResult {
 	r := &reportResult{}
 	f, err := startFarm(ctx, bin, dir, 24, farmTimes)
@@ -105,136 +116,182 @@
 		r.err = err
 		return r
 	}
-	rng := rand.New(rand.NewPCG(seed, 31))
-	var jobs []*reported
+	run := &reportRun{reportResult: r, farm: f, rng: rand.New(rand.NewPCG(seed, 31)), told: map[string][]seenRow{}}
+	run.stallTwo(ctx)
+	run.causeTroubles(ctx)
+	run.awaitStallsTold(ctx)
+	run.endStalls(ctx)
+	run.awaitDone(ctx)
+	run.judge()
+	return r
+}
+
+// submit submits a job whose tasks run for some seconds.
+func (r *reportRun) submit(ctx context.Context, seconds float64) *reported {
+	j := &reported{id: fmt.Sprintf("job-%03d", len(r.jobs)+1), tasks: 1 + r.rng.IntN(4), seconds: seconds}
 	plain := condition{}
-	submit := func(seconds float64) *reported {
-		j := &reported{id: fmt.Sprintf("job-%03d", len(jobs)+1), tasks: 1 + rng.IntN(4), seconds: seconds}
-		if err := f.submit(ctx, j.id, plain.submission(j.id, j.tasks, seconds)); err != nil && r.err == nil {
-			r.err = err
+	if err := r.farm.submit(ctx, j.id, plain.submission(j.id, j.tasks, seconds)); err != nil && r.err == nil {
+		r.err = err
+	}
+	r.jobs = append(r.jobs, j)
+	return j
+}
+
+func (r *reportRun) submitShort(ctx context.Context) *reported {
+	return r.submit(ctx, 2+2*r.rng.Float64())
+}
+
+// ask asks all nodes but the one that stands still for their rows.
+func (r *reportRun) ask(ctx context.Context) {
+	for i, api := range r.farm.apis {
+		name := fmt.Sprint("n-", i)
+		if name == r.stopped {
+			continue
+		}
+		asked := time.Now()
+		rows, page, err := r.farm.account(ctx, api)
+		if err != nil {
+			continue // not known: nothing is said
+		}
+		r.checkSums(ctx, api, name, rows, page)
+		for id, row := range rows {
+			r.note(id, seenRow{row, asked, name})
 		}
-		jobs = append(jobs, j)
-		return j
 	}
-	rows := map[string][]seenRow{}
-	stopped := "" // the node that stands still
-	ask := func() {
-		for i, api := range f.apis {
-			if fmt.Sprint("n-", i) == stopped {
-				continue
-			}
-			asked := time.Now()
-			all, p, err := f.account(ctx, api)
-			if err != nil {
-				continue // not known: nothing is said
-			}
-			total := 0
-			for _, n := range p.Sums {
-				total += n
-			}
-			if stopped == "" && (len(all) != len(jobs) || total != len(all)) {
-				// A job may have been accepted a moment ago by the other node, or a share be
-				// on its way from one to the other while pages are asked for.
-				time.Sleep(600 * time.Millisecond)
-				if again, p, err := f.account(ctx, api); err == nil && (len(again) != len(jobs) || len(p.Unknown) == 0 && sum(p.Sums) != len(again)) {
-					r.wrong = append(r.wrong, fmt.Sprintf("n-%d tells of %d jobs in %d rows, %d were accepted", i, sum(p.Sums), len(again), len(jobs)))
-				}
-			}
-			for id, row := range all {
-				r.rows++
-				if row.State == ledger.Unknown {
-					r.unknown++
-				}
-				rows[id] = append(rows[id], seenRow{row, asked, fmt.Sprint("n-", i)})
-				for _, j := range jobs {
-					if j.id == id && row.State == ledger.Stuck && j.shown.IsZero() && !j.stalled.IsZero() {
-						j.shown = time.Now()
-					}
-				}
-			}
+}
+
+// checkSums holds a node's sums and rows to the number of jobs accepted.
+func (r *reportRun) checkSums(ctx context.Context, api, name string, rows map[string]ledger.Row, page *ledger.Page) {
+	if r.stopped != "" || len(rows) == len(r.jobs) && sum(page.Sums) == len(rows) {
+		return
+	}
+	// A job may have been accepted a moment ago by the other node, or a share be on its way
+	// from one to the other while pages are asked for.
+	time.Sleep(600 * time.Millisecond)
+	again, page, err := r.farm.account(ctx, api)
+	if err == nil && (len(again) != len(r.jobs) || len(page.Unknown) == 0 && sum(page.Sums) != len(again)) {
+		r.wrong = append(r.wrong, fmt.Sprintf("%s tells of %d jobs in %d rows, %d were accepted", name, sum(page.Sums), len(again), len(r.jobs)))
+	}
+}
+
+// note keeps a row, and when a stalled job was first told to be stuck.
+func (r *reportRun) note(id string, row seenRow) {
+	r.rows++
+	if row.State == ledger.Unknown {
+		r.unknown++
+	}
+	r.told[id] = append(r.told[id], row)
+	for _, j := range r.jobs {
+		if j.id == id && row.State == ledger.Stuck && j.shown.IsZero() && !j.stalled.IsZero() {
+			j.shown = time.Now()
 		}
 	}
+}
+
+// stallTwo submits jobs, waits until two of them run and makes these stand still.
+func (r *reportRun) stallTwo(ctx context.Context) {
 	for range 6 {
-		submit(2 + 2*rng.Float64())
+		r.submitShort(ctx)
 	}
-	stalls := []*reported{submit(3), submit(3)}
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && f.running(ctx, stalls[1].id) == 0; ask() {
+	r.stalls = []*reported{r.submit(ctx, 3), r.submit(ctx, 3)}
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && r.farm.running(ctx, r.stalls[1].id) == 0; r.ask(ctx) {
 		time.Sleep(200 * time.Millisecond)
 	}
-	for _, j := range stalls {
-		post(ctx, f, "/stall/"+j.id+"/true")
+	for _, j := range r.stalls {
+		post(ctx, r.farm, "/stall/"+j.id+"/true")
 		j.stalled = time.Now()
 	}
-	// Beside that: a machine vanishes, a controller stands still, work goes on.
-	troubles := rng.Perm(3)
+}
+
+// causeTroubles lets a machine vanish and controllers stand still while work goes on.
+func (r *reportRun) causeTroubles(ctx context.Context) {
+	troubles := r.rng.Perm(3)
 	began := time.Now()
 	for step := 0; time.Since(began) < 50*time.Second && ctx.Err() == nil; step++ {
 		time.Sleep(500 * time.Millisecond)
-		ask()
+		r.ask(ctx)
 		if step%12 == 6 {
-			submit(2 + 2*rng.Float64())
+			r.submitShort(ctx)
 		}
-		if step%16 == 8 && step/16 < len(troubles) {
-			switch troubles[step/16] {
-			case 0:
-				var list protocol.MachineList
-				if _, out, err := f.call(ctx, "GET", f.cloud, "/hosts", nil); err == nil && json.Unmarshal(out, &list) == nil && len(list.Machines) > 0 {
-					post(ctx, f, "/kill/"+list.Machines[rng.IntN(len(list.Machines))].ID)
-				}
-			case 1, 2:
-				// The other one must say unknown of its jobs until it has taken them over.
-				i := rng.IntN(2)
-				stopped = fmt.Sprint("n-", i)
-				for _, p := range f.procs {
-					if p.name == stopped {
-						p.signal(syscall.SIGSTOP)
-					}
-				}
-				for range 3 + rng.IntN(8) {
-					time.Sleep(300 * time.Millisecond)
-					ask()
-				}
-				for _, p := range f.procs {
-					if p.name == stopped {
-						p.signal(syscall.SIGCONT)
-					}
-				}
-				stopped = ""
-				time.Sleep(4 * time.Second)
-			}
+		if step%16 != 8 || step/16 >= len(troubles) {
+			continue
 		}
+		if troubles[step/16] == 0 {
+			r.killMachine(ctx)
+		} else {
+			r.stopController(ctx)
+		}
+	}
+}
+
+func (r *reportRun) killMachine(ctx context.Context) {
+	var list protocol.MachineList
+	if _, out, err := r.farm.call(ctx, "GET", r.farm.cloud, "/hosts", nil); err == nil && json.Unmarshal(out, &list) == nil && len(list.Machines) > 0 {
+		post(ctx, r.farm, "/kill/"+list.Machines[r.rng.IntN(len(list.Machines))].ID)
+	}
+}
+
+// stopController makes a controller stand still for a while. The other one must say unknown
+// of its jobs until it has taken them over.
+func (r *reportRun) stopController(ctx context.Context) {
+	r.stopped = fmt.Sprint("n-", r.rng.IntN(2))
+	r.farm.signal(syscall.SIGSTOP, r.stopped)
+	for range 3 + r.rng.IntN(8) {
+		time.Sleep(300 * time.Millisecond)
+		r.ask(ctx)
 	}
-	// A run that is lost meanwhile stalls anew on another machine: then that is the cause.
+	r.farm.signal(syscall.SIGCONT, r.stopped)
+	r.stopped = ""
+	time.Sleep(4 * time.Second)
+}
+
+// awaitStallsTold asks until both stalls are told, or have had a minute for it.
+func (r *reportRun) awaitStallsTold(ctx context.Context) {
 	until(ctx, 70*time.Second, func() bool {
-		ask()
-		events, _ := readEvents(f.events)
+		r.ask(ctx)
+		events, _ := readEvents(r.farm.events)
 		open := false
-		for _, j := range stalls {
-			for _, e := range events {
-				if job, _, ok := protocol.ParseTaskID(e.Task); ok && job == j.id && e.Event == "start" && time.Unix(0, e.At).After(j.stalled) && j.shown.IsZero() {
-					j.stalled = time.Unix(0, e.At)
-				}
-			}
+		for _, j := range r.stalls {
+			j.stalledAnew(events)
 			open = open || j.shown.IsZero() && time.Since(j.stalled) < time.Minute
 		}
 		return !open
 	})
-	for _, j := range stalls {
-		post(ctx, f, "/stall/"+j.id+"/false")
-		switch {
+}
+
+// stalledAnew counts a stall from the last start: a run that is lost meanwhile stalls anew on
+// another machine, and then that is the cause.
+func (j *reported) stalledAnew(events []farmEvent) {
+	for _, e := range events {
+		job, _, ok := protocol.ParseTaskID(e.Task)
+		if at := time.Unix(0, e.At); ok && job == j.id && e.Event == "start" && at.After(j.stalled) && j.shown.IsZero() {
+			j.stalled = at
+		}
+	}
+}
+
+// endStalls lets the stalled jobs go on, and says which were told late or not at all.
+func (r *reportRun) endStalls(ctx context.Context) {
+	for _, j := range r.stalls {
+		post(ctx, r.farm, "/stall/"+j.id+"/false")
+		switch took := j.shown.Sub(j.stalled); {
 		case j.shown.IsZero():
 			r.wrong = append(r.wrong, j.id+": stalled, and not told as stuck")
-		case j.shown.Sub(j.stalled) > time.Minute:
-			r.wrong = append(r.wrong, fmt.Sprintf("%s: told as stuck after %v", j.id, j.shown.Sub(j.stalled)))
+		case took > time.Minute:
+			r.wrong = append(r.wrong, fmt.Sprintf("%s: told as stuck after %v", j.id, took))
 		default:
-			r.shown = append(r.shown, j.shown.Sub(j.stalled))
+			r.shown = append(r.shown, took)
 		}
 	}
+}
+
+// awaitDone asks until the machines have done all jobs, and once more a while later.
+func (r *reportRun) awaitDone(ctx context.Context) {
 	until(ctx, 40*time.Second, func() bool {
-		ask()
+		r.ask(ctx)
 		time.Sleep(500 * time.Millisecond)
-		events, err := readEvents(f.events)
-		for _, j := range jobs {
+		events, err := readEvents(r.farm.events)
+		for _, j := range r.jobs {
 			if err != nil || doneAt(events, j.id, j.tasks).IsZero() {
 				return false
 			}
@@ -242,20 +299,27 @@
 		return true
 	})
 	time.Sleep(4 * time.Second)
-	ask()
-	events, err := readEvents(f.events)
+	r.ask(ctx)
+}
+
+// accountGrace is how late an account may be: a controller that stood still stores and tells
+// late, by its stop and a take-over.
+const accountGrace = 12 * time.Second
+
+// judge holds all rows to what the machines ran.
+func (r *reportRun) judge() {
+	events, err := readEvents(r.farm.events)
 	if err != nil {
 		r.err = err
-		return r
+		return
 	}
-	for _, j := range jobs {
-		// A controller that stood still stores and tells late: by its stop and a take-over.
-		r.wrong = append(r.wrong, judgeRows(j, rows[j.id], events, 12*time.Second)...)
-		if l := rows[j.id]; len(l) == 0 || l[len(l)-1].State != ledger.Done {
+	for _, j := range r.jobs {
+		rows := r.told[j.id]
+		r.wrong = append(r.wrong, judgeRows(j, rows, events, accountGrace)...)
+		if len(rows) == 0 || rows[len(rows)-1].State != ledger.Done {
 			r.wrong = append(r.wrong, j.id+": not told as done in the end")
 		}
 	}
-	return r
 }
 
 func sum(m map[string]int) (n int) {
--- a/cmd/lab/standby.go
+++ b/cmd/lab/standby.go
@@ -78,12 +78,7 @@
 		cause := causes[order[turn%len(order)]]
 		i := rng.IntN(2)
 		name, other := fmt.Sprint("n-", i), f.apis[1-i]
-		var p *process
-		for _, q := range f.procs {
-			if q.name == name {
-				p = q
-			}
-		}
+		p := f.process(name)
 		before, err := f.holder(ctx, other)
 		if err != nil || before[0] == before[1] {
 			continue
--- a/cmd/lab/tickets.go
+++ b/cmd/lab/tickets.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -159,6 +160,25 @@
 	}
 }
 
+// process is the process of a name; nil if there is none.
+func (f *farm) process(name string) *process {
+	for _, p := range f.procs {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// signal sends a signal to some of the farm's processes.
+func (f *farm) signal(s syscall.Signal, names ...string) {
+	for _, name := range names {
+		if p := f.process(name); p != nil {
+			p.signal(s)
+		}
+	}
+}
+
 func (f *farm) call(ctx context.Context, method, addr, path string, body []byte) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, strings.NewReader(string(body)))
 	if err != nil {
--- a/cmd/lab/why.go
+++ b/cmd/lab/why.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"syscall"
 	"time"
 
@@ -114,11 +113,7 @@
 	}
 	stop := func(s syscall.Signal, names ...string) func(ctx context.Context, f *farm, id string) error {
 		return func(ctx context.Context, f *farm, id string) error {
-			for _, p := range f.procs {
-				if slices.Contains(names, p.name) {
-					p.signal(s)
-				}
-			}
+			f.signal(s, names...)
 			return nil
 		}
 	}
@@ -251,12 +246,8 @@
 		if err != nil {
 			return err
 		}
-		for _, p := range f.procs {
-			if p.name == w.Holder {
-				p.signal(syscall.SIGSTOP)
-				defer p.signal(syscall.SIGCONT)
-			}
-		}
+		f.signal(syscall.SIGSTOP, w.Holder)
+		defer f.signal(syscall.SIGCONT, w.Holder)
 		nodes = f.apis[:1]
 		if w.Holder == "n-0" {
 			nodes = f.apis[1:]
