--- a/cmd/dapplestage/gateway.go
+++ b/cmd/dapplestage/gateway.go
@@ -93,6 +93,25 @@
 	return c
 }
 
+// member is a member of a gateway as it runs.
+type member struct {
+	ring     *keys.Ring
+	peers    []*rpc.Peer    // by number
+	numbers  map[string]int // of the members, by name
+	checksum uint64         // of what all members must agree on
+	log      *slog.Logger
+}
+
+// stored is what a member has in its store, and what it is to be run with.
+type stored struct {
+	store  gateway.Store
+	items  []wire.Item
+	start  uint32       // higher with each start of the member
+	caller gateway.Site // calls the site's controllers; nil at a gateway
+	local  net.Listener // where the site's controllers ask for the lease; nil at a gateway
+	close  func()
+}
+
 // serveMember runs a member until it is told to stop.
 func serveMember(s *wire.Settings, site *protocol.Settings) error {
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})).With("member", s.Member)
@@ -104,7 +123,6 @@
 	if err != nil {
 		return err
 	}
-	cfg := memberConfig(s)
 	// What others connect to is opened first: a mistake shows before anything is read.
 	ln, err := net.Listen("tcp", s.Listen)
 	if err != nil {
@@ -114,41 +132,16 @@
 	if err != nil {
 		return err
 	}
-	var store gateway.Store
-	var caller gateway.Site
-	var items []wire.Item
-	var start uint32
-	var local net.Listener
-	if s.IsSite() {
-		if local, err = net.Listen("tcp", s.Site.Local); err != nil {
-			return err
-		}
-		if store, items, start, err = openSite(ctx, s, site, log); err != nil {
-			return err
-		}
-		caller = gateway.NewControllers(s.Site.Controllers, log)
-	} else {
-		j, its, n, err := gateway.OpenJournal(s.Path(s.Journal.Path), s.Member)
-		if err != nil {
-			return err
-		}
-		defer j.Close()
-		store, items, start = gateway.JournalStore{Journal: j}, its, n
-	}
-	sum := s.Checksum()
-	index := map[string]int{}
-	peers := make([]*rpc.Peer, len(s.Members))
-	for i, m := range s.Members {
-		index[m.Name] = i
-		peers[i] = rpc.NewPeer(m.Name)
-	}
-	send := func(to int, e *wire.Envelope) {
-		e.Config = sum
-		peers[to].Send(wire.Encode(e))
+	st, err := openStored(ctx, s, site, log)
+	if err != nil {
+		return err
 	}
+	defer st.close()
+	m := newMember(s, ring, log)
+	cfg := memberConfig(s)
 	h := fnv.New64a()
 	h.Write([]byte(s.Member))
-	d := gateway.NewDaemon(ctx, cfg, start, items, store, send, caller, h.Sum64()^uint64(time.Now().UnixNano()), log)
+	d := gateway.NewDaemon(ctx, cfg, st.start, st.items, st.store, m.send, st.caller, h.Sum64()^uint64(time.Now().UnixNano()), log)
 	serve := func(f func() error) {
 		go func() {
 			if err := f(); err != nil {
@@ -156,37 +149,78 @@
 			}
 		}()
 	}
-	for i, m := range s.Members {
+	for i, other := range s.Members {
 		if i != cfg.Self {
-			serve(func() error { return peers[i].Run(ctx, m.Addr, ring, log) })
+			serve(func() error { return m.peers[i].Run(ctx, other.Addr, ring, log) })
 		}
 	}
-	serve(func() error {
-		return rpc.Server(ctx, ln, ring, func(name string) bool { i, ok := index[name]; return ok && i != cfg.Self }, log, func(from string, data []byte) error {
-			if len(data) == 0 {
-				return nil
-			}
-			e, err := wire.Decode(data)
-			if err != nil {
-				return err
-			}
-			if e.Config != sum {
-				return fmt.Errorf("%s has other members or times in its file", from)
-			}
-			d.Take(index[from], e)
-			return nil
-		})
-	})
-	if local != nil {
+	serve(func() error { return m.receive(ctx, ln, cfg.Self, d) })
+	if st.local != nil {
 		serve(func() error {
-			return transport.Serve(ctx, local, d.LeaseHandler(time.Duration(s.ControllersS*float64(time.Second))))
+			return transport.Serve(ctx, st.local, d.LeaseHandler(time.Duration(s.ControllersS*float64(time.Second))))
 		})
 	}
-	serve(func() error { return transport.Serve(ctx, api, d.API(keyMetrics(ring, peers)...)) })
-	log.Info("serving", "api", s.API, "members", len(s.Members), "site", s.IsSite(), "registers", len(items), "start", start, "version", version)
+	serve(func() error { return transport.Serve(ctx, api, d.API(keyMetrics(ring, m.peers)...)) })
+	log.Info("serving", "api", s.API, "members", len(s.Members), "site", s.IsSite(), "registers", len(st.items), "start", st.start, "version", version)
 	return d.Run()
 }
 
+func newMember(s *wire.Settings, ring *keys.Ring, log *slog.Logger) *member {
+	m := &member{ring: ring, checksum: s.Checksum(), numbers: map[string]int{}, log: log}
+	for i, other := range s.Members {
+		m.numbers[other.Name] = i
+		m.peers = append(m.peers, rpc.NewPeer(other.Name))
+	}
+	return m
+}
+
+// send sends a message to a member.
+func (m *member) send(to int, e *wire.Envelope) {
+	e.Config = m.checksum
+	m.peers[to].Send(wire.Encode(e))
+}
+
+// receive takes messages of the other members until ctx ends.
+func (m *member) receive(ctx context.Context, ln net.Listener, self int, d *gateway.Daemon) error {
+	isOther := func(name string) bool {
+		i, ok := m.numbers[name]
+		return ok && i != self
+	}
+	return rpc.Server(ctx, ln, m.ring, isOther, m.log, func(from string, data []byte) error {
+		if len(data) == 0 {
+			return nil
+		}
+		e, err := wire.Decode(data)
+		if err != nil {
+			return err
+		}
+		if e.Config != m.checksum {
+			return fmt.Errorf("%s has other members or times in its file", from)
+		}
+		d.Take(m.numbers[from], e)
+		return nil
+	})
+}
+
+// openStored opens a member's store: a site's log in its state service, or a gateway's
+// journal.
+func openStored(ctx context.Context, s *wire.Settings, site *protocol.Settings, log *slog.Logger) (*stored, error) {
+	if !s.IsSite() {
+		j, items, start, err := gateway.OpenJournal(s.Path(s.Journal.Path), s.Member)
+		if err != nil {
+			return nil, err
+		}
+		return &stored{store: gateway.JournalStore{Journal: j}, items: items, start: start, close: func() { j.Close() }}, nil
+	}
+	local, err := net.Listen("tcp", s.Site.Local)
+	if err != nil {
+		return nil, err
+	}
+	st := &stored{local: local, caller: gateway.NewControllers(s.Site.Controllers, log), close: func() {}}
+	st.store, st.items, st.start, err = openSite(ctx, s, site, log)
+	return st, err
+}
+
 // openSite takes the site's log in its state service over; it waits for the service.
 func openSite(ctx context.Context, s *wire.Settings, site *protocol.Settings, log *slog.Logger) (gateway.Store, []wire.Item, uint32, error) {
 	p := site.Params
--- a/cmd/dapplestage/main.go
+++ b/cmd/dapplestage/main.go
@@ -44,7 +44,8 @@
 }
 
 func command() *cobra.Command {
-	var config, daemon, tickets, account string
+	var config string
+	var o options
 	root := &cobra.Command{
 		Use:           "dapplestage --config FILE",
 		Short:         "A controller of the dapplestage cluster scheduler",
@@ -59,13 +60,13 @@
 			if err != nil {
 				return failed(err)
 			}
-			return failed(serve(cfg, daemon, tickets, account))
+			return failed(serve(cfg, o))
 		},
 	}
 	root.Flags().StringVar(&config, "config", "", "the settings file that the platform hands over")
-	root.Flags().StringVar(&daemon, "site-daemon", "", "where the site's daemon tells how long jobs of a gateway may run, as IP:PORT")
-	root.Flags().StringVar(&tickets, "tickets", "", "take render-farm tickets of the classes in this file, such as deploy/tickets.toml")
-	root.Flags().StringVar(&account, "account", "", "store what ended as this file says, such as deploy/account.toml")
+	root.Flags().StringVar(&o.siteDaemon, "site-daemon", "", "where the site's daemon tells how long jobs of a gateway may run, as IP:PORT")
+	root.Flags().StringVar(&o.tickets, "tickets", "", "take render-farm tickets of the classes in this file, such as deploy/tickets.toml")
+	root.Flags().StringVar(&o.account, "account", "", "store what ended as this file says, such as deploy/account.toml")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return failed(fmt.Errorf("%w: %v", errUsage, err))
 	})
@@ -114,26 +115,46 @@
 	return slog.LevelInfo
 }
 
-// serve runs the node until it is told to stop.
-func serve(cfg *protocol.Settings, daemon, tickets, account string) error {
-	if daemon != "" {
-		if _, err := netip.ParseAddrPort(daemon); err != nil {
-			return fmt.Errorf("%w: --site-daemon: not an address and port: %q", errUsage, daemon)
+// options are the flags of the daemon beside its settings file.
+type options struct {
+	siteDaemon string // address of the site's daemon; empty: no gateway
+	tickets    string // file of classes of tickets; empty: none are taken
+	account    string // file of what to keep of jobs that ended; empty: nothing is stored
+}
+
+// extras are what the daemon's flags name, read and checked.
+type extras struct {
+	classes ticket.Table
+	account *node.AccountSettings // nil: nothing is stored
+}
+
+// read checks the flags and reads the files that they name.
+func (o options) read() (e extras, err error) {
+	if o.siteDaemon != "" {
+		if _, err := netip.ParseAddrPort(o.siteDaemon); err != nil {
+			return e, fmt.Errorf("%w: --site-daemon: not an address and port: %q", errUsage, o.siteDaemon)
 		}
 	}
-	var classes ticket.Table
-	if tickets != "" {
-		var err error
-		if classes, err = ticket.ReadClasses(tickets); err != nil {
-			return fmt.Errorf("%w: --tickets: %v", errUsage, err)
+	if o.tickets != "" {
+		if e.classes, err = ticket.ReadClasses(o.tickets); err != nil {
+			return e, fmt.Errorf("%w: --tickets: %v", errUsage, err)
 		}
 	}
-	var keep node.AccountSettings
-	if account != "" {
-		var err error
-		if keep, err = node.ReadAccount(account); err != nil {
-			return fmt.Errorf("%w: --account: %v", errUsage, err)
+	if o.account != "" {
+		account, err := node.ReadAccount(o.account)
+		if err != nil {
+			return e, fmt.Errorf("%w: --account: %v", errUsage, err)
 		}
+		e.account = &account
+	}
+	return e, nil
+}
+
+// serve runs the node until it is told to stop.
+func serve(cfg *protocol.Settings, o options) error {
+	e, err := o.read()
+	if err != nil {
+		return err
 	}
 	planMachine(cfg.Params.Quota)
 	level := &slog.LevelVar{}
@@ -142,58 +163,90 @@
 	node.Version = version
 	told, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-
-	store := storage.NewStore(cfg.External.State, cfg.Params.State, cfg.Params.Nodes)
-	cloud := storage.NewCloud(cfg.External.Cloud, cfg.Params.Cloud, cfg.Params.Nodes)
-	h := fnv.New64a()
-	h.Write([]byte(cfg.Node))
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	n := node.New(ctx, cfg, log, store, cloud, storage.NewWorkers(), h.Sum64()^uint64(time.Now().UnixNano()))
-	store.OnContact = n.Contact
-	n.TakeTickets(classes)
-	if account != "" {
-		n.KeepAccount(keep)
-	}
+
+	n := newNode(ctx, cfg, log, e)
 	n.SetLevel = func(l slog.Level, chosen bool) {
 		if !chosen {
 			l = logLevel()
 		}
 		level.Set(l)
 	}
+	if o.siteDaemon != "" {
+		followSiteDaemon(n, o.siteDaemon)
+	}
+	if err := listen(ctx, cancel, cfg, n); err != nil {
+		return err
+	}
+	go func() {
+		// An orderly end hands over what this node holds, and then ends it.
+		<-told.Done()
+		n.Leave()
+		cancel(nil)
+	}()
+	log.Info("serving", "api", cfg.APIAddr, "version", version)
+	n.Run()
+	if err := context.Cause(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
 
-	peerAddr := map[string]string{}
-	for _, s := range cfg.Siblings {
-		peerAddr[s.Node] = s.Addr
+// newNode makes the node with its clients of the state service, the cloud and the workers.
+func newNode(ctx context.Context, cfg *protocol.Settings, log *slog.Logger, e extras) *node.Node {
+	store := storage.NewStore(cfg.External.State, cfg.Params.State, cfg.Params.Nodes)
+	cloud := storage.NewCloud(cfg.External.Cloud, cfg.Params.Cloud, cfg.Params.Nodes)
+	h := fnv.New64a()
+	h.Write([]byte(cfg.Node))
+	seed := h.Sum64() ^ uint64(time.Now().UnixNano())
+	n := node.New(ctx, cfg, log, store, cloud, storage.NewWorkers(), seed)
+	store.OnContact = n.Contact
+	n.TakeTickets(e.classes)
+	if e.account != nil {
+		n.KeepAccount(*e.account)
 	}
-	n.AskPeer = func(ctx context.Context, name string, question []byte) ([]byte, error) {
-		return transport.AskFrame(ctx, peerAddr[name], node.AskPatience, question)
-	}
-	if daemon != "" {
-		asks := transport.NewClient(daemon, 0)
-		n.SiteFrom, _, _ = net.SplitHostPort(daemon)
-		n.Known = func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error) {
-			a, err := asks.Call(ctx, time.Second, "GET", "/site/jobs/"+id, nil)
-			switch {
-			case err != nil:
-			case a.Status == 200:
-				err = json.Unmarshal(a.Body, &s)
-			case a.Status != 404:
-				err = fmt.Errorf("the site's daemon answers %d", a.Status)
-			}
-			return s, a.Status == 200 || a.Status == 409, err
+	return n
+}
+
+// siteDaemonTimeout is how long a question to the site's daemon may take.
+const siteDaemonTimeout = time.Second
+
+// followSiteDaemon lets a node ask its site's daemon for the site's lease and for jobs of
+// the gateway that it does not know.
+func followSiteDaemon(n *node.Node, addr string) {
+	asks := transport.NewClient(addr, 0)
+	n.SiteFrom, _, _ = net.SplitHostPort(addr)
+	n.Known = func(ctx context.Context, id string) (s protocol.JobStatus, known bool, err error) {
+		a, err := asks.Call(ctx, siteDaemonTimeout, "GET", "/site/jobs/"+id, nil)
+		switch {
+		case err != nil:
+		case a.Status == 200:
+			err = json.Unmarshal(a.Body, &s)
+		case a.Status != 404:
+			err = siteDaemonError(a.Status)
 		}
-		go n.KeepGate(func(ctx context.Context) ([]byte, error) {
-			a, err := asks.Call(ctx, time.Second, "GET", "/site/lease", nil)
-			if err == nil && a.Status != 200 {
-				err = fmt.Errorf("the site's daemon answers %d", a.Status)
-			}
-			return a.Body, err
-		})
+		return s, a.Status == 200 || a.Status == 409, err
 	}
+	go n.KeepGate(func(ctx context.Context) ([]byte, error) {
+		a, err := asks.Call(ctx, siteDaemonTimeout, "GET", "/site/lease", nil)
+		if err == nil && a.Status != 200 {
+			err = siteDaemonError(a.Status)
+		}
+		return a.Body, err
+	})
+}
+
+func siteDaemonError(status int) error {
+	return fmt.Errorf("the site's daemon answers %d", status)
+}
+
+// listen opens the node's addresses and serves users, workers and the other controllers.
+// Whatever ends one of the servers ends the node, by cancel.
+func listen(ctx context.Context, cancel context.CancelCauseFunc, cfg *protocol.Settings, n *node.Node) error {
 	// Whoever is gone shows by its silence, so no keep-alive probes of the system's: they
 	// cost four calls to it for each connection.
-	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp4", cfg.APIAddr)
+	api, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp4", cfg.APIAddr)
 	if err != nil {
 		return err
 	}
@@ -201,35 +254,35 @@
 	if err != nil {
 		return err
 	}
-	go func() {
-		if err := transport.AcceptFrames(ctx, peers, node.HintQuiet, n.TakeHint, n.Answer); err != nil {
-			cancel(err)
-		}
-	}()
-	for _, s := range cfg.Siblings {
-		go transport.SendFrames(ctx, s.Addr, node.HintPeriod, node.HintQuiet, n.Hint, func(e transport.Event) { n.Noticed(s.Node, e) })
+	serve := func(f func() error) {
+		go func() {
+			if err := f(); err != nil {
+				cancel(err)
+			}
+		}()
 	}
-	front := transport.NewFront(ctx, ln, frontLimits(cfg.Params.Quota), n.FromWorker)
+	connectSiblings(ctx, cfg, n)
+	serve(func() error { return transport.AcceptFrames(ctx, peers, node.HintQuiet, n.TakeHint, n.Answer) })
+	front := transport.NewFront(ctx, api, frontLimits(cfg.Params.Quota), n.FromWorker)
 	n.OnLoaded, n.Closed = front.Ready, front.Closed
-	go func() {
-		if err := transport.Serve(ctx, front, n.API()); err != nil {
-			cancel(err)
-		}
-	}()
-	go func() {
-		// An orderly end hands over what this node holds, and then ends it.
-		<-told.Done()
-		n.Leave()
-		cancel(nil)
-	}()
-	log.Info("serving", "api", cfg.APIAddr, "version", version)
-	n.Run()
-	if err := context.Cause(ctx); err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
+	serve(func() error { return transport.Serve(ctx, front, n.API()) })
 	return nil
 }
 
+// connectSiblings sends the node's hints and questions to the other controllers.
+func connectSiblings(ctx context.Context, cfg *protocol.Settings, n *node.Node) {
+	addrs := map[string]string{}
+	for _, s := range cfg.Siblings {
+		addrs[s.Node] = s.Addr
+	}
+	n.AskPeer = func(ctx context.Context, name string, question []byte) ([]byte, error) {
+		return transport.AskFrame(ctx, addrs[name], node.AskPatience, question)
+	}
+	for _, s := range cfg.Siblings {
+		go transport.SendFrames(ctx, s.Addr, node.HintPeriod, node.HintQuiet, n.Hint, func(e transport.Event) { n.Noticed(s.Node, e) })
+	}
+}
+
 // frontLimits fits what is let through at once to the machine: workers' first requests
 // that one turn's processor time covers, as many waiting as two and a half seconds cover (at
 // 0.4 ms each, as measured on the bench's simulated machines; a worker waits for four), and sockets enough for calls to
