--- a/internal/protocol/gateway/settings.go
+++ b/internal/protocol/gateway/settings.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"errors"
 	"fmt"
 	"hash/fnv"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -79,18 +77,17 @@
 	if err := toml.Unmarshal(data, s); err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
-	errs := s.check()
+	mistakes := &protocol.Mistakes{}
+	s.check(mistakes)
 	var site *protocol.Settings
 	if s.IsSite() && s.Site.Settings != "" {
 		if site, err = protocol.ReadSettings(s.Path(s.Site.Settings)); err != nil {
-			errs = append(errs, fmt.Errorf("site.settings: %w", err))
-		} else {
-			if w := site.Params.Workers; w.LeaseS > s.WorkersLeaseS || w.CancelS < s.CancelS {
-				errs = append(errs, fmt.Errorf("workers_lease_s: the site's lease_s %g must be at most that (%g), and its cancel_s %g at least cancel_s (%g)", w.LeaseS, s.WorkersLeaseS, w.CancelS, s.CancelS))
-			}
+			mistakes.Add("site.settings: %w", err)
+		} else if w := site.Params.Workers; w.LeaseS > s.WorkersLeaseS || w.CancelS < s.CancelS {
+			mistakes.Add("workers_lease_s: the site's lease_s %g must be at most that (%g), and its cancel_s %g at least cancel_s (%g)", w.LeaseS, s.WorkersLeaseS, w.CancelS, s.CancelS)
 		}
 	}
-	if err := errors.Join(errs...); err != nil {
+	if err := mistakes.Err(); err != nil {
 		return nil, nil, err
 	}
 	slices.SortFunc(s.Members, func(a, b Peer) int {
@@ -126,72 +123,70 @@
 	return h.Sum64()
 }
 
-func (s *Settings) check() []error {
-	var errs []error
-	bad := func(format string, a ...any) { errs = append(errs, fmt.Errorf(format, a...)) }
-	addr := func(field, v string) {
-		if _, err := netip.ParseAddrPort(v); err != nil {
-			bad("%s: not an address and port: %q", field, v)
-		}
+func (s *Settings) check(m *protocol.Mistakes) {
+	m.Address("listen", s.Listen)
+	m.Address("api_addr", s.API)
+	s.checkTimes(m)
+	s.checkMembers(m)
+	if s.Keys.Dir == "" && (s.Keys.Member == "" || s.Keys.Authority == "") {
+		m.Add("keys.dir: missing (or keys.member and keys.authority)")
 	}
-	between := func(field string, v, least, most float64) {
-		if !(v >= least && v <= most) {
-			bad("%s: %g is not within %g to %g", field, v, least, most)
-		}
+	if s.IsSite() {
+		s.checkSite(m)
+	} else if s.Journal.Path == "" {
+		m.Add("journal.path: missing")
 	}
-	addr("listen", s.Listen)
-	addr("api_addr", s.API)
-	between("lease_s", s.LeaseS, 2, 60)
-	between("controllers_s", s.ControllersS, 1, 30)
-	between("workers_lease_s", s.WorkersLeaseS, 1, 3600)
-	between("in_flight", float64(s.InFlight), 1, 100000)
-	between("route.per_second", s.Route.PerSecond, 0.1, 10000)
-	between("route.ramp_s", s.Route.RampS, 0, 3600)
-	between("route.stale_s", s.Route.StaleS, 3, 600)
-	between("route.open_per_site", float64(s.Route.Open), 1, 1e6)
-	between("route.move_after_s", s.Route.MoveAfterS, 0, 86400)
+}
+
+func (s *Settings) checkTimes(m *protocol.Mistakes) {
+	m.Between("lease_s", s.LeaseS, 2, 60)
+	m.Between("controllers_s", s.ControllersS, 1, 30)
+	m.Between("workers_lease_s", s.WorkersLeaseS, 1, 3600)
+	m.Between("in_flight", float64(s.InFlight), 1, 100000)
+	m.Between("route.per_second", s.Route.PerSecond, 0.1, 10000)
+	m.Between("route.ramp_s", s.Route.RampS, 0, 3600)
+	m.Between("route.stale_s", s.Route.StaleS, 3, 600)
+	m.Between("route.open_per_site", float64(s.Route.Open), 1, 1e6)
+	m.Between("route.move_after_s", s.Route.MoveAfterS, 0, 86400)
 	// A cancellation must end what the site's workers run though the site can't be told.
 	if most := s.CancelS - s.WorkersLeaseS - s.ControllersS - 4; s.LeaseS*1.002 >= most {
-		bad("lease_s: %g must be below %g (cancel_s %g less workers_lease_s %g, controllers_s %g and 4)", s.LeaseS, most, s.CancelS, s.WorkersLeaseS, s.ControllersS)
+		m.Add("lease_s: %g must be below %g (cancel_s %g less workers_lease_s %g, controllers_s %g and 4)", s.LeaseS, most, s.CancelS, s.WorkersLeaseS, s.ControllersS)
 	}
+}
+
+func (s *Settings) checkMembers(m *protocol.Mistakes) {
 	if n := len(s.Members); n < 3 || n > MaxMembers {
-		bad("members: %d, at least 3 and at most %d", n, MaxMembers)
+		m.Add("members: %d, at least 3 and at most %d", n, MaxMembers)
 	}
-	seen, sites, self := map[string]bool{}, 0, false
-	for i, m := range s.Members {
-		if m.Name == "" || seen[m.Name] {
-			bad("members[%d].name: missing or repeated: %q", i, m.Name)
+	seen, sites := map[string]bool{}, 0
+	for i, p := range s.Members {
+		if p.Name == "" || seen[p.Name] {
+			m.Add("members[%d].name: missing or repeated: %q", i, p.Name)
 		}
-		seen[m.Name] = true
-		self = self || m.Name == s.Member
-		if m.Site {
+		seen[p.Name] = true
+		if p.Site {
 			sites++
 		}
-		addr(fmt.Sprintf("members[%d].addr", i), m.Addr)
+		m.Address(fmt.Sprintf("members[%d].addr", i), p.Addr)
 	}
-	if !self {
-		bad("member: %q is not among the members", s.Member)
+	if !seen[s.Member] {
+		m.Add("member: %q is not among the members", s.Member)
 	}
 	if sites < 2 {
-		bad("members: %d sites, at least 2", sites)
+		m.Add("members: %d sites, at least 2", sites)
 	}
-	if s.Keys.Dir == "" && (s.Keys.Member == "" || s.Keys.Authority == "") {
-		bad("keys.dir: missing (or keys.member and keys.authority)")
+}
+
+func (s *Settings) checkSite(m *protocol.Mistakes) {
+	m.Address("site.local", s.Site.Local)
+	if len(s.Site.Controllers) == 0 {
+		m.Add("site.controllers: none")
 	}
-	if s.IsSite() {
-		addr("site.local", s.Site.Local)
-		if len(s.Site.Controllers) == 0 {
-			bad("site.controllers: none")
-		}
-		for i, c := range s.Site.Controllers {
-			addr(fmt.Sprintf("site.controllers[%d]", i), c)
-		}
-		if s.Site.Settings == "" {
-			bad("site.settings: missing")
-		}
-		between("site.part", s.Site.Part, 0.01, 0.9)
-	} else if s.Journal.Path == "" {
-		bad("journal.path: missing")
+	for i, c := range s.Site.Controllers {
+		m.Address(fmt.Sprintf("site.controllers[%d]", i), c)
+	}
+	if s.Site.Settings == "" {
+		m.Add("site.settings: missing")
 	}
-	return errs
+	m.Between("site.part", s.Site.Part, 0.01, 0.9)
 }
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -1,9 +1,7 @@
 package protocol
 
 import (
-	"errors"
 	"fmt"
-	"net/netip"
 	"os"
 
 	"github.com/pelletier/go-toml/v2"
@@ -107,72 +105,77 @@
 }
 
 func (s *Settings) check() error {
-	var errs []error
-	bad := func(format string, a ...any) { errs = append(errs, fmt.Errorf(format, a...)) }
-	addr := func(field, v string) {
-		if _, err := netip.ParseAddrPort(v); err != nil {
-			bad("%s: not an address and port: %q", field, v)
-		}
-	}
+	m := &Mistakes{}
 	if s.Node == "" {
-		bad("node: missing")
-	}
-	addr("api_addr", s.APIAddr)
-	addr("cluster_listen", s.PeerAddr)
-	addr("external.cloud", s.External.Cloud)
-	addr("external.state", s.External.State)
-	seen := map[string]bool{s.Node: true}
-	for i, sib := range s.Siblings {
-		if sib.Node == "" || seen[sib.Node] {
-			bad("siblings[%d].node: missing or repeated: %q", i, sib.Node)
-		}
-		seen[sib.Node] = true
-		addr(fmt.Sprintf("siblings[%d].peer_addr", i), sib.Addr)
+		m.Add("node: missing")
 	}
+	m.Address("api_addr", s.APIAddr)
+	m.Address("cluster_listen", s.PeerAddr)
+	m.Address("external.cloud", s.External.Cloud)
+	m.Address("external.state", s.External.State)
+	s.checkSiblings(m)
 	p := &s.Params
 	if p.Nodes == 0 {
 		p.Nodes = len(s.Siblings) + 1
 	}
 	if p.Nodes < 1 || p.Nodes > 1000 {
-		bad("params.initial_size: out of range: %d", p.Nodes)
+		m.Add("params.initial_size: out of range: %d", p.Nodes)
 	}
-	if len(p.Teams) == 0 {
-		bad("params.teams: none")
+	checkTeams(m, p.Teams)
+	s.checkLimits(m)
+	return m.Err()
+}
+
+func (s *Settings) checkSiblings(m *Mistakes) {
+	seen := map[string]bool{s.Node: true}
+	for i, sib := range s.Siblings {
+		if sib.Node == "" || seen[sib.Node] {
+			m.Add("siblings[%d].node: missing or repeated: %q", i, sib.Node)
+		}
+		seen[sib.Node] = true
+		m.Address(fmt.Sprintf("siblings[%d].peer_addr", i), sib.Addr)
+	}
+}
+
+func checkTeams(m *Mistakes, teams []Team) {
+	if len(teams) == 0 {
+		m.Add("params.teams: none")
 	}
-	teams := map[string]bool{}
-	for i, t := range p.Teams {
-		if t.Name == "" || teams[t.Name] {
-			bad("params.teams[%d].name: missing or repeated: %q", i, t.Name)
+	seen := map[string]bool{}
+	for i, t := range teams {
+		if t.Name == "" || seen[t.Name] {
+			m.Add("params.teams[%d].name: missing or repeated: %q", i, t.Name)
 		}
-		teams[t.Name] = true
+		seen[t.Name] = true
 		if t.CPUs < 0 || t.GPUs < 0 || t.CPUsMax < 0 || t.GPUsMax < 0 {
-			bad("params.teams[%d]: negative amount", i)
+			m.Add("params.teams[%d]: negative amount", i)
 		}
 		if (t.CPUsMax > 0 && t.CPUs > t.CPUsMax) || (t.GPUsMax > 0 && t.GPUs > t.GPUsMax) {
-			bad("params.teams[%d]: guarantee above the limit", i)
-		}
-	}
-	positive := []struct {
-		field string
-		v     float64
-	}{
-		{"params.workers.report_s", p.Workers.ReportS}, {"params.workers.lease_s", p.Workers.LeaseS},
-		{"params.workers.cancel_s", p.Workers.CancelS},
-		{"params.state.rps", p.State.RPS}, {"params.state.write_rps", p.State.WriteRPS},
-		{"params.state.value_kb", p.State.ValueKB}, {"params.state.txn_ops", float64(p.State.TxnOps)},
-		{"params.cloud.rps", p.Cloud.RPS},
-		{"params.quota.cores", p.Quota.Cores}, {"params.quota.memory_mb", p.Quota.MemoryMB},
-	}
-	for _, f := range positive {
-		if !(f.v > 0) {
-			bad("%s: must be above 0", f.field)
+			m.Add("params.teams[%d]: guarantee above the limit", i)
 		}
 	}
+}
+
+// leastTxnOps is the least number of writes that a transaction must be able to hold.
+const leastTxnOps = 4
+
+// checkLimits checks the limits of the workers, the outside services and this machine.
+func (s *Settings) checkLimits(m *Mistakes) {
+	p := &s.Params
+	m.Positive("params.workers.report_s", p.Workers.ReportS)
+	m.Positive("params.workers.lease_s", p.Workers.LeaseS)
+	m.Positive("params.workers.cancel_s", p.Workers.CancelS)
+	m.Positive("params.state.rps", p.State.RPS)
+	m.Positive("params.state.write_rps", p.State.WriteRPS)
+	m.Positive("params.state.value_kb", p.State.ValueKB)
+	m.Positive("params.state.txn_ops", float64(p.State.TxnOps))
+	m.Positive("params.cloud.rps", p.Cloud.RPS)
+	m.Positive("params.quota.cores", p.Quota.Cores)
+	m.Positive("params.quota.memory_mb", p.Quota.MemoryMB)
 	if p.Workers.CancelS <= p.Workers.LeaseS {
-		bad("params.workers.cancel_s: must be above lease_s")
+		m.Add("params.workers.cancel_s: must be above lease_s")
 	}
-	if p.State.TxnOps > 0 && p.State.TxnOps < 4 {
-		bad("params.state.txn_ops: at least 4 needed")
+	if p.State.TxnOps > 0 && p.State.TxnOps < leastTxnOps {
+		m.Add("params.state.txn_ops: at least %d needed", leastTxnOps)
 	}
-	return errors.Join(errs...)
 }
