--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -144,115 +144,156 @@
 	return m, nil
 }
 
+// key does what a key asks for.
 func (m *Model) key(key string, runes []rune) tea.Cmd {
-	if key == "ctrl+c" {
+	switch {
+	case key == "ctrl+c", key == "q" && !m.typing:
 		return tea.Quit
+	case m.typing:
+		m.typeKey(key, runes)
+	case !m.choose(key):
+		m.navigate(key)
 	}
-	if m.typing {
-		switch key {
-		case "enter", "esc":
-			if m.typing = false; key == "esc" {
-				m.query.Text = ""
-			}
-			m.first()
-		case "backspace":
-			if r := []rune(m.query.Text); len(r) > 0 {
-				m.query.Text = string(r[:len(r)-1])
-			}
-		default:
-			for _, r := range runes {
-				if unicode.IsPrint(r) && len(m.query.Text) < 60 {
-					m.query.Text += string(r)
-				}
+	return m.question()
+}
+
+// mostTyped is how long a text to search for may be.
+const mostTyped = 60
+
+// typeKey takes a key while a text to search for is typed.
+func (m *Model) typeKey(key string, runes []rune) {
+	switch key {
+	case "enter":
+		m.typing = false
+		m.first()
+	case "esc":
+		m.typing, m.query.Text = false, ""
+		m.first()
+	case "backspace":
+		if r := []rune(m.query.Text); len(r) > 0 {
+			m.query.Text = string(r[:len(r)-1])
+		}
+	default:
+		for _, r := range runes {
+			if unicode.IsPrint(r) && len(m.query.Text) < mostTyped {
+				m.query.Text += string(r)
 			}
 		}
-		return m.question()
 	}
+}
+
+// choose takes a key that changes which jobs are listed; false if it is none.
+func (m *Model) choose(key string) bool {
 	switch key {
-	case "q":
-		return tea.Quit
-	case "1", "2", "3", "4", "5":
-		m.view, m.cursor = int(key[0]-'1'), 0
-	case "tab":
-		m.view, m.cursor = (min(m.view, jobs)+1)%len(views), 0
-	case "x":
-		// What was known of the other site is shown with its age until it answers.
-		m.known[m.at] = m.shown
-		m.at = (m.at + 1) % len(m.known)
-		m.shown = m.known[m.at]
-		if m.view == oneJob {
-			m.view = m.back
-		}
-		m.first()
 	case "/":
 		m.view, m.typing = jobs, true
+		return true
 	case "s":
-		m.view = jobs
-		m.query.State = ledger.Stuck
-		m.first()
+		m.view, m.query.State = jobs, ledger.Stuck
 	case "u":
-		m.view = jobs
-		m.query.State = ledger.Unknown
-		m.first()
+		m.view, m.query.State = jobs, ledger.Unknown
 	case "f":
-		m.view = jobs
-		i := slices.Index(ledger.States, m.query.State) + 1 // none, then each
-		m.query.State = append(slices.Clone(ledger.States), "")[i]
-		m.first()
+		m.view, m.query.State = jobs, nextState(m.query.State)
 	case "c":
 		m.query = ledger.Query{Most: m.query.Most}
-		m.first()
+	default:
+		return false
+	}
+	m.first()
+	return true
+}
+
+// nextState is the state after another one: none, then each.
+func nextState(state string) string {
+	i := slices.Index(ledger.States, state) + 1
+	if i == len(ledger.States) {
+		return ""
+	}
+	return ledger.States[i]
+}
+
+// navigate takes a key that moves between sites, views, pages and rows.
+func (m *Model) navigate(key string) {
+	switch key {
+	case "1", "2", "3", "4", "5":
+		m.view, m.cursor = int(key[0]-'1'), 0
+	case "tab":
+		m.view, m.cursor = (min(m.view, jobs)+1)%len(views), 0
+	case "x":
+		m.nextSite()
 	case "up", "k":
 		m.cursor = max(0, m.cursor-1)
 	case "down", "j":
-		m.cursor++
-		m.cursor = min(m.cursor, max(0, m.rows()-1))
+		m.cursor = min(m.cursor+1, max(0, m.rows()-1))
 	case "pgdown", "n":
-		if m.view == jobs && m.page != nil && m.page.After != "" {
-			m.cursors = append(m.cursors, m.query.After)
-			m.query.After, m.cursor, m.next = m.page.After, 0, time.Time{}
-		}
+		m.nextPage()
 	case "pgup", "p":
-		if l := len(m.cursors); m.view == jobs && l > 0 {
-			m.query.After, m.cursors, m.cursor, m.next = m.cursors[l-1], m.cursors[:l-1], 0, time.Time{}
-		}
+		m.previousPage()
 	case "enter":
 		m.open()
 	case "esc":
-		if m.view == oneJob {
-			m.view = m.back
-		}
+		m.leaveJob()
+	}
+}
+
+// nextSite shows the next site. What was known of it is shown with its age until it answers.
+func (m *Model) nextSite() {
+	m.known[m.at] = m.shown
+	m.at = (m.at + 1) % len(m.known)
+	m.shown = m.known[m.at]
+	m.leaveJob()
+	m.first()
+}
+
+// leaveJob goes back to the view that a job was opened from.
+func (m *Model) leaveJob() {
+	if m.view == oneJob {
+		m.view = m.back
+	}
+}
+
+func (m *Model) nextPage() {
+	if m.view == jobs && m.page != nil && m.page.After != "" {
+		m.cursors = append(m.cursors, m.query.After)
+		m.query.After, m.cursor, m.next = m.page.After, 0, time.Time{}
+	}
+}
+
+func (m *Model) previousPage() {
+	if l := len(m.cursors); m.view == jobs && l > 0 {
+		m.query.After, m.cursors, m.cursor, m.next = m.cursors[l-1], m.cursors[:l-1], 0, time.Time{}
 	}
-	return m.question()
 }
 
 // first goes to the first page of what is chosen, at once.
 func (m *Model) first() { m.query.After, m.cursors, m.cursor, m.next = "", nil, 0, time.Time{} }
 
+// open opens the row under the cursor: a job, or the jobs of a team, class or zone.
 func (m *Model) open() {
 	switch m.view {
 	case jobs, overview:
 		if rows := m.chosen(); m.cursor < len(rows) {
 			m.job, m.lines, m.back, m.view, m.next = rows[m.cursor].Job, nil, m.view, oneJob, time.Time{}
 		}
-	case teams, classes:
+	case teams, classes, zones:
 		if names := m.names(); m.cursor < len(names) {
-			m.query = ledger.Query{Most: m.query.Most}
-			if m.view == teams {
-				m.query.Team = names[m.cursor]
-			} else {
-				m.query.Class = names[m.cursor]
-			}
-			m.view = jobs
-			m.first()
+			m.openNamed(names[m.cursor])
 		}
+	}
+}
+
+func (m *Model) openNamed(name string) {
+	m.query = ledger.Query{Most: m.query.Most}
+	switch m.view {
+	case teams:
+		m.query.Team = name
+	case classes:
+		m.query.Class = name
 	case zones:
-		if names := m.names(); m.cursor < len(names) {
-			m.query = ledger.Query{Most: m.query.Most, Zone: names[m.cursor]}
-			m.view = jobs
-			m.first()
-		}
+		m.query.Zone = name
 	}
+	m.view = jobs
+	m.first()
 }
 
 // chosen are the jobs that the view lists.
@@ -300,9 +341,22 @@
 	return len(m.chosen())
 }
 
+// frameLines are the lines of the screen around the body: two above it and two below.
+const frameLines = 4
+
 // View draws the screen, no wider and no higher than it is. Nothing depends on colour.
 func (m *Model) View() string {
-	var b strings.Builder
+	lines := []string{m.head(), m.stateLine()}
+	lines = append(lines, m.body(m.height-frameLines)...)
+	lines = append(lines, m.chosenLine(), "1-5 tab  enter esc  / search  f state  s stuck  u unknown  c all  n p page  q quit")
+	for i, l := range lines {
+		lines[i] = cut(l, m.width)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// head is the line with the views, and the site where there are several.
+func (m *Model) head() string {
 	head := "dapplestage"
 	if len(m.sites) > 1 {
 		head = "" // the sites' name takes its place
@@ -317,8 +371,11 @@
 	if len(m.sites) > 1 {
 		head += "  " + m.sites[m.at] + " (x: next)"
 	}
-	lines := []string{head, m.stateLine()}
-	body := m.height - 4
+	return head
+}
+
+// body is the view's lines, as many as there is room for.
+func (m *Model) body(height int) []string {
 	var rows []string
 	switch {
 	case m.view == oneJob && m.lines == nil:
@@ -331,29 +388,16 @@
 		rows = m.table()
 	}
 	// The cursor stays on the screen, and the heading with it.
-	from := 0
 	if m.view != oneJob && len(rows) > 0 {
 		heads := m.heads()
-		if at := heads + m.cursor; at >= body {
-			from = at - body + 1
+		if at := heads + m.cursor; at >= height {
+			from := at - height + 1
 			rows = append(slices.Clone(rows[:heads]), rows[min(len(rows), heads+from):]...)
 		}
 	}
-	for i := range body {
-		if i < len(rows) {
-			lines = append(lines, rows[i])
-		} else {
-			lines = append(lines, "")
-		}
-	}
-	lines = append(lines, m.chosenLine(), "1-5 tab  enter esc  / search  f state  s stuck  u unknown  c all  n p page  q quit")
-	for i, l := range lines {
-		if i > 0 {
-			b.WriteByte('\n')
-		}
-		b.WriteString(cut(l, m.width))
-	}
-	return b.String()
+	out := make([]string, height)
+	copy(out, rows)
+	return out
 }
 
 // cut makes a line safe and as wide as the screen: names are whatever users chose.
