--- a/internal/coordination/node/guards_test.go
+++ b/internal/coordination/node/guards_test.go
@@ -193,11 +193,16 @@
 	b.job("job-1", false)
 	b.state.Put(protocol.FinalKey("job-1"), protocol.FinalRecord{Status: protocol.JobDone, Tasks: 1})
 	var got []bool
-	r := &read{id: "job-1", known: true, then: func(known bool, s protocol.JobStatus, err error) {
+	b.readJob("job-1", func(known bool, s protocol.JobStatus, err error) {
 		got = append(got, known && s.Status == protocol.JobDone)
-	}}
+	})
+	conditions := &barrierConditions{n: b.Node, known: map[string]bool{}}
+	barrier := b.polls.Next(time.Now(), conditions.add)
+	if !conditions.known["job-1"] {
+		t.Fatal("the replica lacks the job when the store is asked")
+	}
 	b.apply(storage.Item{Key: protocol.JobKey("job-1"), Stamp: b.rev + 1})
-	b.finishRead([]*read{r}, true, nil, nil)
+	b.finishRead(barrier, conditions.known, true, nil, nil)
 	if len(got) != 0 {
 		t.Fatal("answered from a replica that has lost the job")
 	}
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -15,6 +15,7 @@
 	"dapplestage.example/dapplestage/internal/coordination/packed"
 	"dapplestage.example/dapplestage/internal/coordination/standby"
 	"dapplestage.example/dapplestage/internal/coordination/start"
+	"dapplestage.example/dapplestage/internal/coordination/statusread"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
 )
@@ -97,11 +98,13 @@
 	tombs       map[string]struct{} // keys known to be deleted, until the watch has passed them
 	due         dueHeap             // when parked reports are to be answered
 	replan      bool
-	nextPlan    time.Time         // planning takes only a part of the node's time
-	asked       int               // users' changes under way
-	starts      map[*machine]bool // machines with starts just stored
-	direct      int               // direct starts under way
-	nextTurn    time.Time         // when the next user turned away should come back
+	nextPlan    time.Time            // planning takes only a part of the node's time
+	asked       int                  // users' changes under way
+	userChanges []*userChange        // userchanges.go: those that a user still waits for
+	changeTimes statusread.Estimator // how long users' changes take to be stored
+	starts      map[*machine]bool    // machines with starts just stored
+	direct      int                  // direct starts under way
+	nextTurn    time.Time            // when the next user turned away should come back
 	lastMove    time.Time
 	lastTend    time.Time
 	lastSaid    time.Time
@@ -114,24 +117,24 @@
 	metrics     *Metrics
 	endedJobs   []EndedJob
 
-	polls     polls                // users.go: questions about jobs that wait to be compared with the store
-	rate      rateParts            // shares.go: this node's part of the rate of changes
-	seen      seen                 // facts.go: what decisions see
-	cloudside cloudside            // machines.go: what is under way with the cloud
-	eyes      eyes                 // sight.go, peers.go: whom this node hears
-	account   account              // account.go: what ended, and how it went
-	told      told                 // peers.go: what it tells of machines' caches
-	ordering  budgeted             // square.go: what is ordered under a budget
-	standing  standing             // standby.go: who stands by for whom
-	corrupt   map[string]uint64    // corrupt.go: stored values that are not understood, and their stamps
-	ending    map[*job]bool        // cancels.go: jobs that are being cancelled
-	askers    []asker              // cancels.go: users who wait for the end of what they cancel
-	spent     spends               // spending.go: where changes went
-	adoption  *duty.Adoption       // adopt.go: of machines without a record
-	rentals   protocol.FenceRecord // under which rentals are recorded
-	founded   bool                 // nobody had held anything when this node first read the store
-	packing   packing              // packed.go: many jobs in one change
-	lives     lives                // lives.go: this process and others of the same name
+	polls     statusread.Queue[*statusRead] // users.go: questions about jobs that wait to be compared with the store
+	rate      rateParts                     // shares.go: this node's part of the rate of changes
+	seen      seen                          // facts.go: what decisions see
+	cloudside cloudside                     // machines.go: what is under way with the cloud
+	eyes      eyes                          // sight.go, peers.go: whom this node hears
+	account   account                       // account.go: what ended, and how it went
+	told      told                          // peers.go: what it tells of machines' caches
+	ordering  budgeted                      // square.go: what is ordered under a budget
+	standing  standing                      // standby.go: who stands by for whom
+	corrupt   map[string]uint64             // corrupt.go: stored values that are not understood, and their stamps
+	ending    map[*job]bool                 // cancels.go: jobs that are being cancelled
+	askers    []asker                       // cancels.go: users who wait for the end of what they cancel
+	spent     spends                        // spending.go: where changes went
+	adoption  *duty.Adoption                // adopt.go: of machines without a record
+	rentals   protocol.FenceRecord          // under which rentals are recorded
+	founded   bool                          // nobody had held anything when this node first read the store
+	packing   packing                       // packed.go: many jobs in one change
+	lives     lives                         // lives.go: this process and others of the same name
 }
 
 // catalog is where the types are known from.
@@ -141,13 +144,6 @@
 	busy   bool // it is being stored
 }
 
-// polls are users' questions about jobs that wait to be compared with the store.
-type polls struct {
-	waiting []*read
-	reading bool
-	last    time.Time
-}
-
 // rateParts is what this node's part of the rate of changes is made of.
 type rateParts struct {
 	changes   atomicFloat // changes a second that this node would make
@@ -356,7 +352,7 @@
 			n.turn(now)
 			n.metrics.lag.Observe(now.Sub(due).Seconds())
 			n.ordering.budget.Turn(now, now.Sub(due))
-			n.metrics.backlog.Set(float64(n.storingAll() + n.asked + len(n.polls.waiting)))
+			n.metrics.backlog.Set(float64(n.storingAll() + n.asked + n.polls.Len()))
 			n.tick(now)
 			n.settle(now)
 		}
@@ -386,6 +382,7 @@
 			delete(n.starts, m)
 		}
 	}
+	n.tickUserChanges(now)
 	n.startRead(now)
 }
 
--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -42,6 +43,7 @@
 	heads   map[string]int          // records of jobs that have ended, with their share
 	waiting []*submission           // accepted, to be stored in the next entry
 	busy    bool                    // an entry of the own inbox is being stored
+	write   *inboxWrite             // the last such entry
 	folding int                     // records of accepted jobs being written
 	changed time.Time               // when the format was last to be changed
 	swept   time.Time
@@ -639,9 +641,21 @@
 	return max(1, min(int(n.cfg.Params.State.ValueKB*1024*entryPart/500), 2*n.cfg.Params.State.TxnOps-2))
 }
 
+// inboxWrite is an entry of the own inbox that is being stored.
+type inboxWrite struct {
+	op      *storage.Op
+	batch   []*submission
+	sent    time.Time
+	settled bool // its submissions are answered, or wait for another entry
+}
+
 // flushInbox stores the submissions that wait in one entry.
 func (n *Node) flushInbox(now time.Time) {
 	p := &n.packing
+	n.giveUpSubmissions(now)
+	if w := p.write; p.busy && !w.settled && now.Sub(w.sent) >= n.resendTime() {
+		n.lookForEntry(w, storage.Result{Err: storage.ErrUnknown})
+	}
 	if p.busy || len(p.waiting) == 0 {
 		return
 	}
@@ -673,11 +687,13 @@
 	p.waiting = p.waiting[len(batch):]
 	op.Writes = []storage.Write{{Put: protocol.InboxKey(n.cfg.Node, slot), Value: mustJSON(w.Entry())}}
 	p.busy = true
+	write := &inboxWrite{op: op, batch: batch, sent: now}
+	p.write = write
 	n.asked++
 	op.Done = func(r storage.Result) {
 		n.post(func() {
 			n.asked--
-			n.accepted(op, batch, r)
+			n.accepted(write, r)
 		})
 	}
 	if !n.users.Submit(op) {
@@ -690,49 +706,85 @@
 	n.metrics.entries.WithLabelValues("inbox").Observe(float64(len(batch)))
 }
 
-// accepted answers those whose jobs an entry was to store.
-func (n *Node) accepted(op *storage.Op, batch []*submission, r storage.Result) {
+// giveUpSubmissions answers users whose submissions have waited for an entry for too long.
+func (n *Node) giveUpSubmissions(now time.Time) {
 	p := &n.packing
-	if r.OK {
-		p.busy = false
-		n.learn(op.Writes[0], r.Epoch)
-		for _, x := range batch {
-			n.log.Debug("job accepted", "job", x.spec.ID, "class", x.spec.Class, "tasks", x.spec.Tasks, "took_s", time.Since(x.at).Seconds(), "together", len(batch))
-			x.reply <- answer{status: 201, body: protocol.JobStatus{ID: x.spec.ID, Status: protocol.JobQueued}}
+	p.waiting = slices.DeleteFunc(p.waiting, func(x *submission) bool {
+		if now.Sub(x.at) < submitPatience {
+			return false
 		}
+		n.metrics.refused.WithLabelValues("change_unanswered").Inc()
+		x.reply <- busy
+		return true
+	})
+}
+
+// accepted answers those whose jobs an entry was to store.
+func (n *Node) accepted(w *inboxWrite, r storage.Result) {
+	if r.Err == nil {
+		n.changeTimes.Observe(time.Since(w.sent))
+	}
+	if r.OK {
+		n.learn(w.op.Writes[0], r.Epoch)
+	}
+	if w.settled {
+		return
+	}
+	if !r.OK {
+		n.lookForEntry(w, r)
 		return
 	}
+	w.settled = true
+	n.packing.busy = false
+	for _, x := range w.batch {
+		n.log.Debug("job accepted", "job", x.spec.ID, "class", x.spec.Class, "tasks", x.spec.Tasks, "took_s", time.Since(x.at).Seconds(), "together", len(w.batch))
+		x.reply <- answer{status: 201, body: protocol.JobStatus{ID: x.spec.ID, Status: protocol.JobQueued}}
+	}
+}
+
+// lookForEntry reads what kept an entry from being stored. Without an answer that is the slot
+// itself: the entry may be stored all the same, or later. Then its jobs wait for another entry
+// on the same condition, which only one of the two can meet.
+func (n *Node) lookForEntry(w *inboxWrite, r storage.Result) {
+	w.settled = true
 	if r.Err != nil {
-		// It may have been executed all the same: what is in the slot tells the next one.
-		for _, x := range batch {
-			n.log.Debug("submission not stored", "job", x.spec.ID, "why", r.Err, "took_s", time.Since(x.at).Seconds())
+		r.Failed = []string{w.op.Writes[0].Put}
+	}
+	n.log.Info("entry of the inbox not stored, or not known to be", "jobs", len(w.batch), "failed", strings.Join(r.Failed, " "), "why", r.Err)
+	if errors.Is(r.Err, storage.ErrRefused) {
+		n.packing.busy = false
+		for _, x := range w.batch {
 			x.reply <- busy
 		}
-		r.Failed = []string{op.Writes[0].Put}
+		return
 	}
-	failed := r.Failed
-	n.log.Info("entry of the inbox refused", "jobs", len(batch), "failed", strings.Join(failed, " "), "why", r.Err)
-	n.resync(failed, func([]storage.Item, error) {
-		p.busy = false
-		if r.Err != nil {
-			return
-		}
-		var again []*submission
-		for _, x := range batch {
-			x.tries++
-			switch {
-			case slices.Contains(failed, protocol.JobKey(x.spec.ID)) || slices.Contains(failed, protocol.FinalKey(x.spec.ID)):
-				x.repeat(func() { x.reply <- busy })
-			case x.tries > 3 || !n.packs():
-				x.reply <- busy
-			default:
-				again = append(again, x)
-			}
-		}
-		p.waiting = append(again, p.waiting...)
+	n.resync(r.Failed, func([]storage.Item, error) {
+		n.packing.busy = false
+		n.acceptAgain(w.batch, r.Failed)
 	})
 }
 
+// acceptAgain puts submissions whose entry is not known to be stored into the next one, but
+// those of which something is stored by now: they are answered as repeated ones.
+func (n *Node) acceptAgain(batch []*submission, failed []string) {
+	var again []*submission
+	for _, x := range batch {
+		id := x.spec.ID
+		_, final := n.finals.byID[id]
+		known := final || n.jobs[id] != nil || n.tickets.byID[id] != nil
+		x.tries++
+		switch {
+		case known || slices.Contains(failed, protocol.JobKey(id)) || slices.Contains(failed, protocol.FinalKey(id)):
+			x.repeat(func() { x.reply <- busy })
+		case x.tries > 3 || !n.packs():
+			x.reply <- busy
+		default:
+			again = append(again, x)
+		}
+	}
+	n.packing.waiting = append(again, n.packing.waiting...)
+}
+
 // carryAccepted says again which jobs of the entry that the next one takes the place of are
 // open and in no record of their own. If these are too many, some get one first, and it
 // returns false.
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -69,6 +69,7 @@
 	leftOut     string         // a guard that is left out: the tests of meetings find it
 	met         map[string]int // how often something took place
 	writes      map[string]int // transactions that a node has had answered
+	requests    map[int64]int  // calls of the state service in a second of simulated time
 
 	// size, if set, makes a fleet of many machines, controllers of little processor time,
 	// and counts their sockets and requests; see scaled_test.go.
@@ -116,7 +117,7 @@
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
 		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, frozen: map[string]time.Time{},
 		mute: map[string]bool{}, noPeers: map[string]bool{}, noWatch: map[string]bool{}, deafHosts: map[string]bool{}, unheard: map[string]bool{}, hung: map[string]time.Time{}, muteHosts: map[string]bool{},
-		met: map[string]int{}, writes: map[string]int{}}
+		met: map[string]int{}, writes: map[string]int{}, requests: map[int64]int{}}
 	w.ctx, w.classes = ctx, takenClasses
 	f := standin.NewFleet(ctx)
 	f.Types = []protocol.MachineType{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 192, CacheGB: 100, FetchGBPerS: 1, Price: 10, SpotPrice: 4, BootS: 5, Zones: []string{"a", "b"}}}
@@ -557,6 +558,7 @@
 
 func (f *faultyState) meet(ctx context.Context) error {
 	f.w.thaw(f.node)
+	f.w.set(func() { f.w.requests[time.Now().Unix()]++ })
 	if !f.w.size.requests(f.node) {
 		return storage.ErrRefused
 	}
@@ -633,6 +635,9 @@
 		if ok && len(writes) > 0 {
 			f.w.took("executed without an answer")
 		}
+		if len(writes) == 0 {
+			f.w.took("read barrier without an answer")
+		}
 		time.Sleep(1500 * time.Millisecond)
 		return false, 0, nil, storage.ErrUnknown // executed, but the answer is lost
 	}
--- a/internal/coordination/node/users.go
+++ b/internal/coordination/node/users.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
 	"strings"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/decide"
+	"dapplestage.example/dapplestage/internal/coordination/statusread"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
 )
@@ -108,33 +110,16 @@
 	forWaiting = 16
 )
 
-// forUser queues a change that a user waits for.
-func (n *Node) forUser(op *storage.Op, reply chan<- answer, then func(storage.Result)) {
-	if a, full := n.turnAway(time.Now()); full {
-		reply <- a
-		return
-	}
-	n.asked++
-	op.Once = true
-	op.Done = func(r storage.Result) {
-		n.post(func() {
-			n.asked--
-			then(r)
-		})
-	}
-	if !n.users.Submit(op) {
-		n.asked--
-		reply <- busy
-	}
+// statusRead is a request that needs to know what is stored of a job.
+type statusRead struct {
+	id   string
+	then func(known bool, s protocol.JobStatus, err error)
 }
 
-// read is a request that needs to know what is stored of a job.
-type read struct {
-	id    string
-	known bool // the replica had the job when the store was asked
-	tries int  // how often an inbox had something that this node did not know
-	then  func(known bool, s protocol.JobStatus, err error)
-}
+type (
+	openRead    = statusread.Read[*statusRead]
+	readBarrier = statusread.Barrier[*statusRead]
+)
 
 // readJob tells a job's state as of now or later. What is final may come from
 // memory; anything else is compared with the store first, together with all
@@ -144,123 +129,172 @@
 		then(true, finalStatus(id, r), nil)
 		return
 	}
-	if len(n.polls.waiting) > 2000 {
+	if !n.polls.Add(&statusRead{id: id, then: then}, time.Now()) {
 		then(false, protocol.JobStatus{}, storage.ErrRefused)
-		return
 	}
-	n.polls.waiting = append(n.polls.waiting, &read{id: id, then: then})
 }
 
-// readPause bundles reads, so that many polls cost one request.
-const readPause = 120 * time.Millisecond
-
-// startRead compares what the replica says of all jobs asked for with the
-// store, in one request: a compare-only transaction on their stamps.
+// startRead sends the read barrier that is due, if any: in one request, a compare-only
+// transaction on their stamps, it compares what the replica says of the jobs asked for with
+// the store. Whoever waits for too long is told that this can't be decided now.
 func (n *Node) startRead(now time.Time) {
-	if n.polls.reading || len(n.polls.waiting) == 0 || now.Sub(n.polls.last) < readPause {
-		return
-	}
-	n.polls.reading = true
-	n.polls.last = now
-	var batch []*read
-	var conds []storage.Cond
-	keys := map[string]bool{}
-	var inboxes []storage.Cond // for jobs that are not known
-	packed := n.packedEver()
-	if packed {
-		inboxes = n.nextAccepted()
-	}
-	unknown := false
-	for len(n.polls.waiting) > 0 && len(conds)+len(inboxes)+2 <= 4*n.cfg.Params.State.TxnOps {
-		r := n.polls.waiting[0]
-		n.polls.waiting = n.polls.waiting[1:]
-		batch = append(batch, r)
-		c := n.cond(protocol.JobKey(r.id))
-		r.known = c.Stamp != 0 || n.jobs[r.id] != nil
-		unknown = unknown || !r.known
-		if keys[r.id] {
-			continue
-		}
-		keys[r.id] = true
-		conds = append(conds, c)
-		if c.Stamp == 0 || packed {
-			conds = append(conds, storage.Cond{Key: protocol.FinalKey(r.id)})
-		}
+	for _, r := range n.polls.Expired(now) {
+		n.metrics.refused.WithLabelValues("read_unanswered").Inc()
+		r.Value.then(false, protocol.JobStatus{}, storage.ErrUnknown)
 	}
-	if unknown {
-		conds = append(conds, inboxes...)
+	conditions := &barrierConditions{n: n, known: map[string]bool{}}
+	barrier := n.polls.Next(now, conditions.add)
+	if barrier == nil {
+		return
 	}
+	conds := conditions.all()
 	n.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, statusread.Patience)
+		defer cancel()
 		ok, _, failed, err := n.store.Txn(ctx, conds, nil)
-		n.post(func() {
-			n.polls.reading = false
-			n.finishRead(batch, ok, failed, err)
-		})
+		n.post(func() { n.finishRead(barrier, conditions.known, ok, failed, err) })
 	})
 }
 
-func (n *Node) finishRead(batch []*read, ok bool, failed []string, err error) {
-	stale := map[string]bool{}
-	more := false // was accepted than this node knew
-	for _, k := range failed {
-		if strings.HasPrefix(k, protocol.InboxRoot) {
-			more = true
-			continue
+// barrierConditions are the conditions of one read barrier: that the jobs asked for are
+// stored as the replica has them when the barrier is sent.
+type barrierConditions struct {
+	n       *Node
+	started bool
+	packed  bool            // jobs may be stored in entries of inboxes
+	known   map[string]bool // jobs asked for: whether the replica has them
+	unknown bool            // it lacks some of them
+	conds   []storage.Cond
+	inboxes []storage.Cond // nothing was accepted that the replica lacks
+}
+
+// add adds the conditions for one read. It returns false if there is no room.
+func (b *barrierConditions) add(r *statusRead) bool {
+	if !b.started {
+		b.started = true
+		if b.packed = b.n.packedEver(); b.packed {
+			b.inboxes = b.n.nextAccepted()
 		}
-		id, final := strings.CutPrefix(k, protocol.FinalRoot)
-		if !final {
-			id, _ = splitJobKey(k)
+	}
+	if _, added := b.known[r.id]; added {
+		return true
+	}
+	if len(b.conds)+len(b.inboxes)+2 > 4*b.n.cfg.Params.State.TxnOps {
+		return false
+	}
+	stored := b.n.cond(protocol.JobKey(r.id))
+	b.known[r.id] = stored.Stamp != 0 || b.n.jobs[r.id] != nil
+	b.unknown = b.unknown || !b.known[r.id]
+	b.conds = append(b.conds, stored)
+	if stored.Stamp == 0 || b.packed {
+		b.conds = append(b.conds, storage.Cond{Key: protocol.FinalKey(r.id)})
+	}
+	return true
+}
+
+// all are the conditions of the whole barrier.
+func (b *barrierConditions) all() []storage.Cond {
+	if b.unknown {
+		return append(b.conds, b.inboxes...)
+	}
+	return b.conds
+}
+
+// finishRead takes in how a barrier ended. known says which of its jobs the replica had when
+// it was sent. The replica may have advanced since: it is then newer than what was compared,
+// and so all the more no older than the questions.
+func (n *Node) finishRead(barrier *readBarrier, known map[string]bool, ok bool, failed []string, err error) {
+	switch {
+	case err == nil:
+	case errors.Is(err, storage.ErrUnknown):
+		n.polls.Lost(barrier)
+		return
+	default:
+		for _, r := range n.polls.Refused(barrier) {
+			r.Value.then(false, protocol.JobStatus{}, err)
 		}
-		stale[id] = true
+		return
 	}
-	for _, r := range batch {
+	stale, acceptedMore := staleJobs(failed)
+	for _, open := range n.polls.Answered(barrier, time.Now()) {
+		r := open.Value
+		current := ok || len(failed) > 0 && !stale[r.id]
 		switch {
-		case err != nil:
-			r.then(false, protocol.JobStatus{}, err)
-		case (ok || (len(failed) > 0 && !stale[r.id])) && n.tell(r):
-		case !r.known && !stale[r.id] && (more || n.inboxBroken()):
-			if r.tries++; r.tries > mostReads || n.inboxBroken() {
-				r.then(false, protocol.JobStatus{}, storage.ErrUnknown)
-			} else {
-				n.polls.waiting = append(n.polls.waiting, r) // when the watch has told
+		case open.Closed(): // with another read of this barrier
+		case current && n.answerFromReplica(open):
+		case !known[r.id] && !stale[r.id] && (acceptedMore || n.inboxBroken()):
+			if n.inboxBroken() {
+				n.closeRead(open, false, protocol.JobStatus{}, storage.ErrUnknown)
 			}
-		case (ok || (len(failed) > 0 && !stale[r.id])) && !r.known:
-			r.then(false, protocol.JobStatus{}, nil)
+			// Otherwise it waits for the next barrier, when the watch has told.
+		case current && !known[r.id]:
+			n.closeRead(open, false, protocol.JobStatus{}, nil)
 		default:
 			// Changed meanwhile, perhaps while the answer was on its way: a job that
 			// the watch has dropped became final, and is not unknown.
-			n.readStored(r)
+			n.readStored(open)
 		}
 	}
 }
 
+// staleJobs are the jobs that are not stored as a barrier expected, by the keys whose
+// conditions failed, and whether more was accepted than the replica knew.
+func staleJobs(failed []string) (stale map[string]bool, acceptedMore bool) {
+	stale = map[string]bool{}
+	for _, key := range failed {
+		if strings.HasPrefix(key, protocol.InboxRoot) {
+			acceptedMore = true
+			continue
+		}
+		id, final := strings.CutPrefix(key, protocol.FinalRoot)
+		if !final {
+			id, _ = splitJobKey(key)
+		}
+		stale[id] = true
+	}
+	return stale, acceptedMore
+}
+
+// closeRead answers a read, unless it was answered or given up meanwhile.
+func (n *Node) closeRead(open *openRead, known bool, s protocol.JobStatus, err error) {
+	if open.Closed() {
+		return
+	}
+	n.polls.Close(open)
+	open.Value.then(known, s, err)
+}
+
 // readStored answers a read from the store: first the job, then what it became,
 // since it only moves in that direction. Only if both are missing is it unknown.
-func (n *Node) readStored(r *read) {
-	n.resync([]string{protocol.JobKey(r.id), protocol.FinalKey(r.id)}, func(items []storage.Item, err error) {
+func (n *Node) readStored(open *openRead) {
+	n.polls.Resolve(open)
+	id := open.Value.id
+	n.resync([]string{protocol.JobKey(id), protocol.FinalKey(id)}, func(items []storage.Item, err error) {
 		switch {
+		case open.Closed():
 		case err != nil:
-			r.then(false, protocol.JobStatus{}, err)
-		case n.tell(r):
+			n.closeRead(open, false, protocol.JobStatus{}, err)
+		case n.answerFromReplica(open):
 		case items[0].Value != nil || items[1].Value != nil || n.packedEver():
-			r.then(false, protocol.JobStatus{}, storage.ErrUnknown)
+			n.closeRead(open, false, protocol.JobStatus{}, storage.ErrUnknown)
 		default:
-			r.then(false, protocol.JobStatus{}, nil)
+			n.closeRead(open, false, protocol.JobStatus{}, nil)
 		}
 	})
 }
 
-// tell answers a read from the replica, which is known to be no older than it.
+// answerFromReplica answers a read from the replica, which is known to be no older than it.
 // It returns false, and answers nothing, if the replica has no such job.
-func (n *Node) tell(r *read) bool {
-	if f, ok := n.finals.byID[r.id]; ok {
-		r.then(true, finalStatus(r.id, f), nil)
-	} else if j := n.jobs[r.id]; j != nil && j.step != nil {
-		r.then(false, protocol.JobStatus{}, nil) // a ticket's step: nobody submitted it
+func (n *Node) answerFromReplica(open *openRead) bool {
+	id := open.Value.id
+	if f, ok := n.finals.byID[id]; ok {
+		n.closeRead(open, true, finalStatus(id, f), nil)
+	} else if j := n.jobs[id]; j != nil && j.step != nil {
+		n.closeRead(open, false, protocol.JobStatus{}, nil) // a ticket's step: nobody submitted it
 	} else if j != nil {
-		r.then(true, j.status(), nil)
-	} else if t := n.tickets.byID[r.id]; t != nil {
-		r.then(true, n.ticketJobStatus(t), nil)
+		n.closeRead(open, true, j.status(), nil)
+	} else if t := n.tickets.byID[id]; t != nil {
+		n.closeRead(open, true, n.ticketJobStatus(t), nil)
 	} else {
 		return false
 	}
@@ -368,10 +402,6 @@
 	n.unlessGateways(s.ID, reply, func() { n.accept(s, now, reply, repeat) })
 }
 
-// mostReads is how often a job that nobody knows is looked for again since something was
-// accepted meanwhile.
-const mostReads = 15
-
 // nextAccepted are the conditions that nothing was accepted that this node does not know.
 func (n *Node) nextAccepted() []storage.Cond {
 	names := map[string]bool{n.cfg.Node: true}
@@ -404,7 +434,7 @@
 		For:    uint8(forAccepts),
 		Conds:  []storage.Cond{{Key: protocol.JobKey(s.ID)}, {Key: protocol.FinalKey(s.ID)}},
 		Writes: []storage.Write{{Put: protocol.JobKey(s.ID), Value: mustJSON(rec)}}}
-	n.forUser(op, reply, func(r storage.Result) {
+	then := func(r storage.Result) {
 		switch {
 		case r.OK:
 			n.learn(op.Writes[0], r.Epoch)
@@ -416,7 +446,42 @@
 		default:
 			repeat(func() { reply <- busy })
 		}
-	})
+	}
+	n.startUserChange(&userChange{op: op, reply: reply, then: then, look: n.lookForSubmission(s.ID), patience: submitPatience})
+}
+
+// lookForSubmission finds out whether a job is accepted while the answer to its storing is
+// late: then the user is answered as for a repeated submission.
+func (n *Node) lookForSubmission(id string) func(c *userChange) {
+	return func(c *userChange) {
+		n.lookForJob(c, id, func(s protocol.JobStatus) bool {
+			if n.gateways(id) {
+				return false
+			}
+			c.answered(answer{status: 200, body: s})
+			return true
+		})
+	}
+}
+
+// lookForCancellation does the same for a cancellation: its user waits for the job's end, or
+// is told of it.
+func (n *Node) lookForCancellation(id string, tries int) func(c *userChange) {
+	return func(c *userChange) {
+		n.lookForJob(c, id, func(s protocol.JobStatus) bool {
+			j := n.jobs[id]
+			switch {
+			case s.Status == protocol.JobDone || s.Status == protocol.JobCancelled:
+				c.answered(answer{status: 200, body: protocol.JobStatus{ID: id, Status: s.Status}})
+			case j != nil && j.asked:
+				c.closed = true
+				n.awaitEnd(id, []*job{j}, tries, c.reply)
+			default:
+				return false
+			}
+			return true
+		})
+	}
 }
 
 // onCancel cancels a job: from the moment it is stored no start of it can be.
@@ -468,7 +533,7 @@
 		}
 		op.Writes = finalWrites(j.id, protocol.JobCancelled, len(j.tasks), j.claim)
 	}
-	n.forUser(op, reply, func(r storage.Result) {
+	then := func(r storage.Result) {
 		switch {
 		case r.OK:
 			for _, w := range op.Writes {
@@ -490,7 +555,8 @@
 		default:
 			reply <- busy
 		}
-	})
+	}
+	n.startUserChange(&userChange{op: op, reply: reply, then: then, look: n.lookForCancellation(j.id, tries), patience: cancelPatience})
 }
 
 // stored is a job's head as it is stored now, without what is only proposed
