--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -673,6 +673,7 @@
 	}
 	slot, _ := own.Next()
 	op := &storage.Op{For: uint8(forAccepts), Once: true, Conds: []storage.Cond{n.cond(protocol.InboxKey(n.cfg.Node, slot)), n.cond(protocol.FormatKey)}}
+	n.repeatKnown()
 	var batch []*submission
 	for _, x := range p.waiting {
 		if len(op.Conds)+2 > 4*n.cfg.Params.State.TxnOps || !w.Accept(protocol.Accepted{Spec: x.spec, SubmittedMS: x.at.UnixMilli()}) {
@@ -719,6 +720,25 @@
 	})
 }
 
+// repeatKnown answers submissions of jobs that are stored by now, as repeated ones: an earlier
+// entry with them was executed after all.
+func (n *Node) repeatKnown() {
+	p := &n.packing
+	p.waiting = slices.DeleteFunc(p.waiting, func(x *submission) bool {
+		if !n.knows(x.spec.ID) {
+			return false
+		}
+		x.repeat(func() { x.reply <- busy })
+		return true
+	})
+}
+
+// knows says whether the replica has a job of this id, open or ended.
+func (n *Node) knows(id string) bool {
+	_, final := n.finals.byID[id]
+	return final || n.jobs[id] != nil || n.tickets.byID[id] != nil
+}
+
 // accepted answers those whose jobs an entry was to store.
 func (n *Node) accepted(w *inboxWrite, r storage.Result) {
 	if r.Err == nil {
@@ -770,11 +790,9 @@
 	var again []*submission
 	for _, x := range batch {
 		id := x.spec.ID
-		_, final := n.finals.byID[id]
-		known := final || n.jobs[id] != nil || n.tickets.byID[id] != nil
 		x.tries++
 		switch {
-		case known || slices.Contains(failed, protocol.JobKey(id)) || slices.Contains(failed, protocol.FinalKey(id)):
+		case n.knows(id) || slices.Contains(failed, protocol.JobKey(id)) || slices.Contains(failed, protocol.FinalKey(id)):
 			x.repeat(func() { x.reply <- busy })
 		case x.tries > 3 || !n.packs():
 			x.reply <- busy
