--- a/internal/coordination/node/cancel_now_test.go
+++ b/internal/coordination/node/cancel_now_test.go
@@ -1,10 +1,6 @@
 package node
 
-import (
-	"time"
-
-	"dapplestage.example/dapplestage/internal/protocol"
-)
+import "time"
 
 // cancelNow lets the users of up to count jobs that have tasks on machines cancel them within a
 // fifth of a second, each at a node of its own choice. With hang set, the machines of these jobs
@@ -43,11 +39,8 @@
 // has come.
 func (u *user) cancelUntilTold(after time.Duration) {
 	time.Sleep(after)
-	u.w.set(func() { u.asked = true })
 	for u.w.ctx.Err() == nil && u.ended() == "" {
-		a := u.w.cancelOnce(u.any(), u.spec.ID)
-		if a.status == 200 {
-			u.told(a.body.(protocol.JobStatus).Status)
+		if a := u.w.cancelOnce(u.any(), u.spec.ID); a.status == 200 {
 			return
 		}
 		time.Sleep(time.Second)
--- a/internal/coordination/node/cancels_test.go
+++ b/internal/coordination/node/cancels_test.go
@@ -13,13 +13,13 @@
 func (w *world) cancelOnce(node, id string) answer {
 	ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
 	defer cancel()
-	a, _ := w.ask(ctx, node, func(n *Node, reply chan<- answer) { n.onCancel(id, 5, reply) })
+	a, _ := w.cancelAt(ctx, node, id)
 	return a
 }
 
 // poll asks a node how a job is.
 func (w *world) poll(node, id string) string {
-	a, _ := w.ask(w.ctx, node, func(n *Node, reply chan<- answer) { n.onPoll(id, reply) })
+	a, _ := w.pollAt(w.ctx, node, id)
 	if s, ok := a.body.(protocol.JobStatus); ok {
 		return s.Status
 	}
@@ -87,6 +87,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			w := newWorld(t, ctx, 7, asTheyAre)
 			if early {
+				w.fleet.ToldLate = false
 				w.state.Put(protocol.NodeKey("n-9"), map[string]uint64{"lease": 1})
 			}
 			w.submit(&protocol.JobSpec{ID: "job-000001", Team: "red", Class: "c", Shape: protocol.Service, Priority: "critical", Tasks: 4, CPUs: 4, GPUs: 1, Image: "i"})
--- a/internal/coordination/node/gap_test.go
+++ b/internal/coordination/node/gap_test.go
@@ -42,6 +42,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		w := newWorld(t, ctx, g.seed, func(p *protocol.WorkerSettings) { p.ReportS, p.LeaseS, p.CancelS = 3, 20, 40 })
 		if g.early {
+			w.fleet.ToldLate = false
 			w.state.Put(protocol.NodeKey("n-9"), map[string]uint64{"lease": 1})
 		}
 		for i := range 12 {
@@ -112,7 +113,6 @@
 					by := others[0]
 					a := w.cancelOnce(by, id)
 					if a.status == 200 {
-						w.fleet.Cancelled(id)
 						mu.Lock()
 						done.confirmed++
 						if now := time.Now(); by != leader && now.After(lost) && (outageFrom.IsZero() || now.Before(outageFrom)) {
--- a/internal/coordination/node/guards_test.go
+++ b/internal/coordination/node/guards_test.go
@@ -217,7 +217,7 @@
 		w.state.Put(protocol.FinalKey("job-000001"), protocol.FinalRecord{Status: protocol.JobDone, Tasks: 1})
 		time.Sleep(5 * time.Second)
 		s := &protocol.JobSpec{ID: "job-000001", Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i"}
-		a, err := w.ask(ctx, "n-1", func(n *Node, reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
+		a, err := w.submitAt(ctx, "n-1", s)
 		if err != nil || a.status != 200 || a.body.(protocol.JobStatus).Status != protocol.JobDone {
 			t.Errorf("answered %+v %v, want 200 done", a, err)
 		}
--- a/internal/coordination/node/meetings_test.go
+++ b/internal/coordination/node/meetings_test.go
@@ -211,7 +211,6 @@
 			for _, id := range ids {
 				if a := w.cancelOnce(by, id); a.status == 200 && w.times(id) == 0 {
 					w.took(id)
-					w.fleet.Cancelled(id)
 					if by != leader {
 						w.took("told by another")
 					}
@@ -285,9 +284,6 @@
 			time.Sleep(w.between(200*time.Millisecond, within))
 			for range 60 {
 				if a := w.cancelOnce(w.some(), s.ID); a.status == 200 {
-					if a.body.(protocol.JobStatus).Status == protocol.JobCancelled {
-						w.fleet.Cancelled(s.ID)
-					}
 					return
 				}
 				time.Sleep(time.Second)
@@ -332,7 +328,7 @@
 				}
 			}
 		})
-		w.leftOut, w.fleet.IgnoreTokens, w.fleet.ToldLate = leftOut, leftOut == "tokens", true
+		w.leftOut, w.fleet.IgnoreTokens = leftOut, leftOut == "tokens"
 		w.quietly = leftOut != ""
 		go w.watchHolders(ctx)
 		w.run(16, func(w *world) {
--- a/internal/coordination/node/packed_test.go
+++ b/internal/coordination/node/packed_test.go
@@ -168,17 +168,17 @@
 	})
 }
 
-// all asks every node at once.
-func (w *world) all(count int, f func(i int, n *Node, reply chan<- answer)) (out []answer) {
-	out = make([]answer, count)
-	done := make(chan struct{}, count)
-	for i := range count {
+// submitAll submits jobs all at once, by turns at each of the nodes.
+func (w *world) submitAll(jobs []*protocol.JobSpec) (out []answer) {
+	out = make([]answer, len(jobs))
+	done := make(chan struct{}, len(jobs))
+	for i, s := range jobs {
 		go func() {
-			out[i], _ = w.ask(w.ctx, w.names[i%3], func(n *Node, reply chan<- answer) { f(i, n, reply) })
+			out[i], _ = w.submitAt(w.ctx, w.names[i%3], s)
 			done <- struct{}{}
 		}()
 	}
-	for range count {
+	for range jobs {
 		<-done
 	}
 	return out
@@ -204,13 +204,15 @@
 			for i := range open {
 				ids = append(ids, i, i) // its user asks two nodes
 			}
-			wave = w.all(len(ids), func(k int, n *Node, reply chan<- answer) {
-				s := tiny(ids[k], 1)
-				if ids[k] == 240 {
-					s = tiny(240, 2000)
+			var jobs []*protocol.JobSpec
+			for _, id := range ids {
+				tasks := 1
+				if id == 240 {
+					tasks = 2000
 				}
-				n.onSubmit(s, time.Now(), reply)
-			})
+				jobs = append(jobs, tiny(id, tasks))
+			}
+			wave = w.submitAll(jobs)
 			for k, a := range wave {
 				if a.status == 200 || a.status == 201 {
 					delete(open, ids[k])
@@ -311,11 +313,11 @@
 		}
 		w.state.Put(protocol.InboxKey("n-1", 0), "what is this")
 		time.Sleep(2 * time.Second)
-		a, _ := w.ask(w.ctx, "n-2", func(n *Node, reply chan<- answer) { n.onPoll("job-000999", reply) })
+		a, _ := w.pollAt(w.ctx, "n-2", "job-000999")
 		if a.status != 503 {
 			t.Errorf("of a job that nobody knows it is told %+v", a)
 		}
-		if a, _ = w.ask(w.ctx, "n-2", func(n *Node, reply chan<- answer) { n.onPoll("job-000031", reply) }); a.status != 200 {
+		if a, _ = w.pollAt(w.ctx, "n-2", "job-000031"); a.status != 200 {
 			t.Errorf("of one that is known it is told %+v", a)
 		}
 	})
--- a/internal/coordination/node/place_test.go
+++ b/internal/coordination/node/place_test.go
@@ -180,7 +180,7 @@
 		s := service(1, 4)
 		ask := func(s *protocol.JobSpec) int {
 			w.fleet.Submitted(s)
-			a, _ := w.ask(w.ctx, "n-1", func(n *Node, reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
+			a, _ := w.submitAt(w.ctx, "n-1", s)
 			return a.status
 		}
 		if got := ask(s); got != 201 {
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -64,6 +64,8 @@
 	keptReports float64              // part of reports of which a copy is kept, for releaseReports
 	kept        []protocol.Report    // those copies
 	users       []*user              // of the day under way
+	userOf      map[string]*user     // users by the ids of their jobs
+	answers     *answerChecker       // of all that users are told
 	quietly     bool                 // what is broken is only listed
 	complaints  []string
 	leftOut     string         // a guard that is left out: the tests of meetings find it
@@ -116,11 +118,11 @@
 		state: standin.NewState(), nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
 		noState: map[string]bool{}, noNet: map[string]bool{}, deaf: map[string]bool{}, frozen: map[string]time.Time{},
 		mute: map[string]bool{}, noPeers: map[string]bool{}, noWatch: map[string]bool{}, deafHosts: map[string]bool{}, unheard: map[string]bool{}, hung: map[string]time.Time{}, muteHosts: map[string]bool{},
-		met: map[string]int{}, writes: map[string]int{}}
+		met: map[string]int{}, writes: map[string]int{}, userOf: map[string]*user{}, answers: newAnswerChecker()}
 	w.ctx, w.classes = ctx, takenClasses
 	f := standin.NewFleet(ctx)
 	f.Types = []protocol.MachineType{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 192, CacheGB: 100, FetchGBPerS: 1, Price: 10, SpotPrice: 4, BootS: 5, Zones: []string{"a", "b"}}}
-	f.Most, f.Boot, f.Nodes = 10, 5*time.Second, w.names
+	f.Most, f.Boot, f.Nodes, f.ToldLate = 10, 5*time.Second, w.names, true
 	f.Teams = map[string]protocol.Team{}
 	for i := range w.names {
 		w.cfg[w.names[i]] = settingsFor(w.names, i)
@@ -693,13 +695,11 @@
 	return items, rev, err
 }
 
-// user submits a job, polls it, perhaps cancels it, and complains about every
-// answer that the rules forbid.
+// user submits a job, polls it and perhaps cancels it.
 type user struct {
 	w        *world
 	spec     *protocol.JobSpec
 	accepted bool
-	asked    bool   // the user has asked to cancel it; guarded by the world's mu
 	final    string // guarded by the world's mu
 	cancelAt time.Duration
 }
@@ -711,9 +711,10 @@
 	w := u.w
 	start := time.Now()
 	w.fleet.Submitted(u.spec)
+	w.set(func() { w.userOf[u.spec.ID] = u })
 	for !u.accepted {
 		ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
-		a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { n.onSubmit(u.spec, time.Now(), reply) })
+		a, err := w.submitAt(ctx, u.any(), u.spec)
 		cancel()
 		u.accepted = err == nil && (a.status == 200 || a.status == 201)
 		if err == nil && (a.status == 400 || a.status == 422) {
@@ -728,24 +729,10 @@
 	for w.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
 		if u.cancelAt > 0 && time.Since(start) > u.cancelAt && u.ended() == "" {
-			w.set(func() { u.asked = true })
-			a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { n.onCancel(u.spec.ID, 5, reply) })
-			if err == nil && a.status == 200 {
-				u.told(a.body.(protocol.JobStatus).Status)
-			} else if err == nil && a.status == 404 {
-				w.complain("%s forgotten at its cancellation", u.spec.ID)
-			}
+			w.cancelAt(ctx, u.any(), u.spec.ID)
 		}
-		a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { n.onPoll(u.spec.ID, reply) })
+		w.pollAt(ctx, u.any(), u.spec.ID)
 		cancel()
-		if err == nil {
-			switch a.status {
-			case 200:
-				u.told(a.body.(protocol.JobStatus).Status)
-			case 404:
-				w.complain("%s forgotten", u.spec.ID)
-			}
-		}
 		time.Sleep(w.size.pollPause(w.between(time.Second, 3*time.Second)))
 	}
 }
@@ -757,6 +744,8 @@
 	return u.final
 }
 
+// told compares what somebody was told of the user's job with the machines; whether it is
+// older than an earlier answer is the answerChecker's.
 func (u *user) told(status string) {
 	var wrong []string
 	defer func() {
@@ -767,9 +756,6 @@
 	u.w.mu.Lock()
 	defer u.w.mu.Unlock()
 	u.w.met["asked"]++
-	if u.final != "" && status != u.final {
-		wrong = append(wrong, fmt.Sprintf("%s went back from %s to %s", u.spec.ID, u.final, status))
-	}
 	switch status {
 	case protocol.JobDone:
 		if n, of := u.w.fleet.Finished(u.spec.ID), u.spec.Tasks; u.final == "" && n < of && (u.spec.Shape != protocol.Gang || n == 0) {
@@ -777,14 +763,10 @@
 		}
 		u.final = status
 	case protocol.JobCancelled:
-		if !u.asked {
-			wrong = append(wrong, fmt.Sprintf("%s is called cancelled, but nobody asked", u.spec.ID))
-		}
 		if left := u.w.fleet.Left(u.spec.ID); u.final == "" && left > 0 {
 			wrong = append(wrong, fmt.Sprintf("%s is called cancelled with %d tasks left", u.spec.ID, left))
 		}
 		u.final = status
-		u.w.fleet.Cancelled(u.spec.ID)
 	}
 }
 
@@ -987,7 +969,7 @@
 func (w *world) submit(s *protocol.JobSpec) {
 	w.fleet.Submitted(s)
 	for k := range 60 {
-		a, err := w.ask(w.ctx, w.names[k%3], func(n *Node, reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
+		a, err := w.submitAt(w.ctx, w.names[k%3], s)
 		if err == nil && a.status < 300 {
 			return
 		}
@@ -999,7 +981,7 @@
 // cancel cancels a job.
 func (w *world) cancel(id string) {
 	for range 60 {
-		a, err := w.ask(w.ctx, w.names[0], func(n *Node, reply chan<- answer) { n.onCancel(id, 5, reply) })
+		a, err := w.cancelAt(w.ctx, w.names[0], id)
 		if err == nil && a.status == 200 {
 			return
 		}
--- a/internal/coordination/node/sitejobs_test.go
+++ b/internal/coordination/node/sitejobs_test.go
@@ -214,7 +214,7 @@
 		want("the same job under a later claim", other.call(wire.Submit, "job-3", 4), wire.Held)
 
 		own := &protocol.JobSpec{ID: "job-4", Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1}
-		if a, err := w.ask(ctx, "n-1", func(n *Node, reply chan<- answer) { n.onSubmit(own, time.Now(), reply) }); err != nil || a.status != 201 {
+		if a, err := w.submitAt(ctx, "n-1", own); err != nil || a.status != 201 {
 			t.Fatalf("own job: %v %v", a.status, err)
 		}
 		time.Sleep(time.Second)
@@ -223,12 +223,12 @@
 
 		// Users who ask the site: what became of a claim is not what became of the job.
 		for id, status := range map[string]int{"job-2": 503, "job-1": 503, "job-4": 200} {
-			a, err := w.ask(ctx, "n-0", func(n *Node, reply chan<- answer) { n.onPoll(id, reply) })
+			a, err := w.pollAt(ctx, "n-0", id)
 			if err != nil || a.status != status {
 				t.Errorf("poll of %s: %d %v, want %d", id, a.status, err, status)
 			}
 		}
-		if a, err := w.ask(ctx, "n-0", func(n *Node, reply chan<- answer) { n.onCancel("job-1", 5, reply) }); err != nil || a.status != 503 {
+		if a, err := w.cancelAt(ctx, "n-0", "job-1"); err != nil || a.status != 503 {
 			t.Errorf("cancellation at the site: %d %v, want 503", a.status, err)
 		}
 		cancel()
@@ -395,7 +395,7 @@
 				n := w.node("n-0")
 				n.post(func() { n.Known = c.known })
 				s := &protocol.JobSpec{ID: "job-1", Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1}
-				a, err := w.ask(ctx, "n-0", func(n *Node, reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
+				a, err := w.submitAt(ctx, "n-0", s)
 				if err != nil || a.status != c.status {
 					t.Errorf("answered %d %v, want %d", a.status, err, c.status)
 				}
--- a/internal/coordination/node/tickets_test.go
+++ b/internal/coordination/node/tickets_test.go
@@ -109,7 +109,7 @@
 	a, refused := ticket.Admit(s, ticketClasses, ticket.Limits{ValueBytes: 8000})
 	ctx, cancel := context.WithTimeout(u.w.ctx, 5*time.Second)
 	defer cancel()
-	return u.w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onTicket(s.ID, a, refused, time.Now(), reply) })
+	return u.w.askAs(ctx, submitRequest, name, s.ID, func(n *Node, reply chan<- answer) { n.onTicket(s.ID, a, refused, time.Now(), reply) })
 }
 
 func (u *ticketUser) run(done func()) {
@@ -132,7 +132,7 @@
 		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
 		if u.cancelAt > 0 && time.Since(start) > u.cancelAt && u.ended() == "" {
 			asked = true
-			a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { n.onCancel(u.id, 5, reply) })
+			a, err := w.cancelAt(ctx, u.any(), u.id)
 			u.told(a, err, asked)
 		}
 		if u.polls++; u.polls%4 == 0 { // a repeat at any time, by either way
@@ -143,7 +143,7 @@
 		if u.polls%2 == 0 {
 			ask = (*Node).onTicketPoll
 		}
-		a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { ask(n, u.id, reply) })
+		a, err := w.askAs(ctx, statusRequest, u.any(), u.id, func(n *Node, reply chan<- answer) { ask(n, u.id, reply) })
 		cancel()
 		u.told(a, err, asked)
 		time.Sleep(w.between(time.Second, 3*time.Second))
@@ -397,7 +397,7 @@
 		u.want = protocol.JobFailed
 		w.fleet.Fails = func(_ *protocol.JobSpec, task, _ int) bool { return task == 1 }
 	}, func(w *world, u *ticketUser, _ *diary) {
-		if a, err := w.ask(w.ctx, "n-0", func(n *Node, reply chan<- answer) { n.onTicketPoll("job-90", reply) }); err == nil && a.status == 200 {
+		if a, err := w.askAs(w.ctx, statusRequest, "n-0", "job-90", func(n *Node, reply chan<- answer) { n.onTicketPoll("job-90", reply) }); err == nil && a.status == 200 {
 			terms = a.body.(*TicketStatus).Terms
 		}
 	})
@@ -472,7 +472,7 @@
 		d.mu.Unlock()
 		if over && u.cancelAt == 0 {
 			u.cancelAt = time.Nanosecond
-			a, err := w.ask(w.ctx, "n-1", func(n *Node, reply chan<- answer) { n.onCancel(u.id, 5, reply) })
+			a, err := w.cancelAt(w.ctx, "n-1", u.id)
 			if err == nil && a.status == 200 {
 				u.told(a, err, true)
 			}
@@ -537,9 +537,9 @@
 		time.Sleep(time.Second)
 		step := ticket.StepSpec(u.adm.Record, 0)
 		for _, name := range w.names {
-			a, _ := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onPoll(step.ID, reply) })
-			b, _ := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onCancel(step.ID, 5, reply) })
-			c, _ := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onSubmit(step, time.Now(), reply) })
+			a, _ := w.pollAt(ctx, name, step.ID)
+			b, _ := w.cancelAt(ctx, name, step.ID)
+			c, _ := w.submitAt(ctx, name, step)
 			if a.status != 404 || b.status != 404 || c.status != 422 {
 				t.Errorf("%s: poll %d, cancel %d, submission %d", name, a.status, b.status, c.status)
 			}
@@ -589,7 +589,7 @@
 		time.Sleep(8 * time.Second)
 		why := ""
 		for _, name := range w.names {
-			a, err := w.ask(ctx, name, func(n *Node, reply chan<- answer) { n.onTicketPoll("job-99", reply) })
+			a, err := w.askAs(ctx, statusRequest, name, "job-99", func(n *Node, reply chan<- answer) { n.onTicketPoll("job-99", reply) })
 			if s, ok := a.body.(*TicketStatus); err == nil && ok {
 				why += s.Steps[0].Why + "; "
 			}
