--- a/internal/coordination/node/answers_test.go
+++ b/internal/coordination/node/answers_test.go
@@ -184,6 +184,9 @@
 // askAs sends one request of a user to a node and checks the response.
 func (w *world) askAs(ctx context.Context, kind requestKind, node, id string, send func(n *Node, reply chan<- answer)) (answer, error) {
 	r := w.answers.ask(kind, id, node)
+	if without := answersWithout[w.leftOut]; without != nil {
+		send = without(w, kind, id, send)
+	}
 	a, err := w.ask(ctx, node, send)
 	if err != nil {
 		return a, err
--- /dev/null
+++ b/internal/coordination/node/close_looks_test.go
@@ -0,0 +1,217 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// Users who ask at all nodes, again and again within milliseconds, right after something was
+// told of their job. What they are told is compared by the answerChecker (answers_test.go).
+
+// Timeouts of users, and their pause between two attempts.
+const (
+	submitTimeout = 5 * time.Second
+	pollTimeout   = 2 * time.Second
+	retryPause    = time.Second
+)
+
+// enroll makes the user of a new job of a test's own, which all checks know.
+func (w *world) enroll(shape func(s *protocol.JobSpec)) *user {
+	w.mu.Lock()
+	w.met["enrolled"]++
+	number := w.met["enrolled"]
+	w.mu.Unlock()
+	s := &protocol.JobSpec{ID: fmt.Sprintf("job-95%05d", number), Team: []string{"red", "blue", "green"}[number%3], Class: "c", Shape: protocol.Array,
+		Priority: "high", Tasks: 1, CPUs: 1, GPUs: 0.25, Image: "i", ImageGB: 1, EstimateS: 1}
+	shape(s)
+	w.fleet.Submitted(s)
+	u := &user{w: w, spec: s}
+	w.set(func() { w.userOf[s.ID] = u })
+	return u
+}
+
+func (u *user) submitOnce(node string) (answer, error) {
+	ctx, cancel := context.WithTimeout(u.w.ctx, submitTimeout)
+	defer cancel()
+	return u.w.submitAt(ctx, node, u.spec)
+}
+
+func (u *user) pollOnce(node string) (answer, error) {
+	ctx, cancel := context.WithTimeout(u.w.ctx, pollTimeout)
+	defer cancel()
+	return u.w.pollAt(ctx, node, u.spec.ID)
+}
+
+func (u *user) cancelOnce(node string) (answer, error) {
+	ctx, cancel := context.WithTimeout(u.w.ctx, submitTimeout)
+	defer cancel()
+	return u.w.cancelAt(ctx, node, u.spec.ID)
+}
+
+// repeat sends a request to one node after the other until it is answered with success.
+func (u *user) repeat(send func(node string) (answer, error)) {
+	for u.w.ctx.Err() == nil {
+		if a, err := send(u.any()); err == nil && (a.status == 200 || a.status == 201) {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// requestsPerLook is how often a close look sends each request to each node.
+const requestsPerLook = 2
+
+// lookClosely asks all nodes within milliseconds how the job is and repeats its submission
+// there; the event is what was told before.
+func (u *user) lookClosely(event string) {
+	var open sync.WaitGroup
+	send := func(what, node string, request func(node string) (answer, error)) {
+		open.Go(func() {
+			time.Sleep(u.w.between(0, 10*time.Millisecond))
+			if a, err := request(node); err == nil && a.status == 200 {
+				u.w.took(what + " " + event)
+			}
+		})
+	}
+	for _, node := range u.w.names {
+		for range requestsPerLook {
+			send("status read", node, u.pollOnce)
+			send("submission repeated", node, u.submitOnce)
+		}
+	}
+	open.Wait()
+}
+
+// meanwhile sends a request and lets others read the job's status until its answer comes; seen
+// says whether one of them was told something that shows that it had been executed.
+func (u *user) meanwhile(send func(node string) (answer, error), shows func(said string) bool) (a answer, err error, seen bool) {
+	node, over := u.any(), make(chan struct{})
+	var others sync.WaitGroup
+	for _, other := range u.w.names {
+		if other == node {
+			continue
+		}
+		others.Go(func() {
+			for {
+				select {
+				case <-over:
+					return
+				case <-time.After(u.w.between(20*time.Millisecond, 150*time.Millisecond)):
+				}
+				r, err := u.pollOnce(other)
+				if said, _ := saidOf(r); err == nil && r.status == 200 && shows(said) {
+					u.w.set(func() { seen = true })
+				}
+			}
+		})
+	}
+	a, err = send(node)
+	close(over)
+	others.Wait()
+	return a, err, seen
+}
+
+// repeatMeanwhile repeats a request until it is answered with success, while others read;
+// it notes what they read when the answer is lost.
+func (u *user) repeatMeanwhile(what string, send func(node string) (answer, error), shows func(said string) bool) {
+	for u.w.ctx.Err() == nil {
+		a, err, seen := u.meanwhile(send, shows)
+		if err == nil && (a.status == 200 || a.status == 201) {
+			return
+		}
+		if seen {
+			u.w.took(what + " read by others while its answer was lost")
+			u.lookClosely("after its answer was lost")
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// ends waits until somebody was told how the job ended.
+func (u *user) ends() {
+	for u.w.ctx.Err() == nil && u.ended() == "" {
+		u.pollOnce(u.any())
+		time.Sleep(u.w.between(100*time.Millisecond, 300*time.Millisecond))
+	}
+}
+
+// mostWaiting is how long a job of these users may take once all troubles are over.
+const mostWaiting = 4 * time.Minute
+
+// awaitAll waits for users, and complains if that takes too long.
+func (w *world) awaitAll(users *sync.WaitGroup) {
+	over := make(chan struct{})
+	go func() {
+		users.Wait()
+		close(over)
+	}()
+	select {
+	case <-over:
+	case <-time.After(mostWaiting):
+		w.complain("some users were not told how their jobs ended")
+	case <-w.ctx.Done():
+	}
+}
+
+// mixedShape gives every fourth job two tasks that have to run at the same time.
+func mixedShape(i int) func(s *protocol.JobSpec) {
+	return func(s *protocol.JobSpec) {
+		if i%4 == 3 {
+			s.Shape, s.Tasks = protocol.Gang, 2
+		}
+	}
+}
+
+// closeLooks: users look closely after a job was accepted, has ended, or was confirmed as
+// cancelled; some cancel at once.
+func closeLooks(w *world) {
+	var users sync.WaitGroup
+	for i := range 24 {
+		u, cancels := w.enroll(mixedShape(i)), i%3 == 0
+		users.Go(func() {
+			u.repeat(u.submitOnce)
+			if cancels {
+				users.Go(func() {
+					time.Sleep(w.between(0, 20*time.Millisecond))
+					u.repeat(u.cancelOnce)
+					u.lookClosely("after a cancellation")
+				})
+			}
+			u.lookClosely("after acceptance")
+			u.ends()
+			u.lookClosely("after the end")
+			time.Sleep(w.between(100*time.Millisecond, 400*time.Millisecond))
+			u.lookClosely("once no node has the job any more")
+		})
+		time.Sleep(w.between(0, 600*time.Millisecond))
+	}
+	w.awaitAll(&users)
+}
+
+// lostAnswers: what a node writes is stored, its answer is lost, and others read it before the
+// node that wrote it knows.
+func lostAnswers(w *world) {
+	w.set(func() { w.lostAnswers = 0.3 })
+	var users sync.WaitGroup
+	for i := range 24 {
+		u, cancels := w.enroll(mixedShape(i)), i%3 == 0
+		users.Go(func() {
+			u.repeatMeanwhile("acceptance", u.submitOnce, func(string) bool { return true })
+			u.lookClosely("after acceptance")
+			if cancels {
+				u.repeatMeanwhile("cancellation", u.cancelOnce, func(said string) bool { return said == protocol.JobCancelled })
+				u.lookClosely("after a cancellation")
+			}
+			u.ends()
+			u.lookClosely("after the end")
+		})
+		time.Sleep(w.between(0, 600*time.Millisecond))
+	}
+	time.Sleep(10 * time.Second)
+	w.set(func() { w.lostAnswers = 0 })
+	w.awaitAll(&users)
+}
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -611,6 +611,7 @@
 		}
 		return false, 0, nil, err
 	}
+	conds = f.w.without(conds, writes)
 	if f.w.chance(&f.w.lateWrites) {
 		sent := f.w.answered(f.node, 0)
 		go func() {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -61,9 +61,10 @@
 	mistaken  map[string]bool
 	errors    map[string]int // by task
 	began     map[string]bool
-	stalled   map[string]bool // jobs
-	finished  map[string]int  // tasks that completed, by job
-	complete  map[string]bool // those tasks
+	stalled   map[string]bool      // jobs
+	finished  map[string]int       // tasks that completed, by job
+	complete  map[string]bool      // those tasks
+	over      map[string]time.Time // when the last task of a job completed
 	Started   int
 	Stopped   int // running tasks that were told to stop
 	Expired   int // tasks that ended with their worker's lease
@@ -106,7 +107,7 @@
 
 // NewFleet makes a fleet that lives until ctx ends.
 func NewFleet(ctx context.Context) *Fleet {
-	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, at: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}, finished: map[string]int{}, complete: map[string]bool{}}
+	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, at: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}, finished: map[string]int{}, complete: map[string]bool{}, over: map[string]time.Time{}}
 }
 
 // Submitted tells the workers of a job, as users do.
@@ -576,6 +577,9 @@
 					if !m.f.complete[id] {
 						m.f.complete[id] = true
 						m.f.finished[p.job.ID]++
+						if m.f.finished[p.job.ID] == p.job.Tasks {
+							m.f.over[p.job.ID] = time.Now()
+						}
 					}
 					p.state, p.cause = protocol.TaskExited, protocol.CauseDone
 					m.changed()
@@ -604,6 +608,34 @@
 	return f.finished[job]
 }
 
+// CompletedAt is when the last task of a job completed; zero: not all have.
+func (f *Fleet) CompletedAt(job string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.over[job]
+}
+
+// AllRunSince is when the last task of a job began to run; zero: not all of them run.
+func (f *Fleet) AllRunSince(job string) (since time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, m := range f.machines {
+		for _, p := range m.tasks {
+			if p.job.ID != job || p.state != protocol.TaskRunning {
+				continue
+			}
+			if count++; p.since.After(since) {
+				since = p.since
+			}
+		}
+	}
+	if spec := f.jobs[job]; spec == nil || count < spec.Tasks {
+		return time.Time{}
+	}
+	return since
+}
+
 // begin is when a task counts as on its machine: the rules are checked.
 func (m *Machine) begin(id string, p *proc) {
 	f := m.f
