--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -102,6 +103,9 @@
 var required = []string{"id", "lot", "crew", "shape", "urgency", "pieces", "vcpus", "cards", "memGb",
 	"bundle", "sizeGb", "together", "scatter", "loaners", "expectS", "snapshotS", "storeS"}
 
+// nullable are the fields that may be null or missing.
+var nullable = []string{"builds", "region", "dueS"}
+
 // ErrTicket says that a submission carries a ticket.
 var ErrTicket = errors.New("field ticket: no tickets are taken here")
 
@@ -124,13 +128,20 @@
 		}
 	}
 	s := &JobSpec{}
-	if err := json.Unmarshal(body, s); err != nil {
+	if err := json.Unmarshal(knownFields(fields), s); err != nil {
 		var te *json.UnmarshalTypeError
 		if errors.As(err, &te) {
 			return nil, fmt.Errorf("field %s is invalid", te.Field)
 		}
 		return nil, errors.New("invalid JSON")
 	}
+	// Stored, these two would read as null, which allows any.
+	if s.Types != nil && len(s.Types) == 0 {
+		return nil, errors.New("field builds is invalid: no machine type is allowed")
+	}
+	if bytes.Equal(fields["region"], []byte(`""`)) {
+		return nil, errors.New("field region is invalid: it is empty")
+	}
 	if err := s.check(); err != nil {
 		return nil, err
 	}
@@ -141,6 +152,22 @@
 	return s, nil
 }
 
+// knownFields is a submission without fields that are not known: encoding/json would take one
+// that differs in case alone for the known one.
+func knownFields(fields map[string]json.RawMessage) []byte {
+	known := make(map[string]json.RawMessage, len(fields))
+	for _, name := range slices.Concat(required, nullable) {
+		if v, ok := fields[name]; ok {
+			known[name] = v
+		}
+	}
+	data, err := json.Marshal(known)
+	if err != nil {
+		panic(err) // what was read as JSON is JSON
+	}
+	return data
+}
+
 // ParseStoredJob reads a submission as this package writes it, where what is false
 // or empty is left out.
 func ParseStoredJob(data []byte) (*JobSpec, error) {
--- a/internal/protocol/wire_test.go
+++ b/internal/protocol/wire_test.go
@@ -1,7 +1,11 @@
 package protocol
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -70,6 +74,107 @@
 	}
 }
 
+// Kinds of fields of a submission, with values that are none.
+var (
+	notText    = []string{`1`, `true`, `[]`, `{}`, `""`}
+	notAmount  = []string{`"1"`, `true`, `[]`, `{}`, `-1`, `-0.001`, `1e10`, `1e400`}
+	notCount   = []string{`"1"`, `true`, `[]`, `{}`, `0`, `-1`, `1.5`, `100001`, `18446744073709551616`}
+	notBoolean = []string{`"true"`, `0`, `1`, `[]`, `{}`, `""`}
+	notNames   = []string{`"g8"`, `1`, `true`, `{}`, `[]`, `[""]`, `[null]`, `[1]`, `["g8",""]`}
+)
+
+// submissionFields are the fields of POST /api/jobs as PROTOCOL lists them.
+var submissionFields = []struct {
+	name     string
+	nullable bool
+	good     []string
+	bad      []string
+}{
+	{"id", false, []string{`"job-0"`, `"job-999999"`}, append([]string{`"job"`, `"job-"`, `"job-1a"`, `"JOB-1"`, `"job-1 "`, `"job-1/0"`}, notText...)},
+	{"lot", false, []string{`"x"`}, notText},
+	{"crew", false, []string{`"x"`}, notText},
+	{"shape", false, []string{`"sweep"`, `"gang"`, `"standing"`}, append([]string{`"Gang"`, `"array"`}, notText...)},
+	{"urgency", false, []string{`"critical"`, `"high"`, `"standard"`, `"best_effort"`}, append([]string{`"low"`}, notText...)},
+	{"pieces", false, []string{`1`, `100000`}, notCount},
+	{"vcpus", false, []string{`0`, `0.5`, `8`}, notAmount},
+	{"cards", false, []string{`0`, `0.25`, `8`}, notAmount},
+	{"memGb", false, []string{`0`, `64.5`}, notAmount},
+	{"bundle", false, []string{`"x"`}, notText},
+	{"sizeGb", false, []string{`0`, `6.2`}, notAmount},
+	{"builds", true, []string{`["g8"]`, `["g4","g8"]`}, notNames},
+	{"region", true, []string{`"a"`}, notText},
+	{"together", false, []string{`true`, `false`}, notBoolean},
+	{"scatter", false, []string{`true`, `false`}, notBoolean},
+	{"loaners", false, []string{`true`, `false`}, notBoolean},
+	{"expectS", false, []string{`0`, `240.5`}, notAmount},
+	{"snapshotS", false, []string{`0`, `30`}, notAmount},
+	{"storeS", false, []string{`0`, `4`}, notAmount},
+	{"dueS", true, []string{`0`, `900.5`}, notAmount},
+}
+
+// Every field that is missing, null where it may not be, of another type or out of range is
+// refused, and the refusal names it; one that may be null may be missing; a field that is not
+// known, also one that differs in case alone, changes nothing.
+func TestEveryFieldOfASubmission(t *testing.T) {
+	var good map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(goodJob), &good); err != nil {
+		t.Fatal(err)
+	}
+	if len(good) != len(submissionFields) {
+		t.Fatalf("%d fields, PROTOCOL has %d", len(good), len(submissionFields))
+	}
+	with := func(name, value string) []byte {
+		changed := maps.Clone(good)
+		if delete(changed, name); value != "" {
+			changed[name] = json.RawMessage(value)
+		}
+		return mustMarshal(t, changed)
+	}
+	want, err := ParseJob([]byte(goodJob))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range submissionFields {
+		refused := func(value string) {
+			if _, err := ParseJob(with(f.name, value)); err == nil || !strings.Contains(err.Error(), f.name) {
+				t.Errorf("%s = %q: error %v does not name it", f.name, value, err)
+			}
+		}
+		accepted := func(value string) {
+			if _, err := ParseJob(with(f.name, value)); err != nil {
+				t.Errorf("%s = %q: %v", f.name, value, err)
+			}
+		}
+		for _, value := range []string{"", "null"} {
+			if f.nullable {
+				accepted(value)
+			} else {
+				refused(value)
+			}
+		}
+		for _, value := range f.good {
+			accepted(value)
+		}
+		for _, value := range f.bad {
+			refused(value)
+		}
+		if _, err := ParseJob(bytes.Replace([]byte(goodJob), []byte(`"`+f.name+`"`), []byte(`"`+strings.ToUpper(f.name)+`"`), 1)); (err == nil) != f.nullable {
+			t.Errorf("%s in upper case alone: %v", f.name, err)
+		}
+		for _, value := range append(f.bad, "null") {
+			body := fmt.Sprintf(`%s,%q:%s}`, strings.TrimSuffix(goodJob, "}"), strings.ToUpper(f.name), value)
+			if got, err := ParseJob([]byte(body)); err != nil || !reflect.DeepEqual(got, want) {
+				t.Errorf("with a field %s = %s besides: %+v, %v", strings.ToUpper(f.name), value, got, err)
+			}
+		}
+	}
+	for _, body := range []string{goodJob + "x", goodJob + goodJob, "[" + goodJob + "]", goodJob[:len(goodJob)-1]} {
+		if _, err := ParseJob([]byte(body)); err == nil {
+			t.Errorf("accepted %.400q", body)
+		}
+	}
+}
+
 func TestTaskIDs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		id := rapid.StringMatching(`job-[0-9]{1,12}`).Draw(t, "id")
