--- a/internal/coordination/node/user_meetings_test.go
+++ b/internal/coordination/node/user_meetings_test.go
@@ -132,6 +132,8 @@
 	{name: "requests at the end", faults: requestsAtTheEnd, took: []string{
 		"cancellation met the end", "status read met the end", "repeated submission met the end"}},
 	{name: "many small jobs", faults: manySmallJobs, took: []string{"small job cancelled", "status read after a small job's end"}},
+	{name: "odd requests", faults: oddRequests, took: []string{
+		"refused with 400", "refused with 422", "submission of an unfinished job repeated", "a job that was done cancelled"}},
 }
 
 func TestUserMeetings(t *testing.T) {
