--- a/internal/coordination/node/close_looks_test.go
+++ b/internal/coordination/node/close_looks_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"sync"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/protocol"
@@ -215,3 +217,48 @@
 	w.set(func() { w.lostAnswers = 0 })
 	w.awaitAll(&users)
 }
+
+// A node that the watch has not told that jobs are stored in entries now, and that does not know
+// what is in them, gives no user an answer older than another node's.
+func TestNodeThatDoesNotKnowOfEntries(t *testing.T) {
+	packedOnly(t, 8)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(t, ctx, 3, asTheyAre)
+		w.set(func() { w.noWatch["n-0"], w.noWatch["n-1"] = true, true }) // nobody writes entries yet
+		time.Sleep(2 * time.Second)
+		early := w.enroll(func(s *protocol.JobSpec) { s.EstimateS = 30 })
+		early.repeat(early.submitOnce)
+		time.Sleep(2 * time.Second)
+		w.set(func() { clear(w.noWatch); w.noWatch["n-2"] = true })
+		knows := func(name string) bool {
+			return onActor(w.node(name), func() bool { return w.node(name).packedEver() })
+		}
+		for from := time.Now(); time.Since(from) < 20*time.Second && !(knows("n-0") && knows("n-1")); {
+			time.Sleep(100 * time.Millisecond)
+		}
+		if !knows("n-0") || !knows("n-1") || knows("n-2") {
+			t.Fatalf("who knows of entries: %v %v %v", knows("n-0"), knows("n-1"), knows("n-2"))
+		}
+		late := w.enroll(func(*protocol.JobSpec) {})
+		if a, err := late.submitOnce("n-0"); err != nil || a.status != 201 {
+			t.Fatalf("submission: %d %v", a.status, err)
+		}
+		late.lookClosely("after acceptance")
+		for from := time.Now(); time.Since(from) < time.Minute && early.ended() == ""; time.Sleep(100 * time.Millisecond) {
+			early.pollOnce("n-0")
+		}
+		if early.ended() == "" {
+			t.Error("the job that was accepted before did not end")
+		}
+		early.lookClosely("after the end")
+		w.set(func() { clear(w.noWatch) })
+		time.Sleep(2 * time.Second)
+		if a, err := early.pollOnce("n-2"); err != nil || a.status != 200 {
+			t.Errorf("when the watch has told: %d %v", a.status, err)
+		}
+		cancel()
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+	})
+}
--- a/internal/coordination/node/users.go
+++ b/internal/coordination/node/users.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -169,6 +170,8 @@
 	packed := n.packedEver()
 	if packed {
 		inboxes = n.nextAccepted()
+	} else {
+		conds = append(conds, n.cond(protocol.FormatKey)) // no entry has been written
 	}
 	unknown := false
 	for len(n.polls.waiting) > 0 && len(conds)+len(inboxes)+2 <= 4*n.cfg.Params.State.TxnOps {
@@ -201,8 +204,13 @@
 
 func (n *Node) finishRead(batch []*read, ok bool, failed []string, err error) {
 	stale := map[string]bool{}
-	more := false // was accepted than this node knew
+	more := false    // was accepted than this node knew
+	entries := false // are written, and this node does not know them yet
 	for _, k := range failed {
+		if k == protocol.FormatKey {
+			entries = true
+			continue
+		}
 		if strings.HasPrefix(k, protocol.InboxRoot) {
 			more = true
 			continue
@@ -217,13 +225,11 @@
 		switch {
 		case err != nil:
 			r.then(false, protocol.JobStatus{}, err)
+		case entries:
+			n.readAgain(r)
 		case (ok || (len(failed) > 0 && !stale[r.id])) && n.tell(r):
 		case !r.known && !stale[r.id] && (more || n.inboxBroken()):
-			if r.tries++; r.tries > mostReads || n.inboxBroken() {
-				r.then(false, protocol.JobStatus{}, storage.ErrUnknown)
-			} else {
-				n.polls.waiting = append(n.polls.waiting, r) // when the watch has told
-			}
+			n.readAgain(r)
 		case (ok || (len(failed) > 0 && !stale[r.id])) && !r.known:
 			r.then(false, protocol.JobStatus{}, nil)
 		default:
@@ -234,6 +240,15 @@
 	}
 }
 
+// readAgain compares a read with the store once more, when the watch has told what is missing.
+func (n *Node) readAgain(r *read) {
+	if r.tries++; r.tries > mostReads || n.inboxBroken() {
+		r.then(false, protocol.JobStatus{}, storage.ErrUnknown)
+		return
+	}
+	n.polls.waiting = append(n.polls.waiting, r)
+}
+
 // readStored answers a read from the store: first the job, then what it became,
 // since it only moves in that direction. Only if both are missing is it unknown.
 func (n *Node) readStored(r *read) {
@@ -402,7 +417,7 @@
 	rec := protocol.JobRecord{Spec: s, SubmittedMS: now.UnixMilli(), Next: 1}
 	op := &storage.Op{
 		For:    uint8(forAccepts),
-		Conds:  []storage.Cond{{Key: protocol.JobKey(s.ID)}, {Key: protocol.FinalKey(s.ID)}},
+		Conds:  append(n.unaccepted(), storage.Cond{Key: protocol.JobKey(s.ID)}, storage.Cond{Key: protocol.FinalKey(s.ID)}),
 		Writes: []storage.Write{{Put: protocol.JobKey(s.ID), Value: mustJSON(rec)}}}
 	n.forUser(op, reply, func(r storage.Result) {
 		switch {
@@ -413,12 +428,29 @@
 		case r.Err != nil:
 			n.log.Debug("submission not stored", "job", s.ID, "why", r.Err, "took_s", time.Since(now).Seconds())
 			reply <- busy
-		default:
+		case slices.Contains(r.Failed, protocol.JobKey(s.ID)) || slices.Contains(r.Failed, protocol.FinalKey(s.ID)):
 			repeat(func() { reply <- busy })
+		default:
+			n.resync(r.Failed, func(_ []storage.Item, err error) {
+				if err != nil || time.Since(now) > mostWait {
+					reply <- busy
+					return
+				}
+				n.onSubmit(s, now, reply) // perhaps another node has accepted it
+			})
 		}
 	})
 }
 
+// unaccepted are the conditions that nothing was accepted in an entry that this node does not
+// know.
+func (n *Node) unaccepted() []storage.Cond {
+	if !n.packedEver() {
+		return []storage.Cond{n.cond(protocol.FormatKey)}
+	}
+	return n.nextAccepted()
+}
+
 // onCancel cancels a job: from the moment it is stored no start of it can be.
 func (n *Node) onCancel(id string, tries int, reply chan<- answer) {
 	if !n.loaded {
@@ -463,8 +495,10 @@
 	op := &storage.Op{For: uint8(forCancels), Conds: n.unended(j.id),
 		Writes: []storage.Write{{Put: protocol.JobKey(j.id), Value: mustJSON(rec)}}}
 	if len(rec.Placed) == 0 && len(j.chunks) == 0 && !n.inEntries(j) && !n.inAnyInbox(j.id) {
-		if n.packedEver() {
-			op.Conds = append(op.Conds, n.nextEntry(j.share)) // nothing of it is placed meanwhile
+		if n.packedEver() { // nothing of it is placed meanwhile
+			op.Conds = append(op.Conds, n.nextEntry(j.share))
+		} else {
+			op.Conds = append(op.Conds, n.cond(protocol.FormatKey))
 		}
 		op.Writes = finalWrites(j.id, protocol.JobCancelled, len(j.tasks), j.claim)
 	}
