--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -380,6 +380,7 @@
 	n.tendTickets(now)
 	n.flush(now)
 	n.flushInbox(now)
+	n.confirmAccepted(now)
 	n.releaseParked(now)
 	for m := range n.starts {
 		if n.startNow(m, now) {
--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -41,6 +41,7 @@
 	broken  map[string]string       // keys of entries that are not understood
 	heads   map[string]int          // records of jobs that have ended, with their share
 	waiting []*submission           // accepted, to be stored in the next entry
+	stored  []storedBatch           // those whose users are told once all that was stored before is known
 	busy    bool                    // an entry of the own inbox is being stored
 	folding int                     // records of accepted jobs being written
 	changed time.Time               // when the format was last to be changed
@@ -690,16 +691,13 @@
 	n.metrics.entries.WithLabelValues("inbox").Observe(float64(len(batch)))
 }
 
-// accepted answers those whose jobs an entry was to store.
+// accepted learns how an entry with submissions ended.
 func (n *Node) accepted(op *storage.Op, batch []*submission, r storage.Result) {
 	p := &n.packing
 	if r.OK {
 		p.busy = false
 		n.learn(op.Writes[0], r.Epoch)
-		for _, x := range batch {
-			n.log.Debug("job accepted", "job", x.spec.ID, "class", x.spec.Class, "tasks", x.spec.Tasks, "took_s", time.Since(x.at).Seconds(), "together", len(batch))
-			x.reply <- answer{status: 201, body: protocol.JobStatus{ID: x.spec.ID, Status: protocol.JobQueued}}
-		}
+		p.stored = append(p.stored, storedBatch{jobs: batch, revision: r.Epoch, until: time.Now().Add(mostWait)})
 		return
 	}
 	if r.Err != nil {
@@ -733,6 +731,61 @@
 	})
 }
 
+// storedBatch are submissions that were stored in an entry of the inbox at a revision. Another
+// node may have accepted one of them before: that is known once the replica has that revision.
+type storedBatch struct {
+	jobs     []*submission
+	revision uint64
+	until    time.Time // when their users are told to come back instead
+}
+
+// confirmAccepted tells users that their jobs are accepted, once all that was stored before is
+// known. An entry could have a condition on the next slots of all other inboxes instead; in a
+// wave, when all nodes write entries all the time, most would fail on it.
+func (n *Node) confirmAccepted(now time.Time) {
+	p := &n.packing
+	kept := p.stored[:0]
+	for _, b := range p.stored {
+		known := n.caught >= b.revision
+		if !known && now.Before(b.until) {
+			kept = append(kept, b)
+			continue
+		}
+		for _, x := range b.jobs {
+			n.confirm(x, known)
+		}
+	}
+	clear(p.stored[len(kept):])
+	p.stored = kept
+}
+
+// confirm tells the user of a stored submission that the job is accepted, or how it is if
+// another node has accepted it too; known says whether that can be told.
+func (n *Node) confirm(x *submission, known bool) {
+	switch {
+	case !known:
+		x.reply <- busy
+	case n.acceptedHereAlone(x.spec.ID):
+		n.log.Debug("job accepted", "job", x.spec.ID, "class", x.spec.Class, "tasks", x.spec.Tasks, "took_s", time.Since(x.at).Seconds())
+		x.reply <- answer{status: 201, body: protocol.JobStatus{ID: x.spec.ID, Status: protocol.JobQueued}}
+	default:
+		x.repeat(func() { x.reply <- busy })
+	}
+}
+
+// acceptedHereAlone says whether a job is in the inbox of this node and nowhere else.
+func (n *Node) acceptedHereAlone(id string) bool {
+	if j := n.jobs[id]; j == nil || j.based {
+		return false
+	}
+	for node, r := range n.packing.inboxes {
+		if node != n.cfg.Node && r.Mentions(id) {
+			return false
+		}
+	}
+	return true
+}
+
 // carryAccepted says again which jobs of the entry that the next one takes the place of are
 // open and in no record of their own. If these are too many, some get one first, and it
 // returns false.
