--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -42,6 +42,7 @@
 	broken  map[string]string       // keys of entries that are not understood
 	heads   map[string]int          // records of jobs that have ended, with their share
 	waiting []*submission           // accepted, to be stored in the next entry
+	stored  []storedBatch           // those whose users are told once all that was stored before is known
 	busy    bool                    // an entry of the own inbox is being stored
 	write   *inboxWrite             // the last such entry
 	folding int                     // records of accepted jobs being written
@@ -739,7 +740,7 @@
 	return final || n.jobs[id] != nil || n.tickets.byID[id] != nil
 }
 
-// accepted answers those whose jobs an entry was to store.
+// accepted learns how an entry with submissions ended.
 func (n *Node) accepted(w *inboxWrite, r storage.Result) {
 	if r.Err == nil {
 		n.changeTimes.Observe(time.Since(w.sent))
@@ -756,10 +757,7 @@
 	}
 	w.settled = true
 	n.packing.busy = false
-	for _, x := range w.batch {
-		n.log.Debug("job accepted", "job", x.spec.ID, "class", x.spec.Class, "tasks", x.spec.Tasks, "took_s", time.Since(x.at).Seconds(), "together", len(w.batch))
-		x.reply <- answer{status: 201, body: protocol.JobStatus{ID: x.spec.ID, Status: protocol.JobQueued}}
-	}
+	n.packing.stored = append(n.packing.stored, storedBatch{jobs: w.batch, revision: r.Epoch, until: time.Now().Add(mostWait)})
 }
 
 // lookForEntry reads what kept an entry from being stored. Without an answer that is the slot
@@ -803,6 +801,61 @@
 	n.packing.waiting = append(again, n.packing.waiting...)
 }
 
+// storedBatch are submissions that were stored in an entry of the inbox at a revision. Another
+// node may have accepted one of them before: that is known once the replica has that revision.
+type storedBatch struct {
+	jobs     []*submission
+	revision uint64
+	until    time.Time // when their users are told to come back instead
+}
+
+// confirmAccepted tells users that their jobs are accepted, once all that was stored before is
+// known. An entry could have a condition on the next slots of all other inboxes instead; in a
+// wave, when all nodes write entries all the time, most would fail on it.
+func (n *Node) confirmAccepted(now time.Time) {
+	p := &n.packing
+	kept := p.stored[:0]
+	for _, b := range p.stored {
+		known := n.caught >= b.revision
+		if !known && now.Before(b.until) {
+			kept = append(kept, b)
+			continue
+		}
+		for _, x := range b.jobs {
+			n.confirm(x, known)
+		}
+	}
+	clear(p.stored[len(kept):])
+	p.stored = kept
+}
+
+// confirm tells the user of a stored submission that the job is accepted, or how it is if
+// another node has accepted it too; known says whether that can be told.
+func (n *Node) confirm(x *submission, known bool) {
+	switch {
+	case !known:
+		x.reply <- busy
+	case n.acceptedHereAlone(x.spec.ID):
+		n.log.Debug("job accepted", "job", x.spec.ID, "class", x.spec.Class, "tasks", x.spec.Tasks, "took_s", time.Since(x.at).Seconds())
+		x.reply <- answer{status: 201, body: protocol.JobStatus{ID: x.spec.ID, Status: protocol.JobQueued}}
+	default:
+		x.repeat(func() { x.reply <- busy })
+	}
+}
+
+// acceptedHereAlone says whether a job is in the inbox of this node and nowhere else.
+func (n *Node) acceptedHereAlone(id string) bool {
+	if j := n.jobs[id]; j == nil || j.based {
+		return false
+	}
+	for node, r := range n.packing.inboxes {
+		if node != n.cfg.Node && r.Mentions(id) {
+			return false
+		}
+	}
+	return true
+}
+
 // carryAccepted says again which jobs of the entry that the next one takes the place of are
 // open and in no record of their own. If these are too many, some get one first, and it
 // returns false.
--- a/internal/coordination/node/users.go
+++ b/internal/coordination/node/users.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -177,6 +178,8 @@
 		b.started = true
 		if b.packed = b.n.packedEver(); b.packed {
 			b.inboxes = b.n.nextAccepted()
+		} else {
+			b.conds = append(b.conds, b.n.cond(protocol.FormatKey)) // no entry has been written
 		}
 	}
 	if _, added := b.known[r.id]; added {
@@ -218,8 +221,12 @@
 		}
 		return
 	}
+	answered := n.polls.Answered(barrier, time.Now())
+	if slices.Contains(failed, protocol.FormatKey) {
+		return // entries are written, which this node learns of before the next barrier
+	}
 	stale, acceptedMore := staleJobs(failed)
-	for _, open := range n.polls.Answered(barrier, time.Now()) {
+	for _, open := range answered {
 		r := open.Value
 		current := ok || len(failed) > 0 && !stale[r.id]
 		switch {
@@ -435,7 +442,7 @@
 	rec := protocol.JobRecord{Spec: s, SubmittedMS: now.UnixMilli(), Next: 1}
 	op := &storage.Op{
 		For:    uint8(forAccepts),
-		Conds:  []storage.Cond{{Key: protocol.JobKey(s.ID)}, {Key: protocol.FinalKey(s.ID)}},
+		Conds:  append(n.unaccepted(), storage.Cond{Key: protocol.JobKey(s.ID)}, storage.Cond{Key: protocol.FinalKey(s.ID)}),
 		Writes: []storage.Write{{Put: protocol.JobKey(s.ID), Value: mustJSON(rec)}}}
 	then := func(r storage.Result) {
 		switch {
@@ -446,8 +453,16 @@
 		case r.Err != nil:
 			n.log.Debug("submission not stored", "job", s.ID, "why", r.Err, "took_s", time.Since(now).Seconds())
 			reply <- busy
-		default:
+		case slices.Contains(r.Failed, protocol.JobKey(s.ID)) || slices.Contains(r.Failed, protocol.FinalKey(s.ID)):
 			repeat(func() { reply <- busy })
+		default:
+			n.resync(r.Failed, func(_ []storage.Item, err error) {
+				if err != nil || time.Since(now) > mostWait {
+					reply <- busy
+					return
+				}
+				n.onSubmit(s, now, reply) // perhaps another node has accepted it
+			})
 		}
 	}
 	n.startUserChange(&userChange{op: op, reply: reply, then: then, look: n.lookForSubmission(s.ID), patience: submitPatience})
@@ -487,6 +502,15 @@
 	}
 }
 
+// unaccepted are the conditions that nothing was accepted in an entry that this node does not
+// know.
+func (n *Node) unaccepted() []storage.Cond {
+	if !n.packedEver() {
+		return []storage.Cond{n.cond(protocol.FormatKey)}
+	}
+	return n.nextAccepted()
+}
+
 // onCancel cancels a job: from the moment it is stored no start of it can be.
 func (n *Node) onCancel(id string, tries int, reply chan<- answer) {
 	if !n.loaded {
@@ -531,8 +555,10 @@
 	op := &storage.Op{For: uint8(forCancels), Conds: n.unended(j.id),
 		Writes: []storage.Write{{Put: protocol.JobKey(j.id), Value: mustJSON(rec)}}}
 	if len(rec.Placed) == 0 && len(j.chunks) == 0 && !n.inEntries(j) && !n.inAnyInbox(j.id) {
-		if n.packedEver() {
-			op.Conds = append(op.Conds, n.nextEntry(j.share)) // nothing of it is placed meanwhile
+		if n.packedEver() { // nothing of it is placed meanwhile
+			op.Conds = append(op.Conds, n.nextEntry(j.share))
+		} else {
+			op.Conds = append(op.Conds, n.cond(protocol.FormatKey))
 		}
 		op.Writes = finalWrites(j.id, protocol.JobCancelled, len(j.tasks), j.claim)
 	}
