--- a/internal/coordination/node/close_looks_test.go
+++ b/internal/coordination/node/close_looks_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/storage"
 )
 
 // Users who ask at all nodes, again and again within milliseconds, right after something was
@@ -118,21 +120,41 @@
 }
 
 // repeatMeanwhile repeats a request until it is answered with success, while others read;
-// it notes what they read when the answer is lost.
+// it notes what they read while the state service's answer to the node's write about the job is
+// lost, whatever the node then finds out about that write.
 func (u *user) repeatMeanwhile(what string, send func(node string) (answer, error), shows func(said string) bool) {
 	for u.w.ctx.Err() == nil {
+		lost := u.w.times(answerLostAbout(u.spec.ID))
 		a, err, seen := u.meanwhile(send, shows)
-		if err == nil && (a.status == 200 || a.status == 201) {
-			return
-		}
-		if seen {
+		if seen && u.w.times(answerLostAbout(u.spec.ID)) > lost {
 			u.w.took(what + " read by others while its answer was lost")
 			u.lookClosely("after its answer was lost")
 		}
+		if err == nil && (a.status == 200 || a.status == 201) {
+			return
+		}
 		time.Sleep(retryPause)
 	}
 }
 
+// answerLostAbout is the event that a write about a job was executed and its answer lost.
+func answerLostAbout(job string) string { return "answer lost about " + job }
+
+// noteLostAnswer notes which jobs are written about by a transaction that is executed and whose
+// answer is lost.
+func (w *world) noteLostAnswer(writes []storage.Write) {
+	w.took("executed without an answer")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id := range w.userOf {
+		for _, write := range writes {
+			if strings.Contains(write.Put, id) || strings.Contains(string(write.Value), id) {
+				w.met[answerLostAbout(id)]++
+			}
+		}
+	}
+}
+
 // ends waits until somebody was told how the job ended.
 func (u *user) ends() {
 	for u.w.ctx.Err() == nil && u.ended() == "" {
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -636,7 +636,7 @@
 	ok, rev, failed, err := f.w.state.Txn(ctx, conds, writes)
 	if f.w.chance(&f.w.lossy) || f.w.chance(&f.w.lostAnswers) {
 		if ok && len(writes) > 0 {
-			f.w.took("executed without an answer")
+			f.w.noteLostAnswer(writes)
 		}
 		if len(writes) == 0 {
 			f.w.took("read barrier without an answer")
