--- /dev/null
+++ b/internal/coordination/node/zone_cut_test.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// A zone that is cut off: its controllers and workers reach one another and nothing else.
+// Neither state service, cloud, siblings nor users reach its controllers, and no controller
+// outside reaches its workers.
+
+// inCutZone says whether a controller is in the zone that is cut off.
+func (w *world) inCutZone(node string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cutZone != "" && w.cfg[node].Zone == w.cutZone
+}
+
+// cutBetween says whether the cut is between a controller and the machines of a zone.
+func (w *world) cutBetween(node, zone string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cutZone != "" && (w.cfg[node].Zone == w.cutZone) != (zone == w.cutZone)
+}
+
+// cutFrom says whether the cut is between a controller and a machine.
+func (w *world) cutFrom(node, host string) bool {
+	w.mu.Lock()
+	cut := w.cutZone != ""
+	w.mu.Unlock()
+	return cut && w.cutBetween(node, w.zoneOf(host))
+}
+
+// zoneOf is the zone of a machine; "" if it is gone.
+func (w *world) zoneOf(host string) string {
+	listed, _ := w.fleet.List(w.ctx)
+	for _, m := range listed {
+		if m.ID == host {
+			return m.Zone
+		}
+	}
+	return ""
+}
+
+// runsInZone is how many machines of a zone run a task of a job.
+func (w *world) runsInZone(zone, job string) int {
+	running := 0
+	listed, _ := w.fleet.List(w.ctx)
+	for _, m := range listed {
+		if m.Zone == zone && w.fleet.Runs(m.ID, job) {
+			running++
+		}
+	}
+	return running
+}
+
+// putIntoZones gives a node's settings the zones of the controllers.
+func putIntoZones(cfg *protocol.Settings, zones map[string]string) {
+	cfg.Zone = zones[cfg.Node]
+	for i := range cfg.Siblings {
+		cfg.Siblings[i].Zone = zones[cfg.Siblings[i].Node]
+	}
+}
+
+// zonedService is a job of one task that runs in a zone until it is cancelled.
+func zonedService(id int, team, zone string) *protocol.JobSpec {
+	return &protocol.JobSpec{ID: fmt.Sprintf("job-94%04d", id), Team: team, Class: "c", Shape: protocol.Service, Priority: "critical", Tasks: 1, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "i", ImageGB: 1, Zone: zone}
+}
+
+var zoneMeetings = []meeting{
+	{name: "a zone cut off", zones: map[string]string{"n-0": "a", "n-1": "a", "n-2": "b"},
+		took: []string{"works on beyond the cut", "answered beyond the cut", "cancelled beyond the cut", "told outside the cut"},
+		faults: func(w *world) {
+			for range 2 {
+				cutZoneOff(w, "n-2", "b")
+			}
+		}},
+}
+
+// cutZoneOff cuts a zone off for longer than a lease, sometimes for so long that its machines
+// are given up, while users cancel what runs within and outside.
+func cutZoneOff(w *world, inside, zone string) {
+	var within, outside []*user
+	for _, team := range []string{"red", "blue", "green"} {
+		within = append(within, w.join(zonedService(w.number(), team, zone)), w.join(zonedService(w.number(), team, zone)))
+		outside = append(outside, w.join(zonedService(w.number(), team, "a")))
+	}
+	time.Sleep(25 * time.Second)
+	var running []*user
+	for _, u := range within {
+		if w.runsInZone(zone, u.spec.ID) > 0 {
+			running = append(running, u)
+		}
+	}
+	lease := w.workerLease()
+	before := w.times("answered by " + inside)
+	w.set(func() { w.cutZone = zone })
+	time.Sleep(w.between(0, 3*time.Second))
+	for i, u := range running {
+		if i%2 == 0 { // the others show that the zone works on
+			go u.cancelUntilTold(0)
+			w.took("cancelled beyond the cut")
+		}
+	}
+	for _, u := range outside {
+		go u.cancelUntilTold(0)
+	}
+	time.Sleep(lease + w.between(3*time.Second, 10*time.Second))
+	for i, u := range running {
+		if i%2 == 1 && w.runsInZone(zone, u.spec.ID) > 0 {
+			w.took("works on beyond the cut")
+		}
+	}
+	if w.times("answered by "+inside) > before {
+		w.took("answered beyond the cut")
+	}
+	for _, u := range outside {
+		if u.ended() != "" {
+			w.took("told outside the cut")
+		}
+	}
+	time.Sleep(w.between(0, 100*time.Second))
+	w.set(func() { w.cutZone = "" })
+	time.Sleep(w.between(time.Second, 15*time.Second))
+	for _, u := range within {
+		go u.cancelUntilTold(w.between(0, 20*time.Second))
+	}
+	time.Sleep(15 * time.Second)
+}
