--- a/internal/coordination/node/guards_test.go
+++ b/internal/coordination/node/guards_test.go
@@ -45,9 +45,10 @@
 	return b
 }
 
+// put is a change that the watch tells.
 func (b *bench) put(key string, v any) {
 	b.rev++
-	b.apply(storage.Item{Key: key, Value: mustJSON(v), Stamp: b.rev})
+	b.follow([]storage.Item{{Key: key, Value: mustJSON(v), Stamp: b.rev}}, b.rev)
 }
 
 // job stores a one-task job of the share's team, placed on host-1.
--- a/internal/coordination/node/leadership_meetings_test.go
+++ b/internal/coordination/node/leadership_meetings_test.go
@@ -43,6 +43,14 @@
 // keep keeps a copy of a report for releaseReports.
 func (w *world) keep(r protocol.Report) { w.set(func() { w.kept = append(w.kept, r) }) }
 
+// holdsReport says whether a report reaches nobody for now. Where none is held it draws no random
+// number, so that other tests' seeds mean what they did.
+func (w *world) holdsReport() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heldReports > 0 && w.rng.Float64() < w.heldReports
+}
+
 // ownerChanged is told by watchHolders of each new owner of a share.
 func (w *world) ownerChanged(share int, owner string) {
 	w.mu.Lock()
@@ -58,8 +66,13 @@
 			w.releaseReports()
 		}()
 	}
-	if n := w.node(owner); n != nil && w.leftOut == "unheard" {
+	n := w.node(owner)
+	switch {
+	case n == nil:
+	case w.leftOut == "unheard":
 		n.post(func() { takeUnheardForGone(n, share) })
+	case w.leftOut == "replica":
+		n.post(func() { ownBeforeReplica(n, share) })
 	}
 }
 
@@ -189,6 +202,37 @@
 			w.took("ten changes within two minutes")
 		}
 	}},
+	{name: "the next owner's watch lags", took: []string{"told just before the owner ended", "taken over with a watch that lags"}, faults: func(w *world) {
+		for range 8 {
+			users := w.joinAll(2, 60)
+			time.Sleep(w.between(9*time.Second, 13*time.Second))
+			owner := w.leader(w.pick(3))
+			if owner == "" {
+				owner = w.some()
+			}
+			lags := make(chan bool)
+			go func() { w.lagBehind(owner, w.between(4*time.Second, 12*time.Second)); lags <- true }()
+			time.Sleep(100 * time.Millisecond)
+			before := w.times("handed over")
+			called := w.cancelNow(4, 0)
+			time.Sleep(w.between(500*time.Millisecond, 1500*time.Millisecond))
+			for _, u := range called {
+				if u.ended() != "" {
+					w.took("told just before the owner ended")
+				}
+			}
+			w.end(owner)
+			<-lags
+			if w.times("handed over") > before {
+				w.took("taken over with a watch that lags")
+			}
+			time.Sleep(w.between(0, 2*time.Second))
+			w.back(owner)
+			for _, u := range users {
+				go u.cancelUntilTold(w.between(2*time.Second, 15*time.Second))
+			}
+		}
+	}},
 	{name: "all controllers away", took: []string{"leases ran out", "runs again"}, faults: func(w *world) {
 		for way := range 4 {
 			w.joinAll(2, 25)
@@ -208,6 +252,17 @@
 	}},
 }
 
+// lagBehind holds up what the watch tells all controllers but one for a while.
+func (w *world) lagBehind(but string, lasts time.Duration) {
+	for _, name := range w.names {
+		if name != but {
+			w.set(func() { w.noWatch[name] = true })
+		}
+	}
+	time.Sleep(lasts)
+	w.set(func() { clear(w.noWatch) })
+}
+
 // newMachineWorks waits until a machine that is not among some runs something.
 func (w *world) newMachineWorks(than []string, within time.Duration) bool {
 	for from := time.Now(); time.Since(from) < within; time.Sleep(100 * time.Millisecond) {
@@ -276,6 +331,13 @@
 	}
 }
 
+// ownBeforeReplica makes a node own a share before its replica is complete, for tests of tests.
+func ownBeforeReplica(n *Node, share int) {
+	if s := n.shares[share]; s.acquired != nil {
+		n.setHolder(s, *s.acquired)
+	}
+}
+
 // The guards that are left out here are those of a change of owner and of who may answer.
 var leadershipDefects = []defect{
 	{"lease", "hand over and back"},
@@ -287,4 +349,5 @@
 	{"return", "a zone cut off"},
 	{"lease", "ten changes of owners in two minutes"},
 	{"lease", "all controllers away"},
+	{"replica", "the next owner's watch lags"},
 }
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -213,11 +213,12 @@
 	index    int
 	holder   protocol.HolderRecord // Token 0: nobody
 	vacant   time.Time
-	taken    time.Time  // when this node took it
-	pending  bool       // a change of the holder is being stored
-	jobs     []*job     // unfinished, by priority and arrival
-	machines []*machine // recorded, by name
-	nextRent time.Time  // when to look again at what to rent
+	taken    time.Time              // when this node took it
+	pending  bool                   // a change of the holder is being stored
+	acquired *protocol.HolderRecord // names this node, which does not know yet all that was stored before
+	jobs     []*job                 // unfinished, by priority and arrival
+	machines []*machine             // recorded, by name
+	nextRent time.Time              // when to look again at what to rent
 	window   *decide.Window
 	recent   []arrival     // seen by this node, whoever held the share
 	square   *start.Square // while held: how far its machines have spoken; see square.go
--- a/internal/coordination/node/replica.go
+++ b/internal/coordination/node/replica.go
@@ -78,7 +78,7 @@
 			n.apply(storage.Item{Key: key, Stamp: first})
 		}
 	}
-	n.caught = max(n.caught, first)
+	n.completeTo(first)
 	if !n.loaded {
 		n.loaded = true
 		n.founded = n.counter == 0
@@ -122,7 +122,7 @@
 		n.apply(it)
 	}
 	atomic.StoreUint64(&n.followed, epoch)
-	n.caught = max(n.caught, epoch)
+	n.completeTo(epoch)
 	// Deletions older than what the watch has delivered cannot be contradicted
 	// by a late event any more.
 	for key := range n.tombs {
@@ -156,7 +156,7 @@
 		return ok
 	case strings.HasPrefix(key, protocol.HolderRoot):
 		s := n.shareOfKey(key)
-		return s != nil && s.holder.Token != 0
+		return s != nil && (s.holder.Token != 0 || s.acquired != nil)
 	case strings.HasPrefix(key, protocol.LogRoot):
 		i, slot, ok := packed.LogSlot(key)
 		return ok && i < len(n.shares) && n.shares[i].log.Has(slot)
@@ -326,7 +326,7 @@
 		if s := n.shareOfKey(it.Key); s != nil {
 			var h protocol.HolderRecord
 			if read(&h); !corrupt {
-				n.setHolder(s, h)
+				n.readHolder(s, h)
 			}
 		}
 	}
--- a/internal/coordination/node/shares.go
+++ b/internal/coordination/node/shares.go
@@ -86,9 +86,35 @@
 // of the first share does.
 func (n *Node) leads() bool { return n.mine(n.shares[0]) }
 
-// setHolder takes in who holds a share. The replica is in revision order, so
-// when the own name appears, everything earlier holders stored is known, and
-// nothing they try later can be stored.
+// readHolder takes in the stored record of who holds a share. Of this node's own record the
+// answer to its change, or a read of that key alone, tells sooner than the watch does; it
+// counts only once the replica is complete up to its revision, so that everything earlier
+// holders stored is known by then, and nothing they try later can be stored. (A standby whose
+// watch was some seconds late started tasks again whose users had just been told that they
+// were cancelled.)
+func (n *Node) readHolder(s *share, h protocol.HolderRecord) {
+	s.acquired = nil
+	if h.Node == n.cfg.Node && h != s.holder && n.ver[protocol.HolderKey(s.index)] > n.caught {
+		s.acquired = &h
+		return
+	}
+	n.setHolder(s, h)
+}
+
+// completeTo takes note that the replica is complete up to a revision.
+func (n *Node) completeTo(revision uint64) {
+	n.caught = max(n.caught, revision)
+	for _, s := range n.shares {
+		if s.acquired != nil && n.ver[protocol.HolderKey(s.index)] <= n.caught {
+			n.readHolder(s, *s.acquired)
+		}
+	}
+}
+
+// changesHands says whether a change of who holds a share is under way at this node.
+func (s *share) changesHands() bool { return s.pending || s.acquired != nil }
+
+// setHolder changes who holds a share.
 func (n *Node) setHolder(s *share, h protocol.HolderRecord) {
 	if h == s.holder {
 		return
@@ -168,7 +194,7 @@
 	n.askIfEnded(now)
 	held := n.heldShares()
 	for _, s := range n.shares {
-		if s.holder.Token != 0 || s.pending || n.corruptShare(s) {
+		if s.holder.Token != 0 || s.changesHands() || n.corruptShare(s) {
 			continue
 		}
 		if now.Sub(s.vacant) >= n.takeDelay(s, held, now) && n.mayTake(s, held, now) {
@@ -301,7 +327,7 @@
 	var last *share
 	holds := map[string]int{}
 	for _, s := range n.shares {
-		if s.pending || s.holder.Token == 0 {
+		if s.changesHands() || s.holder.Token == 0 {
 			return
 		}
 		if s.holder.Node == n.cfg.Node && !n.mine(s) {
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -360,7 +360,7 @@
 		<-ctx.Done()
 		return 0, protocol.Orders{}, "", errNoAnswer
 	}
-	if w.chance(&w.heldReports) {
+	if w.holdsReport() {
 		w.keep(r)
 		<-ctx.Done()
 		return 0, protocol.Orders{}, "", errNoAnswer
--- a/internal/coordination/node/standby.go
+++ b/internal/coordination/node/standby.go
@@ -232,7 +232,7 @@
 			n.log.Info("has ended, by all evidence", "sibling", name, "silent_s", round(now.Sub(s.heard).Seconds()))
 		}
 		for _, sh := range n.shares {
-			if sh.holder.Token != 0 && sh.holder.Node == name && !sh.pending && now.Sub(n.standing.ended[name]) >= n.standing.pairs[sh.index].After(n.cfg.Node) {
+			if sh.holder.Token != 0 && sh.holder.Node == name && !sh.changesHands() && now.Sub(n.standing.ended[name]) >= n.standing.pairs[sh.index].After(n.cfg.Node) {
 				// If the holder answers after all before this is stored, it is not stored.
 				n.take(sh, n.cond(protocol.NodeKey(name)))
 			}
