--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -64,6 +64,7 @@
 	keptReports float64              // part of reports of which a copy is kept, for releaseReports
 	kept        []protocol.Report    // those copies
 	users       []*user              // of the day under way
+	submitted   []*protocol.JobSpec  // what was submitted by no user of the day, see submit
 	quietly     bool                 // what is broken is only listed
 	complaints  []string
 	leftOut     string         // a guard that is left out: the tests of meetings find it
@@ -698,7 +699,7 @@
 type user struct {
 	w        *world
 	spec     *protocol.JobSpec
-	accepted bool
+	accepted bool   // guarded by the world's mu
 	asked    bool   // the user has asked to cancel it; guarded by the world's mu
 	final    string // guarded by the world's mu
 	cancelAt time.Duration
@@ -715,7 +716,7 @@
 		ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
 		a, err := w.ask(ctx, u.any(), func(n *Node, reply chan<- answer) { n.onSubmit(u.spec, time.Now(), reply) })
 		cancel()
-		u.accepted = err == nil && (a.status == 200 || a.status == 201)
+		w.set(func() { u.accepted = err == nil && (a.status == 200 || a.status == 201) })
 		if err == nil && (a.status == 400 || a.status == 422) {
 			w.complain("%s refused with %d", u.spec.ID, a.status)
 			return
@@ -865,25 +866,7 @@
 			clear(m)
 		}
 	})
-	deadline := time.Now().Add(6 * time.Minute)
-	for time.Now().Before(deadline) {
-		synctest.Wait()
-		open := 0
-		for _, u := range us {
-			if u.ended() == "" {
-				open++
-			}
-		}
-		if open == 0 {
-			break
-		}
-		time.Sleep(time.Second)
-	}
-	for _, u := range us {
-		if u.ended() == "" {
-			w.complain("%s (%s, %d tasks) never ended: %s", u.spec.ID, u.spec.Shape, u.spec.Tasks, w.about(u.spec.ID))
-		}
-	}
+	w.closingCheck(6 * time.Minute)
 	for _, b := range w.fleet.Broken {
 		w.complain("rule broken: %s", b)
 	}
@@ -986,6 +969,7 @@
 // submit submits a job until it is accepted.
 func (w *world) submit(s *protocol.JobSpec) {
 	w.fleet.Submitted(s)
+	w.set(func() { w.submitted = append(w.submitted, s) })
 	for k := range 60 {
 		a, err := w.ask(w.ctx, w.names[k%3], func(n *Node, reply chan<- answer) { n.onSubmit(s, time.Now(), reply) })
 		if err == nil && a.status < 300 {
