--- a/internal/coordination/decide/moves.go
+++ b/internal/coordination/decide/moves.go
@@ -49,32 +49,50 @@
 	return p.out
 }
 
-// serve lets the jobs of each share see to themselves, and then fetches what they lack.
+// serve lets the jobs of each share see to themselves, and then fetches what they lack, one
+// priority after the other: what less urgent jobs of a share could use as well does not keep
+// a machine from more urgent ones of another share. (With all of a share's jobs first, a
+// machine that had just been emptied for an urgent job stayed for the work that had been
+// stopped there, and was emptied again a few seconds later, for ever.)
 func (p *movePlan) serve(jobs [][]*Job, spare bool, guests [][]*Job) {
-	var lacks []lack
+	own := make([][]*movable, len(jobs))
+	full := make([]map[needs]bool, len(jobs))
 	for i := range jobs {
-		if len(jobs[i]) == 0 {
-			continue
+		if len(jobs[i]) > 0 {
+			own[i], full[i] = p.of(i), map[needs]bool{}
 		}
-		own := p.of(i)
-		full := map[needs]bool{}
-		for _, j := range jobs[i] {
-			if l := p.take(j, i, own, full); l.tasks > 0 {
-				l.spare = spare
-				lacks = append(lacks, l)
+	}
+	none := map[missing]bool{}
+	for rank := protocol.Production; rank <= protocol.Low; rank++ {
+		var lacks []lack
+		for i := range jobs {
+			for _, j := range jobs[i] {
+				if j.Rank != rank {
+					continue
+				}
+				if l := p.take(j, i, own[i], full[i]); l.tasks > 0 {
+					l.spare = spare
+					lacks = append(lacks, l)
+				}
 			}
 		}
+		p.fetchAll(lacks, guests, none)
 	}
-	slices.SortStableFunc(lacks, func(a, b lack) int { return a.job.Rank - b.job.Rank })
-	type kind struct {
-		needs
-		share, rank int
-	}
-	none := map[kind]bool{} // what finds nothing, the next of its kind need not look for
+}
+
+// missing is a kind of machine that was looked for in other shares.
+type missing struct {
+	needs
+	share, rank int
+}
+
+// fetchAll plans machines of other shares for what jobs lack. What finds nothing, the next of
+// its kind need not look for.
+func (p *movePlan) fetchAll(lacks []lack, guests [][]*Job, none map[missing]bool) {
 	for _, l := range lacks {
-		k := kind{needsOf(l.job), l.share, l.job.Rank}
-		if !none[k] || l.job.bound() {
-			none[k] = !p.fetch(l, guests)
+		kind := missing{needsOf(l.job), l.share, l.job.Rank}
+		if !none[kind] || l.job.bound() {
+			none[kind] = !p.fetch(l, guests)
 		}
 	}
 }
@@ -176,7 +194,7 @@
 		if l.tasks == 0 {
 			break
 		}
-		if !p.may(j, b, l.zone, placed) {
+		if b.gone || !p.may(j, b, l.zone, placed) {
 			continue
 		}
 		if k := min(l.tasks, b.room(j), p.zoneLeft(j, b.m.Zone, placed)); k > 0 {
--- a/internal/coordination/decide/moves_test.go
+++ b/internal/coordination/decide/moves_test.go
@@ -91,6 +91,25 @@
 	}
 }
 
+// A machine that was emptied for an urgent job of another share goes there, though the work
+// that was stopped waits again in its own share; as urgent work keeps it.
+func TestEmptiedMachineGoesToTheUrgentJob(t *testing.T) {
+	day := func() *View { return inShares(nil, []*Machine{of(c24, "m1", 0)}) }
+	urgent, stopped := small("job-urgent", protocol.Array, 2, protocol.Production), small("job-low", protocol.Array, 24, protocol.Low)
+	for _, c := range []struct {
+		name    string
+		waiting []*Job // where the machine is
+		want    string
+	}{
+		{"less urgent work waits there", []*Job{stopped}, "m1>0 "},
+		{"as urgent work waits there too", []*Job{small("job-2", protocol.Array, 24, protocol.Production), stopped}, ""},
+	} {
+		if got := moved(day().Moves([][]*Job{{urgent}, c.waiting}, make([][]*Job, 2), 60)); got != c.want {
+			t.Errorf("%s: moved %q", c.name, got)
+		}
+	}
+}
+
 // Whatever waits where: a machine goes once, to another share than its own, for a job that
 // may use it, and work that is as urgent stays.
 func TestMovesKeepTheRules(t *testing.T) {
--- /dev/null
+++ b/internal/coordination/node/machine_meetings_test.go
@@ -0,0 +1,580 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/standin"
+)
+
+// Meetings of troubles of machines: those that cannot be asked, hang, are lost or report to
+// nobody, at the moment at which a team is at its limit, a leader changes or users cancel.
+// See docs/meetings.md.
+
+var machineMeetings = []meeting{
+	{name: "a team at its limit, machines cut off, a cancellation, a change of leader", faults: oneTeamAtItsLimit,
+		took: []string{"at the limit across a change of leader", "cancelled on a machine that can't be asked", "over the limit if forgotten"}},
+	{name: "all teams at their limits, machines hang or are cut off, cancellations, a change of leader", faults: allTeamsAtTheirLimits,
+		took: []string{"at the limit across a change of leader", "machine of a cancelled job hangs", "cancelled on a machine that can't be asked"}},
+	{name: "more work than room, urgent and not, over slow links", faults: moreWorkThanRoom, shape: fewMachinesOverSlowLinks,
+		took: []string{"preempted", "fetch given up", "urgent work had to wait"}},
+	{name: "jobs bound to a zone lose machines", faults: zonesLoseMachines, shape: spotMachinesTaken,
+		took: []string{"a job bound to a zone lost a machine", "a zone was lost", "a zone was cut off", "spot notice where a job bound to a zone runs"}},
+	{name: "machines that report to nobody", faults: machinesReportToNobody, shape: rareReports,
+		took: []string{"stopped directly on a machine that reports to nobody", "handed over", "shorter than the lease", "longer than the lease"}},
+	{name: "commands of a deposed leader", faults: commandsOfADeposedLeader, shape: rareReports,
+		took: []string{"start of an earlier leader refused", "handed over"}},
+}
+
+// workFor is an array of a team that runs for a while.
+func workFor(team string, id, tasks int, priority string, estimate float64) *protocol.JobSpec {
+	return &protocol.JobSpec{ID: fmt.Sprintf("job-93%04d", id), Team: team, Class: "c", Shape: protocol.Array, Priority: priority, Tasks: tasks,
+		CPUs: 4, GPUs: 1, MemoryGB: 20, Image: fmt.Sprint("img-", id%3), ImageGB: 2, EstimateS: estimate, Spot: true}
+}
+
+// arrive lets a user of its own come with each of some jobs.
+func (w *world) arrive(jobs ...*protocol.JobSpec) {
+	for _, job := range jobs {
+		u := &user{w: w, spec: job}
+		w.set(func() { w.users = append(w.users, u) })
+		go u.run(func() {})
+	}
+}
+
+// usersOf are the users of a team whose jobs have tasks on machines and have not ended.
+func (w *world) usersOf(team string) (out []*user) {
+	w.mu.Lock()
+	users := slices.Clone(w.users)
+	w.mu.Unlock()
+	for _, u := range users {
+		if u.spec.Team == team && u.ended() == "" && w.fleet.Left(u.spec.ID) > 0 {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// awaitLimits waits until some teams use all of their limits on the machines.
+func (w *world) awaitLimits(most time.Duration, teams ...string) bool {
+	for from := time.Now(); time.Since(from) < most; time.Sleep(200 * time.Millisecond) {
+		if w.atLimits(teams...) {
+			return true
+		}
+	}
+	return false
+}
+
+// atLimits says whether some teams use all of their limits on the machines.
+func (w *world) atLimits(teams ...string) bool {
+	view := w.fleet.View()
+	return !slices.ContainsFunc(teams, func(team string) bool { return view.GPUsUsed(team) < w.fleet.Teams[team].GPUsMax })
+}
+
+// machinesOf are the machines on which tasks of a team run.
+func (w *world) machinesOf(team string) (out []string) {
+	for _, machine := range w.fleet.View().Machines {
+		if slices.ContainsFunc(machine.Tasks, func(t standin.TaskView) bool { return t.Job.Team == team && t.State == protocol.TaskRunning }) {
+			out = append(out, machine.Name)
+		}
+	}
+	return out
+}
+
+// cutOff keeps a machine and all nodes from each other.
+func (w *world) cutOff(machine string) {
+	w.set(func() {
+		for _, node := range w.names {
+			w.unheard[node+" "+machine] = true
+		}
+	})
+}
+
+// reachable ends all that keeps machines and nodes from each other.
+func (w *world) reachable() {
+	w.set(func() { clear(w.unheard); clear(w.muteHosts) })
+}
+
+// changeLeader ends the owner of a share, or cuts it from the state service and the other
+// controllers so that it is deposed while it goes on, and waits until another one has the
+// share. What it returns brings it back.
+func (w *world) changeLeader(share int, deposed bool) (back func()) {
+	leader := w.leader(share)
+	if leader == "" {
+		leader = w.some()
+	}
+	if deposed {
+		w.set(func() { w.mute[leader], w.noPeers[leader] = true, true })
+		back = func() { w.set(func() { w.mute[leader], w.noPeers[leader] = false, false }) }
+	} else {
+		w.end(leader)
+		back = func() { w.back(leader) }
+	}
+	for from := time.Now(); time.Since(from) < 15*time.Second; time.Sleep(100 * time.Millisecond) {
+		if now := w.leader(share); now != "" && now != leader {
+			break
+		}
+	}
+	return back
+}
+
+// shareOf is the share that a team belongs to.
+func (w *world) shareOf(team string) int {
+	for _, name := range w.names {
+		if n := w.node(name); n != nil {
+			return onActor(n, func() int { return n.teams[n.teamOf[team]].share })
+		}
+	}
+	return 0
+}
+
+// oneTeamAtItsLimit brings a team to its limit, cuts off half of its machines, lets users
+// cancel what runs there, and changes the leader meanwhile. More work of the team, some of it
+// more urgent, waits.
+func oneTeamAtItsLimit(w *world) {
+	for round := range 3 {
+		team := []string{"red", "blue", "green"}[round%3]
+		first := 100*w.times("limit rounds") + 10*round
+		w.arrive(workFor(team, first, 6, "standard", 50), workFor(team, first+1, 6, "high", 50), workFor(team, first+2, 6, "standard", 50))
+		if !w.awaitLimits(45*time.Second, team) {
+			continue
+		}
+		machines := w.machinesOf(team)
+		cut := machines[:(len(machines)+1)/2]
+		for i, machine := range cut {
+			if i%2 == 1 {
+				till := time.Now().Add(w.between(5*time.Second, 20*time.Second))
+				w.set(func() { w.hung[machine] = till })
+				continue
+			}
+			w.cutOff(machine)
+		}
+		handovers := w.times("handed over")
+		back := w.changeLeader(w.shareOf(team), round == 1)
+		time.Sleep(100 * time.Millisecond)
+		if w.atLimits(team) && w.times("handed over") > handovers {
+			w.took("at the limit across a change of leader")
+		}
+		w.arrive(workFor(team, first+3, 4, "critical", 15))
+		w.cancelOn(cut, team, 1)
+		lasts := w.between(3*time.Second, 25*time.Second)
+		w.noteUncounted(cut, team, lasts)
+		w.reachable()
+		back()
+		time.Sleep(w.between(5*time.Second, 15*time.Second))
+	}
+	w.took("limit rounds")
+}
+
+// noteUncounted waits, and notes if meanwhile a team would have passed its limit by what waits,
+// had its tasks on some machines not been counted: they run there, and others wait.
+func (w *world) noteUncounted(machines []string, team string, lasts time.Duration) {
+	for from := time.Now(); time.Since(from) < lasts; time.Sleep(time.Second) {
+		view := w.fleet.View()
+		there := 0.0
+		for _, machine := range view.Machines {
+			for i := range machine.Tasks {
+				if t := &machine.Tasks[i]; slices.Contains(machines, machine.Name) && t.Job.Team == team && t.Occupies() {
+					there += t.Job.GPUs
+				}
+			}
+		}
+		if there > 0 && view.GPUsUsed(team) >= w.fleet.Teams[team].GPUsMax {
+			w.took("over the limit if forgotten")
+		}
+	}
+}
+
+// cancelOn lets users of a team cancel so many jobs that run on some machines.
+func (w *world) cancelOn(machines []string, team string, most int) {
+	for _, u := range w.usersOf(team) {
+		if most > 0 && slices.ContainsFunc(machines, func(machine string) bool { return w.fleet.Runs(machine, u.spec.ID) }) {
+			most--
+			w.took("cancelled on a machine that can't be asked")
+			go u.cancelUntilTold(w.between(0, 2*time.Second))
+		}
+	}
+}
+
+// allTeamsAtTheirLimits brings all teams to their limits; then users cancel what runs on
+// machines that hang or are cut off, and the leader changes.
+func allTeamsAtTheirLimits(w *world) {
+	teams := []string{"red", "blue", "green"}
+	for round := range 2 {
+		for i, team := range teams {
+			first := 5000 + 100*w.times("limit rounds") + 40*round + 10*i
+			w.arrive(workFor(team, first, 7, "standard", 45), workFor(team, first+1, 7, "high", 45), workFor(team, first+2, 3, "high", 45))
+		}
+		if !w.awaitLimits(90*time.Second, teams...) {
+			continue
+		}
+		w.cancelNow(4, w.between(3*time.Second, 18*time.Second))
+		for i, team := range teams {
+			machines := w.machinesOf(team)
+			cut := machines[:(len(machines)+1-i%2)/2]
+			for _, machine := range cut {
+				w.cutOff(machine)
+			}
+			w.cancelOn(cut, team, 1)
+		}
+		handovers := w.times("handed over")
+		before := w.atLimits(teams...)
+		back := w.changeLeader(w.pick(3), round == 1)
+		time.Sleep(100 * time.Millisecond)
+		if before && w.times("handed over") > handovers {
+			w.took("at the limit across a change of leader")
+		}
+		for i, team := range teams {
+			w.arrive(workFor(team, 5003+100*w.times("limit rounds")+40*round+10*i, 3, "critical", 15))
+		}
+		time.Sleep(w.between(3*time.Second, 25*time.Second))
+		w.reachable()
+		back()
+		time.Sleep(w.between(5*time.Second, 15*time.Second))
+	}
+	w.took("limit rounds")
+}
+
+// fewMachinesOverSlowLinks is a place with three machines, where an image takes 12 s.
+func fewMachinesOverSlowLinks(_ *protocol.WorkerSettings, w *world) {
+	w.fleet.Most, w.fleet.Fetch = 3, 12*time.Second
+}
+
+// moreWorkThanRoom lets urgent work come while less urgent work takes all machines, amid
+// machines that hang or are lost, lost messages and changes of the leader.
+func moreWorkThanRoom(w *world) {
+	go w.watchStops()
+	for round := range 3 {
+		first := 1000 + 300*w.times("overload rounds") + 100*round
+		for i := range 6 {
+			w.arrive(workFor([]string{"red", "blue", "green"}[i%3], first+i, 4, "best_effort", 20))
+		}
+		time.Sleep(w.between(16*time.Second, 24*time.Second))
+		go w.watchUrgent(first+50, first+53)
+		for i := range 3 { // while others fetch and run
+			w.arrive(workFor([]string{"red", "blue", "green"}[i], first+50+i, 2, "critical", 10))
+			time.Sleep(w.between(0, 3*time.Second))
+		}
+		back := func() {}
+		switch round {
+		case 0:
+			w.hangSome(18 * time.Second)
+		case 1:
+			back = w.changeLeader(w.pick(3), false)
+		case 2:
+			w.set(func() { w.lossy = 0.1 })
+			w.hangSome(14 * time.Second)
+			if names := w.fleet.Names(); len(names) > 0 {
+				w.fleet.Kill(names[w.pick(len(names))])
+			}
+		}
+		time.Sleep(w.between(12*time.Second, 20*time.Second))
+		w.set(func() { w.lossy = 0 })
+		back()
+	}
+	w.took("overload rounds")
+	time.Sleep(30 * time.Second)
+}
+
+// hangSome makes a machine on which something runs or fetches stand still.
+func (w *world) hangSome(lasts time.Duration) {
+	if names := w.fleet.Names(); len(names) > 0 {
+		name, till := names[w.pick(len(names))], time.Now().Add(lasts)
+		w.set(func() { w.hung[name] = till })
+	}
+}
+
+// attemptOn is one attempt of a task on a machine.
+type attemptOn struct {
+	machine, job string
+	task         int
+	attempt      uint64
+}
+
+// watchStops notes tasks that are stopped for others while they run or fetch.
+func (w *world) watchStops() {
+	were := map[attemptOn]string{} // states
+	for w.ctx.Err() == nil {
+		now := map[attemptOn]string{}
+		for _, machine := range w.fleet.View().Machines {
+			for _, t := range machine.Tasks {
+				key := attemptOn{machine.Name, t.Job.ID, t.Number, t.Attempt}
+				now[key] = t.State
+				if t.State != protocol.TaskExited || t.Cause != protocol.CauseStopped || w.askedToCancel(t.Job.ID) {
+					continue
+				}
+				switch were[key] {
+				case protocol.TaskRunning:
+					w.took("preempted")
+				case protocol.TaskFetching:
+					w.took("fetch given up")
+				}
+			}
+		}
+		were = now
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// askedToCancel says whether a job's user has asked to cancel it.
+func (w *world) askedToCancel(job string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.users, func(u *user) bool { return u.spec.ID == job && u.asked })
+}
+
+// mostUrgentWait is how long an urgent job may wait while less urgent work of its own team,
+// which needs the same, is newly started: the time to find out and to change the leader.
+const mostUrgentWait = 25 * time.Second
+
+// watchUrgent complains if a task of the lowest priority is newly started while an urgent job
+// of the same team and size, one of a range of numbers, has waited for long with nothing of it
+// on a machine.
+func (w *world) watchUrgent(from, to int) {
+	seen := map[attemptOn]bool{}
+	waits := map[string]time.Time{} // since when, by team
+	for began := time.Now(); w.ctx.Err() == nil && time.Since(began) < 2*time.Minute; time.Sleep(200 * time.Millisecond) {
+		view := w.fleet.View()
+		still := map[string]time.Time{}
+		for _, u := range w.urgentWaiting(view, from, to) {
+			still[u.spec.Team] = time.Now()
+			if since, ok := waits[u.spec.Team]; ok {
+				still[u.spec.Team] = since
+			}
+		}
+		waits = still
+		for _, machine := range view.Machines {
+			for _, t := range machine.Tasks {
+				key := attemptOn{machine.Name, t.Job.ID, t.Number, t.Attempt}
+				since, urgent := waits[t.Job.Team]
+				if urgent && !seen[key] && t.Job.Priority == "best_effort" && t.State == protocol.TaskFetching && time.Since(since) > mostUrgentWait {
+					w.complain("urgent work of %s has waited for %v while %s/%d is started", t.Job.Team, time.Since(since), t.Job.ID, t.Number)
+				}
+				seen[key] = true
+			}
+		}
+	}
+}
+
+// urgentWaiting are the users of urgent jobs of a range that are accepted and have nothing on
+// a machine.
+func (w *world) urgentWaiting(view *standin.View, from, to int) (out []*user) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, u := range w.users {
+		number := 0
+		fmt.Sscanf(strings.TrimPrefix(u.spec.ID, "job-93"), "%d", &number)
+		if number < from || number >= to || !u.accepted || u.final != "" || view.Unfinished[u.spec.ID] < u.spec.Tasks || view.Occupying(u.spec.ID) > 0 {
+			continue
+		}
+		w.met["urgent work had to wait"]++
+		out = append(out, u)
+	}
+	return out
+}
+
+// spotMachinesTaken lets the cloud take the machine on which a second task of a job of these
+// meetings starts, with a notice or without a word.
+func spotMachinesTaken(_ *protocol.WorkerSettings, w *world) {
+	fleet := w.fleet
+	fleet.Taken = func(job *protocol.JobSpec, task int) (lost bool, notice time.Duration) {
+		if !strings.HasPrefix(job.ID, "job-93") || task != 1 {
+			return false, 0
+		}
+		return true, time.Duration(job.Tasks%3) * 3 * time.Second
+	}
+}
+
+// zonesLoseMachines lets jobs that are bound to one zone lose single machines, all machines of
+// a zone, and the way to a zone, while the leader changes.
+func zonesLoseMachines(w *world) {
+	go w.watchNotices()
+	for round := range 3 {
+		first := 2000 + 300*w.times("zone rounds") + 100*round
+		w.arrive(boundJobs(first)...)
+		time.Sleep(w.between(20*time.Second, 25*time.Second))
+		zone := []string{"a", "b"}[w.pick(2)]
+		back := func() {}
+		switch round {
+		case 0:
+			w.loseMachines(zone, 2)
+		case 1:
+			w.loseMachines(zone, len(w.fleet.Names()))
+			w.took("a zone was lost")
+			back = w.changeLeader(w.pick(3), false)
+		case 2:
+			for _, machine := range w.fleet.View().Machines {
+				if machine.Zone == zone {
+					w.cutOff(machine.Name)
+					w.took("a zone was cut off")
+				}
+			}
+			back = w.changeLeader(w.pick(3), true)
+		}
+		time.Sleep(w.between(4*time.Second, 25*time.Second))
+		w.reachable()
+		back()
+		time.Sleep(w.between(4*time.Second, 8*time.Second))
+	}
+	w.took("zone rounds")
+}
+
+// boundJobs are arrays and gangs for one zone, given or not.
+func boundJobs(first int) []*protocol.JobSpec {
+	var jobs []*protocol.JobSpec
+	for i, bind := range []func(job *protocol.JobSpec){
+		func(job *protocol.JobSpec) { job.Zone = "a" },
+		func(job *protocol.JobSpec) { job.Zone = "b" },
+		func(job *protocol.JobSpec) { job.OneZone = true },
+		func(job *protocol.JobSpec) { job.OneZone = true },
+		func(job *protocol.JobSpec) { job.OneZone, job.Shape = true, protocol.Gang },
+		func(job *protocol.JobSpec) { job.Zone, job.Shape = "a", protocol.Gang },
+	} {
+		job := workFor([]string{"red", "blue", "green"}[i%3], first+i, 3+i%3, "high", 35)
+		bind(job)
+		jobs = append(jobs, job)
+	}
+	return jobs
+}
+
+// loseMachines takes so many machines of a zone, without a word, those first on which jobs
+// run that are bound to a zone.
+func (w *world) loseMachines(zone string, most int) {
+	for _, machine := range w.fleet.View().Machines {
+		if machine.Zone != zone || most == 0 {
+			continue
+		}
+		if holdsBoundTask(&machine) {
+			w.took("a job bound to a zone lost a machine")
+		}
+		w.fleet.Kill(machine.Name)
+		most--
+	}
+}
+
+// holdsBoundTask says whether a task of a job that is bound to a zone is on a machine.
+func holdsBoundTask(machine *standin.MachineView) bool {
+	return slices.ContainsFunc(machine.Tasks, func(t standin.TaskView) bool {
+		return t.Occupies() && (t.Job.Zone != "" || t.Job.OneZone)
+	})
+}
+
+// watchNotices notes that the cloud takes a machine that holds a task of a job bound to a zone.
+func (w *world) watchNotices() {
+	for ; w.ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
+		for _, machine := range w.fleet.View().Machines {
+			if machine.Noticed && holdsBoundTask(&machine) {
+				w.took("spot notice where a job bound to a zone runs")
+			}
+		}
+	}
+}
+
+// machinesReportToNobody lets half of the busy machines reach no controller while direct
+// commands reach them, for shorter and for longer than the lease; users cancel jobs there and
+// the leader changes.
+func machinesReportToNobody(w *world) {
+	lease := w.cfg["n-0"].Params.Workers.LeaseS
+	for round := range 4 {
+		first := 4000 + 100*w.times("mute rounds") + 10*round
+		w.arrive(workFor("red", first, 3, "high", 60), workFor("blue", first+1, 3, "high", 60), workFor("green", first+2, 3, "high", 60))
+		time.Sleep(w.between(14*time.Second, 20*time.Second))
+		mute := w.muteSome()
+		back := func() {}
+		if round%2 == 0 {
+			back = w.changeLeader(w.pick(3), round == 2)
+		}
+		stopped := make(chan bool)
+		go w.watchDirectStops(mute, stopped)
+		w.cancelNow(3, 0)
+		lasts := time.Duration(lease * float64(time.Second))
+		if round < 2 {
+			lasts /= 2
+			w.took("shorter than the lease")
+		} else {
+			lasts += w.between(2*time.Second, 20*time.Second)
+			w.took("longer than the lease")
+		}
+		time.Sleep(lasts)
+		close(stopped)
+		w.reachable()
+		back()
+		time.Sleep(w.between(4*time.Second, 10*time.Second))
+	}
+	w.took("mute rounds")
+}
+
+// muteSome lets half of the busy machines reach no controller.
+func (w *world) muteSome() (mute []string) {
+	for i, machine := range w.busyMachines() {
+		if i%2 == 0 {
+			mute = append(mute, machine)
+			w.set(func() { w.muteHosts[machine] = true })
+		}
+	}
+	return mute
+}
+
+// watchDirectStops notes tasks that are stopped on some machines, until it is told to end.
+func (w *world) watchDirectStops(machines []string, end <-chan bool) {
+	ran := map[attemptOn]bool{}
+	for {
+		for _, machine := range w.fleet.View().Machines {
+			for _, t := range machine.Tasks {
+				key := attemptOn{machine.Name, t.Job.ID, t.Number, t.Attempt}
+				if slices.Contains(machines, machine.Name) && t.State == protocol.TaskExited && t.Cause == protocol.CauseStopped && ran[key] {
+					w.took("stopped directly on a machine that reports to nobody")
+				}
+				ran[key] = t.State == protocol.TaskRunning
+			}
+		}
+		select {
+		case <-end:
+			return
+		case <-w.ctx.Done():
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// commandsOfADeposedLeader holds up direct starts of a leader that ends or is deposed before
+// they arrive, after those of the next one.
+func commandsOfADeposedLeader(w *world) {
+	for round := range 4 {
+		first := 6000 + 100*w.times("deposed rounds") + 20*round
+		w.set(func() { w.held = 0.7 })
+		before := w.fleet.Refused()
+		for i := range 6 {
+			w.arrive(workFor([]string{"red", "blue", "green"}[i%3], first+i, 2, "high", 20))
+		}
+		time.Sleep(w.between(200*time.Millisecond, 3*time.Second))
+		back := w.changeLeader(w.pick(3), round%2 == 1)
+		time.Sleep(w.between(time.Second, 6*time.Second))
+		w.cancelNow(2, 0)
+		time.Sleep(w.between(10*time.Second, 14*time.Second))
+		if w.fleet.Refused() > before {
+			w.took("start of an earlier leader refused")
+		}
+		w.set(func() { w.held = 0 })
+		back()
+		time.Sleep(w.between(2*time.Second, 15*time.Second))
+	}
+	w.took("deposed rounds")
+}
+
+// TestMachineMeetings plays each meeting in jobs' own records and in entries of few slots.
+func TestMachineMeetings(t *testing.T) {
+	for _, m := range machineMeetings {
+		for seed := range seeds(1) {
+			t.Run(fmt.Sprintf("%s/%d", m.name, seed), func(t *testing.T) { meet(t, 6000+seed, "", m) })
+			t.Run(fmt.Sprintf("%s/entries/%d", m.name, seed), func(t *testing.T) {
+				packedOnly(t, 4)
+				meet(t, 7000+seed, "", m)
+			})
+		}
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -68,6 +68,7 @@
 	Stopped   int // running tasks that were told to stop
 	Expired   int // tasks that ended with their worker's lease
 	Broken    []string
+	outdated  int // direct commands with starts that were refused for their token
 }
 
 // Kind is a kind of machine that the cloud gives.
@@ -388,6 +389,8 @@
 			m.changed()
 		}
 		m.obey(o.Commands)
+	} else {
+		m.refuse(o)
 	}
 	r := m.report()
 	return &r, ok, nil
--- a/internal/standin/view.go
+++ b/internal/standin/view.go
@@ -99,3 +99,32 @@
 	slices.SortFunc(out, func(a, b *protocol.JobSpec) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
+
+// Occupying is how many tasks of a job take room on machines.
+func (v *View) Occupying(job string) int {
+	tasks := 0
+	for _, m := range v.Machines {
+		for i := range m.Tasks {
+			if t := &m.Tasks[i]; t.Job.ID == job && t.Occupies() {
+				tasks++
+			}
+		}
+	}
+	return tasks
+}
+
+// Refused is how many direct commands with starts were refused so far, since their token was
+// lower than one that the worker had seen.
+func (f *Fleet) Refused() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outdated
+}
+
+// refuse counts a direct command that is refused.
+func (m *Machine) refuse(o protocol.Orders) {
+	starts := slices.ContainsFunc(o.Commands, func(c protocol.Command) bool { return c.Op == protocol.OpStart })
+	if o.Token < m.token && starts {
+		m.f.outdated++
+	}
+}
