--- a/internal/coordination/node/answers_test.go
+++ b/internal/coordination/node/answers_test.go
@@ -75,6 +75,13 @@
 	return t
 }
 
+// askedToCancel says whether somebody has asked to cancel a job.
+func (c *answerChecker) askedToCancel(job string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.of(job).cancelled
+}
+
 // ask notes that a request is sent.
 func (c *answerChecker) ask(kind requestKind, job, node string) *userRequest {
 	c.mu.Lock()
--- a/internal/coordination/node/close_looks_test.go
+++ b/internal/coordination/node/close_looks_test.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// mostWaiting is how long a job of these users may take once all troubles are over.
-const mostWaiting = 4 * time.Minute
+// mostUserWait is how long a job of these users may take once all troubles are over.
+const mostUserWait = 4 * time.Minute
 
 // awaitAll waits for users, and complains if that takes too long.
 func (w *world) awaitAll(users *sync.WaitGroup) {
@@ -175,7 +175,7 @@
 	}()
 	select {
 	case <-over:
-	case <-time.After(mostWaiting):
+	case <-time.After(mostUserWait):
 		w.complain("some users were not told how their jobs ended")
 	case <-w.ctx.Done():
 	}
