--- a/internal/coordination/node/facts.go
+++ b/internal/coordination/node/facts.go
@@ -85,6 +85,9 @@
 			f.Block |= b.bit
 		}
 	}
+	if m.unreported() {
+		f.Heard = m.heard.Add(-n.silentLimit()) // silent at once: a start would end with the lease
+	}
 	for _, im := range m.images {
 		f.Images = append(f.Images, im.Name)
 	}
--- a/internal/coordination/node/machines.go
+++ b/internal/coordination/node/machines.go
@@ -169,6 +169,7 @@
 			ours = append(ours, s.machines...)
 		}
 	}
+	n.pollSilent(ours, now)
 	for _, m := range ours {
 		switch {
 		case m.gone:
@@ -284,7 +285,7 @@
 // dead says whether a machine is to be given up: it does not boot, or it is
 // silent while others are heard.
 func (n *Node) dead(m *machine, now time.Time) bool {
-	if n.sinceContact(now) > 2*time.Second {
+	if n.sinceContact(now) > 2*time.Second || n.worksOn(m, now) {
 		return false
 	}
 	if m.heard.IsZero() {
@@ -338,9 +339,12 @@
 
 // silent says whether a machine that was up is not heard now.
 func (n *Node) silent(m *machine, now time.Time) bool {
-	return now.Sub(n.lastHeard(m)).Seconds() > 2.2*n.cfg.Params.Workers.ReportS+1
+	return now.Sub(n.lastHeard(m)).Seconds() > n.silentAfterS()
 }
 
+// silentAfterS is after how many seconds without a report a machine counts as silent.
+func (n *Node) silentAfterS() float64 { return 2.2*n.cfg.Params.Workers.ReportS + 1 }
+
 // tendUnrecorded sees to machines that tasks are recorded on but that have no
 // record: they are returned, which proves the tasks gone.
 func (n *Node) tendUnrecorded(m *machine, now time.Time, back *[]*machine) {
--- a/internal/coordination/node/starts.go
+++ b/internal/coordination/node/starts.go
@@ -72,7 +72,7 @@
 				return
 			}
 			now := time.Now()
-			if executed && r.Token == o.Token && n.hear(m, r, o.Token, now) {
+			if executed && r.Token == o.Token && n.hearDirectly(m, r, o.Token, now) {
 				n.observeAll(m, r, now)
 			}
 		})
--- /dev/null
+++ b/internal/coordination/node/unreported.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/coordination/start"
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// A worker may be unable to connect to any controller while direct calls still reach it.
+// Such calls don't renew its lease, but their answers are reports: they tell which tasks
+// have completed, and prove tasks gone. So the owner polls silent machines that have tasks.
+// One that answers is kept until its lease ends, since some of its tasks complete by then.
+// The others are stopped in time, so that they save and go on elsewhere.
+
+// pollSilent polls silent machines that have tasks and stops the tasks that are to leave
+// them, as far as the budget of direct calls allows.
+func (n *Node) pollSilent(machines []*machine, now time.Time) {
+	for _, m := range machines {
+		if !n.mayPoll(m, now) {
+			continue
+		}
+		leaving := n.leavingTasks(m, now)
+		if len(leaving) == 0 && now.Before(m.pollAt) {
+			continue
+		}
+		if n.ordering.budget.Call(start.Ask, 1) == 0 {
+			return
+		}
+		n.evacuate(m, leaving, now)
+		n.poll(m, now)
+	}
+}
+
+// mayPoll says whether a machine is silent, has tasks and may be called directly.
+func (n *Node) mayPoll(m *machine, now time.Time) bool {
+	return len(m.on) > 0 && m.fenced && !m.heard.IsZero() && m.addr != "" && m.parked == nil &&
+		!m.polling && !m.calling && !m.moving && !m.returning && !m.gone &&
+		now.Sub(n.lastHeard(m)) > n.suspectLimit()
+}
+
+// poll asks a machine directly for a report, and repeats the stops that it may have missed.
+func (n *Node) poll(m *machine, now time.Time) {
+	m.polling, m.pollAt = true, now.Add(2*n.pollInterval(m))
+	orders := protocol.Orders{Token: n.token(m), Session: m.session, Commands: n.stopsFor(m)}
+	addr := m.addr
+	n.spawn(func(ctx context.Context) {
+		// The body of a refusal is a report, too.
+		r, _, err := n.workers.Command(ctx, addr, orders)
+		n.post(func() {
+			m.polling = false
+			n.ordering.budget.Ended()
+			if err == nil && r != nil {
+				n.onPolled(m, r, orders.Token, time.Now())
+			}
+		})
+	})
+}
+
+// pollInterval is how often a silent machine is polled: more often while tasks are stopping.
+func (n *Node) pollInterval(m *machine) time.Duration {
+	interval := n.seconds(n.cfg.Params.Workers.ReportS)
+	if n.stopping(m) {
+		return interval / 3
+	}
+	return interval
+}
+
+// stopsFor are commands that stop the tasks that are to leave a machine.
+func (n *Node) stopsFor(m *machine) []protocol.Command {
+	commands := []protocol.Command{}
+	for k := range m.on {
+		if t := &k.job.tasks[k.task]; t.phase == placed && t.fact == noFact && n.unwanted(k.job, t) {
+			commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: protocol.TaskID(k.job.id, k.task), Attempt: t.attempt, GraceS: t.graceS})
+		}
+	}
+	return commands
+}
+
+// onPolled takes in the answer to a poll that was sent under a token.
+func (n *Node) onPolled(m *machine, r *protocol.Report, token uint64, now time.Time) {
+	n.saw(now)
+	if r.Machine != m.name || n.machines[m.name] != m || !m.known || !n.mine(n.shares[m.rec.Share]) || n.token(m) != token || r.Token != token {
+		return
+	}
+	m.pollAt = now.Add(n.pollInterval(m))
+	expired, first := r.Session > m.session, !m.unreported()
+	if !n.hearDirectly(m, r, token, now) {
+		return // a report of the worker's own has come meanwhile
+	}
+	if first && m.unreported() {
+		n.log.Info("worker answers but does not report", "machine", m.name, "tasks", len(m.on), "silent_s", round(now.Sub(n.lastHeard(m)).Seconds()))
+	}
+	n.observeAll(m, r, now)
+	n.noteAbsent(m, r, expired, now)
+}
+
+// hearDirectly takes in the frame of the answer to a direct call; false if a newer report was
+// taken in already. It does not show that the worker reaches this node.
+func (n *Node) hearDirectly(m *machine, r *protocol.Report, token uint64, now time.Time) bool {
+	if !n.acceptReport(m, r, token, now) {
+		return false
+	}
+	n.touch(m)
+	switch {
+	case r.Token != token:
+	case m.heard.IsZero():
+		m.heard = now // it is up; its reports have as long to come as after one
+	case now.Sub(n.lastHeard(m)) > n.suspectLimit():
+		m.answered = now
+	}
+	return true
+}
+
+// noteAbsent notes tasks gone that the answer to a poll proves not to be on a machine. The
+// token that it carries fences off the starts of earlier owners. A start of this owner was
+// never sent, or belongs to a session that has expired, in which case the worker drops it.
+func (n *Node) noteAbsent(m *machine, r *protocol.Report, expired bool, now time.Time) {
+	listed := make(map[started]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		listed[started{r.Tasks[i].Task, r.Tasks[i].Attempt}] = true
+	}
+	for k := range m.on {
+		t := &k.job.tasks[k.task]
+		if t.phase != placed || t.fact != noFact || listed[started{protocol.TaskID(k.job.id, k.task), t.attempt}] {
+			continue
+		}
+		if neverSent := t.sent.IsZero() && t.seen == unseen; expired || neverSent {
+			n.runLost(k.job, t, now)
+			n.note(k.job, k.task, gone)
+		}
+	}
+	if expired {
+		m.doubt = nil
+	}
+}
+
+// unreported says whether a machine has answered a direct call when its reports had stopped:
+// its worker lives, but reaches no controller.
+func (m *machine) unreported() bool { return !m.heard.IsZero() && m.answered.After(m.heard) }
+
+// worksOn says whether a silent machine is known to go on with its tasks until its lease ends.
+func (n *Node) worksOn(m *machine, now time.Time) bool {
+	return len(m.on) > 0 && m.unreported() && now.Before(n.leaseEnds(m)) &&
+		now.Sub(m.answered).Seconds() < 2.5*n.cfg.Params.Workers.ReportS
+}
+
+// leaseEnds is when a machine's lease ends if no other report of it is answered. It serves to
+// plan and proves nothing.
+func (n *Node) leaseEnds(m *machine) time.Time {
+	last := m.reported
+	if last.IsZero() {
+		last = m.heard
+	}
+	return last.Add(n.seconds(n.cfg.Params.Workers.LeaseS))
+}
+
+// leavingTasks are the tasks of a silent machine that are to be stopped now, because they
+// would not complete before its lease ends: all of them once it would be given up, if they can
+// be placed elsewhere, and those that save while there is time to save. With most of a zone
+// silent the cause is most likely the network or this node itself, and nothing is stopped.
+func (n *Node) leavingTasks(m *machine, now time.Time) []taskKey {
+	silence := now.Sub(later(n.lastHeard(m), n.eyes.cutAt[m.rec.Zone]))
+	if !m.unreported() || silence.Seconds() <= n.silentAfterS() {
+		return nil
+	}
+	left := n.leaseEnds(m).Sub(now)
+	movable := silence > n.silentLimit() && n.sinceContact(now) <= 2*time.Second
+	var leaving []taskKey
+	for k := range m.on {
+		j, t := k.job, &k.job.tasks[k.task]
+		if t.phase != placed || t.fact != noFact || n.unwanted(j, t) || !endsWithLease(j, t, left, now) {
+			continue
+		}
+		if mustSave := j.spec.CheckpointS > 0 && left < n.saveTime(j); movable || mustSave {
+			leaving = append(leaving, k)
+		}
+	}
+	return leaving
+}
+
+// endsWithLease says whether a task is not expected to complete while its machine's lease
+// runs for so long.
+func endsWithLease(j *job, t *task, left time.Duration, now time.Time) bool {
+	needs := time.Duration(j.spec.EstimateS*float64(time.Second)) - now.Sub(later(t.since, t.began))
+	return j.spec.Shape == protocol.Service || needs > left
+}
+
+// saveMargin is how much earlier than necessary tasks are told to save.
+const saveMargin = 2 * time.Second
+
+// saveTime is how long before the end of a lease a task must be told to save.
+func (n *Node) saveTime(j *job) time.Duration {
+	s := j.spec.SaveS
+	if j.spec.Shape == protocol.Gang {
+		s += n.cfg.Params.Workers.GangPeerS
+	}
+	return n.seconds(s) + saveMargin
+}
+
+// evacuate makes tasks leave a silent machine; the next poll tells it. The other tasks of
+// their gangs are told directly: all must be told within gang_peer_s to save.
+func (n *Node) evacuate(m *machine, leaving []taskKey, now time.Time) {
+	if len(leaving) == 0 {
+		return
+	}
+	n.log.Info("silent machine evacuated", "machine", m.name, "tasks", len(leaving), "of", len(m.on), "lease_left_s", round(n.leaseEnds(m).Sub(now).Seconds()))
+	for _, k := range leaving {
+		if n.unwanted(k.job, &k.job.tasks[k.task]) {
+			continue // with another task of its gang
+		}
+		n.stopTask(k.job, k.task)
+		if k.job.spec.Shape == protocol.Gang {
+			n.stopDirectly(k.job)
+		}
+	}
+}
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -43,6 +43,9 @@
 	gone       bool      // returned: the cloud said so
 	calling    bool      // a direct start is under way
 	doubt      []started // direct starts that were not answered
+	polling    bool      // a poll is under way; see unreported.go
+	pollAt     time.Time // not to be polled before
+	answered   time.Time // when a poll was last answered
 	reported   time.Time // when its last report came, here or, by its hints, at its holder
 	toldAt     time.Time // when its holder last told of it
 	unlisted   bool      // the cloud's last list lacks it
@@ -236,8 +239,20 @@
 	return cmds
 }
 
-// hear takes in a report's frame; false if a newer one was heard already.
+// hear takes in the frame of a report that shows that the worker reaches this node, or that
+// this node has just reached it for the first time; false if a newer one was heard already.
 func (n *Node) hear(m *machine, r *protocol.Report, token uint64, now time.Time) bool {
+	if !n.acceptReport(m, r, token, now) {
+		return false
+	}
+	if r.Token == token {
+		m.heard = now
+	}
+	return true
+}
+
+// acceptReport takes in a report's frame; false if a newer one was accepted already.
+func (n *Node) acceptReport(m *machine, r *protocol.Report, token uint64, now time.Time) bool {
 	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
 		return false
 	}
@@ -258,7 +273,6 @@
 			n.squared(m, now)
 		}
 		m.fenced = true
-		m.heard = now
 	} else {
 		n.shares[m.rec.Share].square.Seen(m.name, now)
 	}
@@ -579,12 +593,7 @@
 	if m.addr == "" || !m.fenced {
 		return
 	}
-	o := protocol.Orders{Token: n.token(m), Session: m.session, Commands: []protocol.Command{}}
-	for k := range m.on {
-		if t := &k.job.tasks[k.task]; t.phase == placed && t.fact == noFact && n.unwanted(k.job, t) {
-			o.Commands = append(o.Commands, protocol.Command{Op: protocol.OpStop, Task: protocol.TaskID(k.job.id, k.task), Attempt: t.attempt, GraceS: t.graceS})
-		}
-	}
+	o := protocol.Orders{Token: n.token(m), Session: m.session, Commands: n.stopsFor(m)}
 	if len(o.Commands) == 0 || n.allowed(start.Stop, 1) == 0 {
 		return // its next report is answered with them
 	}
@@ -610,7 +619,7 @@
 			if err != nil || !ok || r == nil || r.Machine != m.name || n.machines[m.name] != m || !n.mine(n.shares[m.rec.Share]) || n.token(m) != o.Token {
 				return
 			}
-			if r.Token == o.Token && n.hear(m, r, o.Token, now) {
+			if r.Token == o.Token && n.hearDirectly(m, r, o.Token, now) {
 				n.observeAll(m, r, now)
 			}
 		})
