--- /dev/null
+++ b/internal/coordination/node/unreachable_controllers_test.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/standin"
+)
+
+// Machines whose workers reach no controller, while direct calls reach them.
+
+const (
+	savingJob  = "job-000201"
+	gangJob    = "job-000202"
+	replicaJob = "job-000203"
+)
+
+// runEvent is a start or an end of a task on a machine.
+type runEvent struct {
+	event, task, machine string
+	at                   time.Time
+}
+
+// runLog records what runs on a fleet.
+type runLog struct {
+	mu     sync.Mutex
+	events []runEvent
+}
+
+func (l *runLog) add(event, task, machine string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = append(l.events, runEvent{event, task, machine, at})
+}
+
+// of are the events of a job's tasks since a time, in their order.
+func (l *runLog) of(job string, since time.Time) (out []runEvent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.events {
+		if strings.HasPrefix(e.task, job+"/") && !e.at.Before(since) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// on are the machines on which a job runs.
+func (w *world) on(job string) (machines []string) {
+	for _, m := range w.fleet.Names() {
+		if w.fleet.Runs(m, job) {
+			machines = append(machines, m)
+		}
+	}
+	return machines
+}
+
+// unreportedWorld is a world with workers that report every 6 s under leases of 36 s, in which
+// the jobs given run, and enough else on other machines for the silence of a few to mean
+// something.
+func unreportedWorld(t *testing.T, ctx context.Context, specs ...*protocol.JobSpec) (*world, *runLog) {
+	log := &runLog{}
+	w := newWorldAt(t, ctx, 5, nil, func(cfg *protocol.Settings, f *standin.Fleet) {
+		p := &cfg.Params
+		p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = 6, 36, 56
+		p.Zones = []string{"a"}
+		for i := range p.Teams {
+			p.Teams[i].GPUs, p.Teams[i].GPUsMax = 28, 40
+		}
+		f.Types[0].Zones = p.Zones
+		f.Most, f.Log = 20, log.add
+	})
+	for i, team := range []string{"red", "blue", "green"} {
+		w.submit(&protocol.JobSpec{ID: fmt.Sprint("job-00010", i), Team: team, Class: "c", Priority: "critical", Shape: protocol.Service, Tasks: 12, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "i", ImageGB: 2})
+	}
+	for _, s := range specs {
+		w.submitRed(s)
+	}
+	time.Sleep(45 * time.Second)
+	return w, log
+}
+
+// submitRed submits a job of team red.
+func (w *world) submitRed(s *protocol.JobSpec) {
+	s.Team, s.Class, s.Image, s.ImageGB, s.MemoryGB, s.CPUs = "red", "c", "i", 2, 20, 4
+	w.submit(s)
+}
+
+// silence makes machines reach no controller, or reach them again.
+func (w *world) silence(is bool, machines ...string) {
+	w.set(func() {
+		for _, m := range machines {
+			w.muteHosts[m] = is
+		}
+	})
+}
+
+// finish checks the rules and ends the world.
+func (w *world) finish(cancel context.CancelFunc) {
+	for _, b := range w.fleet.Broken {
+		w.t.Errorf("rule broken: %s", b)
+	}
+	for _, stop := range w.stop {
+		stop()
+	}
+	cancel()
+	time.Sleep(2 * time.Minute)
+	synctest.Wait()
+}
+
+// movedFrom checks that each task of a job that ran on a silent machine, or was in a gang with
+// one, has ended and been started again on another machine, and how long it was down.
+func (l *runLog) movedFrom(t *testing.T, job string, tasks int, since time.Time, silent []string) (longest time.Duration) {
+	t.Helper()
+	ended := map[string]time.Time{}
+	started := 0
+	for _, e := range l.of(job, since) {
+		switch {
+		case e.event != "start":
+			ended[e.task] = e.at
+		case ended[e.task].IsZero() || slices.Contains(silent, e.machine):
+			t.Errorf("%s started on %s, silent are %v: %v", e.task, e.machine, silent, l.of(job, since))
+		default:
+			started++
+			longest = max(longest, e.at.Sub(ended[e.task]))
+		}
+	}
+	if started != tasks {
+		t.Errorf("%s: %d of %d tasks were started elsewhere: %v", job, started, tasks, l.of(job, since))
+	}
+	return longest
+}
+
+// Tasks that can save are told to before their machine's lease ends, and go on elsewhere. A
+// replica is stopped when it can be placed elsewhere, and is down only for that. In an outage
+// of the state service nothing can be placed: it runs until the lease ends.
+func TestTasksOfUnreportedMachinesSaveAndMove(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		outage           bool
+		stopped, expired int
+	}{{"with the state service", false, 4, 0}, {"in an outage", true, 3, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				w, log := unreportedWorld(t, ctx,
+					&protocol.JobSpec{ID: savingJob, Priority: "high", Shape: protocol.Array, Tasks: 1, GPUs: 1, EstimateS: 300, CheckpointS: 100, SaveS: 3},
+					&protocol.JobSpec{ID: gangJob, Priority: "high", Shape: protocol.Gang, Tasks: 2, GPUs: 4, EstimateS: 300, CheckpointS: 100, SaveS: 3},
+					&protocol.JobSpec{ID: replicaJob, Priority: "critical", Shape: protocol.Service, Tasks: 1, GPUs: 1})
+				if len(w.on(savingJob)) != 1 || len(w.on(gangJob)) != 2 || len(w.on(replicaJob)) != 1 {
+					t.Fatalf("the jobs run on %v, %v and %v", w.on(savingJob), w.on(gangJob), w.on(replicaJob))
+				}
+				silent := slices.Concat(w.on(savingJob), w.on(gangJob)[:1], w.on(replicaJob))
+				others := w.fleet.Running()
+				began := time.Now()
+				w.silence(true, silent...)
+				w.set(func() { w.outage = c.outage })
+				time.Sleep(37 * time.Second)
+				if stopped, expired := w.fleet.Ended(); stopped != c.stopped || expired != c.expired {
+					t.Errorf("%d tasks were stopped, %d ended with a lease; expected %d and %d", stopped, expired, c.stopped, c.expired)
+				}
+				w.set(func() { w.outage = false })
+				time.Sleep(30 * time.Second)
+				log.movedFrom(t, savingJob, 1, began, silent)
+				log.movedFrom(t, gangJob, 2, began, silent)
+				if down := log.movedFrom(t, replicaJob, 1, began, silent); !c.outage && down > 12*time.Second {
+					t.Errorf("the replica was down for %v", down)
+				}
+				if now := w.fleet.Running(); now != others {
+					t.Errorf("%d tasks run, %d did before", now, others)
+				}
+				w.finish(cancel)
+			})
+		})
+	}
+}
+
+// While machines report to nobody for a moment, what completes there is known, nothing new is
+// placed there and nothing is stopped. As soon as they report they are used again.
+func TestUnreportedMachinesAreUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		const waits = "job-000204"
+		w, log := unreportedWorld(t, ctx, &protocol.JobSpec{ID: gangJob, Priority: "high", Shape: protocol.Gang, Tasks: 2, GPUs: 4, EstimateS: 38})
+		silent := w.on(gangJob)
+		if len(silent) != 2 {
+			t.Fatalf("the gang runs on %v", silent)
+		}
+		w.fleet.Limit(len(w.fleet.Names())) // no others can be rented
+		w.silence(true, silent...)
+		time.Sleep(6 * time.Second)
+		if n := w.fleet.Finished(gangJob); n != 2 {
+			t.Fatalf("%d tasks of the gang have completed", n)
+		}
+		if status := w.poll(w.names[0], gangJob); status != protocol.JobDone {
+			t.Errorf("the gang has completed and is called %q", status)
+		}
+		w.submitRed(&protocol.JobSpec{ID: waits, Priority: "high", Shape: protocol.Array, Tasks: 2, GPUs: 4, EstimateS: 300})
+		time.Sleep(2 * time.Second)
+		for _, name := range w.names {
+			if n := onActor(w.node(name), func() int { return w.node(name).jobs[waits].nPlacedStored() }); n != 0 {
+				t.Errorf("%s placed %d tasks where nobody reports", name, n)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		w.silence(false, silent...)
+		time.Sleep(8 * time.Second)
+		if on := w.on(waits); !slices.Equal(on, silent) {
+			t.Errorf("%v report again; the job that waits runs on %v: %v", silent, on, log.of(waits, time.Time{}))
+		}
+		if stopped, expired := w.fleet.Ended(); stopped != 0 || expired != 0 {
+			t.Errorf("%d tasks were stopped and %d ended with a lease", stopped, expired)
+		}
+		w.finish(cancel)
+	})
+}
+
+// A controller to which no machine reports, while all answer it, does not stop their work: the
+// cause is most likely its own.
+func TestOwnerThatHearsNobodyStopsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w, _ := unreportedWorld(t, ctx, &protocol.JobSpec{ID: savingJob, Priority: "high", Shape: protocol.Array, Tasks: 4, GPUs: 1, EstimateS: 300, CheckpointS: 100, SaveS: 3})
+		all := w.fleet.Names()
+		w.silence(true, all...)
+		time.Sleep(30 * time.Second)
+		polled := 0
+		for _, name := range w.names {
+			polled += onActor(w.node(name), func() (count int) {
+				for _, m := range w.node(name).machines {
+					if m.unreported() {
+						count++
+					}
+				}
+				return count
+			})
+		}
+		if polled != len(all) {
+			t.Errorf("%d of %d machines have answered polls", polled, len(all))
+		}
+		if stopped, _ := w.fleet.Ended(); stopped != 0 || len(w.fleet.Names()) != len(all) {
+			t.Errorf("%d tasks were stopped, %d of %d machines are left", stopped, len(w.fleet.Names()), len(all))
+		}
+		w.silence(false, all...)
+		time.Sleep(20 * time.Second)
+		w.finish(cancel)
+	})
+}
