--- a/internal/coordination/node/unreachable_controllers_test.go
+++ b/internal/coordination/node/unreachable_controllers_test.go
@@ -253,3 +253,99 @@
 		w.finish(cancel)
 	})
 }
+
+// Random troubles while machines reach no controller for a while, commands are held up and
+// copies of reports come late.
+func TestTroublesWithUnreportedMachines(t *testing.T) {
+	answered := 0
+	for seed := range seeds(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			simulate(t, 300+seed, 16, func(p *protocol.WorkerSettings) { p.ReportS, p.LeaseS, p.CancelS = 4, 20, 56 }, func(w *world) {
+				w.set(func() { w.held, w.lateReports = 0.2, 0.2 })
+				ctx, cancel := context.WithCancel(w.ctx)
+				go w.silenceAtRandom(ctx)
+				troubles(w)
+				cancel()
+				answered += w.times("silent machine answers")
+			})
+		})
+	}
+	if answered == 0 {
+		t.Error("no silent machine answered a poll")
+	}
+}
+
+// silenceAtRandom makes some machines reach no controller, others every 5 to 40 s.
+func (w *world) silenceAtRandom(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, m := range w.fleet.Names() {
+			w.silence(w.pick(5) < 2, m)
+		}
+		time.Sleep(w.between(5*time.Second, 40*time.Second))
+		for _, name := range w.names {
+			if n := w.node(name); n != nil {
+				n.post(func() {
+					for _, m := range n.machines {
+						if m.unreported() {
+							w.took("silent machine answers")
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// What a poll's answer proves: a task is gone if it is not listed and was never sent, or if
+// the worker's session has expired; not by an answer that is old or under an earlier token,
+// and not if its start may still be executed.
+func TestWhatAPollProves(t *testing.T) {
+	listed := protocol.TaskReport{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning}
+	for _, c := range []struct {
+		name   string
+		sent   bool
+		report protocol.Report
+		want   fact
+	}{
+		{"not listed, never sent", false, protocol.Report{Session: 1, Seq: 9, Token: 7}, gone},
+		{"not listed, sent", true, protocol.Report{Session: 1, Seq: 9, Token: 7}, noFact},
+		{"session expired", true, protocol.Report{Session: 2, Seq: 1, Token: 7}, gone},
+		{"session expired, listed", true, protocol.Report{Session: 2, Seq: 1, Token: 7, Tasks: []protocol.TaskReport{listed}}, noFact},
+		{"old", false, protocol.Report{Session: 1, Seq: 1, Token: 7}, noFact},
+		{"under an earlier token", false, protocol.Report{Session: 2, Seq: 9, Token: 6}, noFact},
+		{"under a later token", false, protocol.Report{Session: 2, Seq: 9, Token: 8}, noFact},
+		{"of another machine", false, protocol.Report{Machine: "host-2", Session: 2, Seq: 9, Token: 7}, noFact},
+		{"completed", true, protocol.Report{Session: 1, Seq: 9, Token: 7, Tasks: []protocol.TaskReport{{Task: "job-1/0", Attempt: 1, State: protocol.TaskExited, Cause: protocol.CauseDone}}}, finished},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			w := &mute{make(chan protocol.Orders, 1), make(chan *protocol.Report, 1)}
+			b.workers = w
+			b.report(7, 2)
+			m := b.machines["host-1"]
+			b.unpark(m)
+			m.addr = "x:1"
+			j := b.job("job-1", false, onHost1)
+			if c.sent {
+				j.tasks[0].sent = time.Now()
+			}
+			heard := m.heard
+			now := time.Now().Add(b.suspectLimit() + time.Second)
+			b.pollSilent([]*machine{m}, now)
+			if o := <-w.asked; o.Token != 7 || o.Session != 1 || len(o.Commands) != 0 {
+				t.Fatalf("the worker was sent %+v", o)
+			}
+			if c.report.Machine == "" {
+				c.report.Machine = "host-1"
+			}
+			w.answer <- &c.report
+			(<-b.inbox)()
+			if f := j.tasks[0].fact; f != c.want {
+				t.Errorf("the task's fact is %v, not %v", f, c.want)
+			}
+			if !m.heard.Equal(heard) || m.polling {
+				t.Errorf("heard at %v, before the poll at %v; polling %v", m.heard, heard, m.polling)
+			}
+		})
+	}
+}
