--- a/cmd/lab/proof.go
+++ b/cmd/lab/proof.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -29,7 +28,7 @@
 	"dapplestage.example/dapplestage/internal/storage/segments"
 )
 
-// outcomeOf is what one run showed.
+// runResult is what one run showed.
 type runResult struct {
 	accepted, refusals      int
 	lost, doubled, ranTwice []string
@@ -47,135 +46,83 @@
 }
 
 func gatewayProof() *cobra.Command {
-	var runs, parallel, jobs int
-	var seed uint64
-	var keep, asJSON bool
-	c := &cobra.Command{Use: "gateway", Short: "Kill, stop and cut sides of two sites and a gateway at random, and check every job", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := between("runs", runs, 1, 10000); err != nil {
-				return err
-			}
-			if err := between("parallel", parallel, 1, 16); err != nil {
-				return err
-			}
-			if err := between("jobs", jobs, 1, 500); err != nil {
-				return err
-			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			return proveGateway(ctx, cmd.OutOrStdout(), runs, parallel, jobs, seed, keep, asJSON)
-		}}
-	c.Flags().IntVar(&runs, "runs", 10, "how many runs")
-	c.Flags().IntVar(&parallel, "parallel", 10, "runs at a time")
-	c.Flags().IntVar(&jobs, "jobs", 24, "jobs of a run")
-	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's seed; the next ones follow")
-	c.Flags().BoolVar(&keep, "keep", false, "keep the files of all runs, not only of broken ones")
-	c.Flags().BoolVar(&asJSON, "json", false, "print the last line only")
+	jobs, keep := 24, false
+	c := runsProof("gateway", "Kill, stop and cut sides of two sites and a gateway at random, and check every job", 10, 10, func(ctx context.Context, out io.Writer, o runOptions) error {
+		if err := between("jobs", jobs, 1, 500); err != nil {
+			return err
+		}
+		o.keep = keep
+		return proveGateway(ctx, out, o, jobs)
+	})
+	c.Flags().IntVar(&jobs, "jobs", jobs, "jobs of a run")
+	c.Flags().BoolVar(&keep, "keep", keep, "keep the files of all runs, not only of broken ones")
 	return c
 }
 
-func proveGateway(ctx context.Context, out io.Writer, runs, parallel, jobs int, seed uint64, keep, asJSON bool) error {
-	bin, err := build(ctx)
+// gatewayFigures are the figures of all runs.
+type gatewayFigures struct {
+	runTotals
+	Accepted   int     `json:"accepted"`
+	Lost       int     `json:"lost"`
+	Doubled    int     `json:"doubled"`
+	RanTwice   int     `json:"ran_at_both"`
+	Unanswered int     `json:"unanswered"`
+	Untrue     int     `json:"untrue_done"`
+	Late       int     `json:"late_cancels"`
+	Stores     int     `json:"stores_differ"`
+	Moved      int     `json:"moved"`
+	Handoffs   int64   `json:"handoffs"`
+	Median     float64 `json:"handoff_median_s"`
+	P99        float64 `json:"handoff_p99_s"`
+	Max        float64 `json:"handoff_max_s"`
+	Bound      float64 `json:"handoff_bound_s"`
+	Crossed    int64   `json:"handoffs_amid_others"`
+	CrossMax   float64 `json:"handoff_amid_others_max_s"`
+	Drains     int64   `json:"drain_handoffs"`
+	DrainMed   float64 `json:"drain_median_s"`
+	DrainP99   float64 `json:"drain_p99_s"`
+}
+
+// add counts what a run that came to its end showed.
+func (s *gatewayFigures) add(r *runResult) {
+	s.Accepted += r.accepted
+	s.Lost += len(r.lost)
+	s.Doubled += len(r.doubled)
+	s.RanTwice += len(r.ranTwice)
+	s.Unanswered += len(r.unanswered)
+	s.Untrue += len(r.untrue)
+	s.Late += len(r.lateCancels)
+	s.Stores += len(r.stores)
+	s.Moved += r.moved
+}
+
+func proveGateway(ctx context.Context, out io.Writer, o runOptions, jobs int) error {
+	handoffs, drains, crossed := newLatencies(), newLatencies(), newLatencies()
+	sum := gatewayFigures{Bound: gateway.HandoffBound(memberTimes(quick)).Seconds()}
+	totals, err := o.each(ctx, out, "gateway", func(bin, dir string, seed uint64) (func(), runOutcome) {
+		r := oneRun(ctx, bin, dir, seed, jobs)
+		text := fmt.Sprintf("%d jobs accepted, %d moved to the other site, %d handoffs of a lost site, %d of a drained one", r.accepted, r.moved, len(r.handoffs)+len(r.crossed), len(r.drains))
+		return func() {
+			if r.err != nil {
+				return
+			}
+			sum.add(r)
+			handoffs.add(r.handoffs...)
+			crossed.add(r.crossed...)
+			drains.add(r.drains...)
+		}, runOutcome{text, r.broken(), r.err}
+	})
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(bin)
-	say := func(format string, a ...any) {
-		if !asJSON {
-			fmt.Fprintf(out, format+"\n", a...)
-		}
-	}
-	results := make([]*runResult, runs)
-	slots := make(chan struct{}, parallel)
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	for i := range runs {
-		if ctx.Err() != nil {
-			break
-		}
-		slots <- struct{}{}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			defer func() { <-slots }()
-			r, dir := oneRun(ctx, bin, seed+uint64(i), jobs)
-			mu.Lock()
-			defer mu.Unlock()
-			results[i] = r
-			bad := r.broken()
-			switch {
-			case r.err != nil:
-				say("run %d, seed %d: %v (files in %s)", i+1, seed+uint64(i), r.err, dir)
-			case len(bad) > 0:
-				say("run %d, seed %d: BROKEN %s (files in %s)", i+1, seed+uint64(i), strings.Join(bad, "; "), dir)
-			default:
-				say("run %d, seed %d: %d jobs accepted, %d moved to the other site, %d handoffs of a lost site, %d of a drained one", i+1, seed+uint64(i), r.accepted, r.moved, len(r.handoffs)+len(r.crossed), len(r.drains))
-				if !keep {
-					os.RemoveAll(dir)
-				}
-			}
-		}()
-	}
-	wg.Wait()
-	c := memberTimes(quick)
-	handoffs, drains, crossed := newLatencies(), newLatencies(), newLatencies()
-	sum := struct {
-		Runs       int     `json:"runs"`
-		Broken     int     `json:"broken"`
-		Seed       uint64  `json:"seed"`
-		Failed     int     `json:"failed_to_run"`
-		Accepted   int     `json:"accepted"`
-		Lost       int     `json:"lost"`
-		Doubled    int     `json:"doubled"`
-		RanTwice   int     `json:"ran_at_both"`
-		Unanswered int     `json:"unanswered"`
-		Untrue     int     `json:"untrue_done"`
-		Late       int     `json:"late_cancels"`
-		Stores     int     `json:"stores_differ"`
-		Moved      int     `json:"moved"`
-		Handoffs   int64   `json:"handoffs"`
-		Median     float64 `json:"handoff_median_s"`
-		P99        float64 `json:"handoff_p99_s"`
-		Max        float64 `json:"handoff_max_s"`
-		Bound      float64 `json:"handoff_bound_s"`
-		Crossed    int64   `json:"handoffs_amid_others"`
-		CrossMax   float64 `json:"handoff_amid_others_max_s"`
-		Drains     int64   `json:"drain_handoffs"`
-		DrainMed   float64 `json:"drain_median_s"`
-		DrainP99   float64 `json:"drain_p99_s"`
-	}{Runs: runs, Seed: seed, Bound: gateway.HandoffBound(c).Seconds()}
-	for _, r := range results {
-		if r == nil || r.err != nil {
-			sum.Failed++
-			continue
-		}
-		if len(r.broken()) > 0 {
-			sum.Broken++
-		}
-		sum.Accepted += r.accepted
-		sum.Lost += len(r.lost)
-		sum.Doubled += len(r.doubled)
-		sum.RanTwice += len(r.ranTwice)
-		sum.Unanswered += len(r.unanswered)
-		sum.Untrue += len(r.untrue)
-		sum.Late += len(r.lateCancels)
-		sum.Stores += len(r.stores)
-		sum.Moved += r.moved
-		handoffs.add(r.handoffs...)
-		crossed.add(r.crossed...)
-		drains.add(r.drains...)
-	}
+	sum.runTotals = totals
+	sum.Handoffs, sum.Median, sum.P99, sum.Max = handoffs.count(), handoffs.seconds(50), handoffs.seconds(99), handoffs.maxSeconds()
 	sum.Crossed, sum.CrossMax = crossed.count(), crossed.maxSeconds()
-	sum.Handoffs, sum.Drains = handoffs.count(), drains.count()
-	sum.Median, sum.P99, sum.Max = handoffs.seconds(50), handoffs.seconds(99), handoffs.maxSeconds()
-	sum.DrainMed, sum.DrainP99 = drains.seconds(50), drains.seconds(99)
+	sum.Drains, sum.DrainMed, sum.DrainP99 = drains.count(), drains.seconds(50), drains.seconds(99)
 	if err := figures(out, sum); err != nil {
 		return err
 	}
-	if sum.Broken+sum.Failed > 0 {
-		return errBroken
-	}
-	return nil
+	return sum.err()
 }
 
 func memberTimes(t times) gateway.Config {
@@ -204,53 +151,20 @@
 }
 
 // oneRun plays one seed.
-func oneRun(ctx context.Context, bin string, seed uint64, jobs int) (*runResult, string) {
+func oneRun(ctx context.Context, bin, dir string, seed uint64, jobs int) *runResult {
 	r := &runResult{}
-	dir, err := os.MkdirTemp("", fmt.Sprintf("lab-gateway-%d-", seed))
-	if err != nil {
-		r.err = err
-		return r, dir
-	}
 	w, err := launch(ctx, bin, dir, quick, 12)
 	if err != nil {
 		r.err = err
-		return r, dir
+		return r
 	}
 	defer w.end()
 	rng := rand.New(rand.NewPCG(seed, 5))
-	var users []*user
-	var wg sync.WaitGroup
 	usersCtx, stopUsers := context.WithCancel(ctx)
 	defer stopUsers()
-	begun := time.Now()
-	for i := range jobs {
-		u := &user{id: fmt.Sprintf("job-%d%04d", seed, i), tasks: 1 + rng.IntN(3)}
-		u.body = submission(u.id, []string{"red", "blue"}[rng.IntN(2)], u.tasks, 0.5+rng.Float64()*5)
-		if rng.IntN(5) == 0 {
-			u.cancelAt = span(rng, 500*time.Millisecond, 10*time.Second)
-		}
-		users = append(users, u)
-		wait, useed := span(rng, 0, 16*time.Second), rng.Uint64()
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			w.live(usersCtx, u, wait, rand.New(rand.NewPCG(useed, 3)))
-		}()
-	}
-	faults := w.troubles(ctx, rng, begun)
-	deadline := time.Now().Add(60 * time.Second)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		left := 0
-		for _, u := range users {
-			if !u.over.Load() {
-				left++
-			}
-		}
-		if left == 0 {
-			break
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
+	users, gone := w.beginUsers(usersCtx, rng, seed, jobs)
+	faults := w.troubles(ctx, rng)
+	awaitAnswers(ctx, users)
 	// Every user asks every member once more.
 	for _, u := range users {
 		for _, m := range w.members {
@@ -258,28 +172,61 @@
 		}
 	}
 	stopUsers()
-	wg.Wait()
+	gone.Wait()
 	if ctx.Err() != nil {
 		r.err = ctx.Err()
-		return r, dir
+		return r
 	}
 	runs := w.readEvents()
 	w.checkUsers(r, users, runs)
 	w.checkRuns(r, users, runs)
 	w.checkHandoffs(r, faults)
 	w.checkStores(ctx, r, users)
-	if f, err := os.Create(filepath.Join(dir, "users.log")); err == nil {
-		for _, u := range users {
-			for _, t := range u.log {
-				fmt.Fprintf(f, "%s %s %s at %s: %d %s\n", t.at.Format("15:04:05.000"), u.id, t.kind, t.from, t.code, t.state)
-			}
+	writeUsersLog(filepath.Join(dir, "users.log"), users, faults)
+	return r
+}
+
+// beginUsers lets users come over some seconds, each with a job of its own. gone is done when
+// all have left.
+func (w *world) beginUsers(ctx context.Context, rng *rand.Rand, seed uint64, jobs int) (users []*user, gone *sync.WaitGroup) {
+	gone = &sync.WaitGroup{}
+	for i := range jobs {
+		u := &user{id: fmt.Sprintf("job-%d%04d", seed, i), tasks: 1 + rng.IntN(3)}
+		u.body = submission(u.id, []string{"red", "blue"}[rng.IntN(2)], u.tasks, 0.5+rng.Float64()*5)
+		if rng.IntN(5) == 0 {
+			u.cancelAt = span(rng, 500*time.Millisecond, 10*time.Second)
 		}
-		for _, x := range faults {
-			fmt.Fprintf(f, "%s fault %s of %s for %v\n", x.at.Format("15:04:05.000"), x.kind, x.where, x.long)
+		users = append(users, u)
+		wait, useed := span(rng, 0, 16*time.Second), rng.Uint64()
+		gone.Go(func() { w.live(ctx, u, wait, rand.New(rand.NewPCG(useed, 3))) })
+	}
+	return users, gone
+}
+
+// awaitAnswers waits until all users have a final answer, or a minute.
+func awaitAnswers(ctx context.Context, users []*user) {
+	for deadline := time.Now().Add(60 * time.Second); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
+		if !slices.ContainsFunc(users, func(u *user) bool { return !u.over.Load() }) {
+			return
 		}
-		f.Close()
 	}
-	return r, dir
+}
+
+// writeUsersLog writes down what users were told and what was done to the world.
+func writeUsersLog(path string, users []*user, faults []fault) {
+	f, err := os.Create(path)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	for _, u := range users {
+		for _, t := range u.log {
+			fmt.Fprintf(f, "%s %s %s at %s: %d %s\n", t.at.Format("15:04:05.000"), u.id, t.kind, t.from, t.code, t.state)
+		}
+	}
+	for _, x := range faults {
+		fmt.Fprintf(f, "%s fault %s of %s for %v\n", x.at.Format("15:04:05.000"), x.kind, x.where, x.long)
+	}
 }
 
 // ask makes one request and logs what the user was told.
@@ -372,20 +319,9 @@
 
 // troubles does bad things for some 20 s, the second often in the middle of the
 // handoff that the first caused, and heals everything.
-func (w *world) troubles(ctx context.Context, rng *rand.Rand, begun time.Time) []fault {
+func (w *world) troubles(ctx context.Context, rng *rand.Rand) []fault {
 	var out []fault
-	var wg sync.WaitGroup
-	later := func(d time.Duration, f func()) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			select {
-			case <-time.After(d):
-			case <-ctx.Done():
-			}
-			f()
-		}()
-	}
+	var healed sync.WaitGroup
 	sleep := func(d time.Duration) {
 		select {
 		case <-time.After(d):
@@ -396,96 +332,127 @@
 	for range 2 + rng.IntN(2) {
 		s := w.sites[rng.IntN(2)]
 		f := fault{at: time.Now(), where: s.name, long: span(rng, 2*time.Second, 18*time.Second)}
-		switch rng.IntN(9) {
-		case 0:
-			f.kind, f.where = "gateway killed", "gate"
-			w.gateway.kill()
-			later(f.long, func() { w.gateway.start() })
-		case 1:
-			f.kind, f.loses = "daemon killed", s.name
-			s.daemon.kill()
-			later(f.long, func() { s.daemon.start() })
-		case 2:
-			f.kind = "controllers killed"
-			for _, c := range s.controllers {
-				c.kill()
-			}
-			later(f.long, func() {
-				for _, c := range s.controllers {
-					c.start()
-				}
-			})
-		case 3:
-			f.kind = "state service stands still"
-			s.state.signal(syscall.SIGSTOP)
-			later(f.long, func() { s.state.signal(syscall.SIGCONT) })
-		case 4:
-			f.kind, f.loses = "daemon stands still", s.name
-			s.daemon.signal(syscall.SIGSTOP)
-			later(f.long, func() { s.daemon.signal(syscall.SIGCONT) })
-		case 5:
-			a, b := w.members[rng.IntN(3)], w.members[rng.IntN(3)]
-			if a == b {
-				b = w.members[(slices.Index(w.members, a)+1)%3]
-			}
-			both, reset := rng.IntN(2) == 0, rng.IntN(2) == 0
-			f.kind, f.where = fmt.Sprintf("link cut (both ways %v)", both), a+" to "+b
-			cut := []*link{w.links[[2]string{a, b}]}
-			if both {
-				cut = append(cut, w.links[[2]string{b, a}])
-			}
-			for _, l := range cut {
-				l.set(true, false)
-			}
-			later(f.long, func() {
-				for _, l := range cut {
-					l.set(false, reset)
-				}
-			})
-		case 6:
-			f.kind, f.loses = "site cut off", s.name
-			var cut []*link
-			for k, l := range w.links {
-				if k[0] == s.name || k[1] == s.name {
-					cut = append(cut, l)
-					l.set(true, false)
-				}
-			}
-			later(f.long, func() {
-				for _, l := range cut {
-					l.set(false, false)
-				}
-			})
-		case 7:
-			f.kind, f.loses = "whole site stands still", s.name
-			all := append([]*process{s.state, s.cloud, s.daemon}, s.controllers...)
-			for _, p := range all {
-				p.signal(syscall.SIGSTOP)
-			}
-			later(f.long, func() {
-				for _, p := range all {
-					p.signal(syscall.SIGCONT)
-				}
-			})
-		case 8:
-			f.kind, f.drained = "site drained", s.name
-			w.call(ctx, "PUT", s.api, "/admin/gateway/drained", []byte(`{"on":true}`))
-			later(f.long, func() {
-				for range 40 {
-					if code, _, _, _ := w.call(ctx, "PUT", s.api, "/admin/gateway/drained", []byte(`{"on":false}`)); code == 200 || ctx.Err() != nil {
-						return
-					}
-					time.Sleep(300 * time.Millisecond)
-				}
-			})
-		}
+		cause := troubles[rng.IntN(len(troubles))]
+		heal := cause(ctx, w, s, rng, &f)
+		long := f.long
+		healed.Go(func() {
+			sleep(long)
+			heal()
+		})
 		out = append(out, f)
 		sleep(span(rng, 1*time.Second, 11*time.Second))
 	}
-	wg.Wait()
+	healed.Wait()
 	return out
 }
 
+// trouble does something to a site, or to the world, and says what in f; heal undoes it.
+type trouble func(ctx context.Context, w *world, s *site, rng *rand.Rand, f *fault) (heal func())
+
+// troubles are all there are; a seed's meaning depends on their order.
+var troubles = []trouble{killGateway, killDaemon, killControllers, stopState, stopDaemon, cutLink, cutSite, stopSite, drainSite}
+
+func killGateway(_ context.Context, w *world, _ *site, _ *rand.Rand, f *fault) func() {
+	f.kind, f.where = "gateway killed", "gate"
+	w.gateway.kill()
+	return func() { w.gateway.start() }
+}
+
+func killDaemon(_ context.Context, _ *world, s *site, _ *rand.Rand, f *fault) func() {
+	f.kind, f.loses = "daemon killed", s.name
+	s.daemon.kill()
+	return func() { s.daemon.start() }
+}
+
+func killControllers(_ context.Context, _ *world, s *site, _ *rand.Rand, f *fault) func() {
+	f.kind = "controllers killed"
+	for _, c := range s.controllers {
+		c.kill()
+	}
+	return func() {
+		for _, c := range s.controllers {
+			c.start()
+		}
+	}
+}
+
+func stopState(_ context.Context, _ *world, s *site, _ *rand.Rand, f *fault) func() {
+	f.kind = "state service stands still"
+	return stopAll(s.state)
+}
+
+func stopDaemon(_ context.Context, _ *world, s *site, _ *rand.Rand, f *fault) func() {
+	f.kind, f.loses = "daemon stands still", s.name
+	return stopAll(s.daemon)
+}
+
+func stopSite(_ context.Context, _ *world, s *site, _ *rand.Rand, f *fault) func() {
+	f.kind, f.loses = "whole site stands still", s.name
+	return stopAll(append([]*process{s.state, s.cloud, s.daemon}, s.controllers...)...)
+}
+
+// stopAll makes processes stand still.
+func stopAll(all ...*process) (goOn func()) {
+	for _, p := range all {
+		p.signal(syscall.SIGSTOP)
+	}
+	return func() {
+		for _, p := range all {
+			p.signal(syscall.SIGCONT)
+		}
+	}
+}
+
+func cutLink(_ context.Context, w *world, _ *site, rng *rand.Rand, f *fault) func() {
+	a, b := w.members[rng.IntN(3)], w.members[rng.IntN(3)]
+	if a == b {
+		b = w.members[(slices.Index(w.members, a)+1)%3]
+	}
+	both, reset := rng.IntN(2) == 0, rng.IntN(2) == 0
+	f.kind, f.where = fmt.Sprintf("link cut (both ways %v)", both), a+" to "+b
+	links := []*link{w.links[[2]string{a, b}]}
+	if both {
+		links = append(links, w.links[[2]string{b, a}])
+	}
+	return cutAll(links, reset)
+}
+
+func cutSite(_ context.Context, w *world, s *site, _ *rand.Rand, f *fault) func() {
+	f.kind, f.loses = "site cut off", s.name
+	var links []*link
+	for ends, l := range w.links {
+		if ends[0] == s.name || ends[1] == s.name {
+			links = append(links, l)
+		}
+	}
+	return cutAll(links, false)
+}
+
+// cutAll cuts links. When they are healed, with reset what was held on them is dropped.
+func cutAll(links []*link, reset bool) (heal func()) {
+	for _, l := range links {
+		l.set(true, false)
+	}
+	return func() {
+		for _, l := range links {
+			l.set(false, reset)
+		}
+	}
+}
+
+func drainSite(ctx context.Context, w *world, s *site, _ *rand.Rand, f *fault) func() {
+	f.kind, f.drained = "site drained", s.name
+	w.call(ctx, "PUT", s.api, "/admin/gateway/drained", []byte(`{"on":true}`))
+	return func() {
+		for range 40 {
+			if code, _, _, _ := w.call(ctx, "PUT", s.api, "/admin/gateway/drained", []byte(`{"on":false}`)); code == 200 || ctx.Err() != nil {
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+}
+
 // ran is one time that a task was on a machine.
 type ran struct {
 	site, task, machine string
--- a/cmd/lab/runs.go
+++ b/cmd/lab/runs.go
@@ -18,6 +18,7 @@
 	runs, parallel int
 	seed           uint64
 	asJSON         bool
+	keep           bool // the files of all runs
 }
 
 // runsProof makes a subcommand that proves something by runs with real processes.
@@ -79,6 +80,9 @@
 	for i := range o.runs {
 		slots <- struct{}{}
 		if ctx.Err() != nil {
+			mu.Lock()
+			t.Failed += o.runs - i // they were not begun
+			mu.Unlock()
 			break
 		}
 		wg.Add(1)
@@ -99,7 +103,7 @@
 			case len(r.wrong) > 0:
 				t.Broken++
 				r.text = fmt.Sprintf("BROKEN %s (files in %s)", strings.Join(r.wrong[:min(8, len(r.wrong))], "; "), dir)
-			default:
+			case !o.keep:
 				os.RemoveAll(dir)
 			}
 			if !o.asJSON {
