--- a/cmd/lab/standby.go
+++ b/cmd/lab/standby.go
@@ -43,6 +43,14 @@
 	return out, err
 }
 
+// standbyRun is a run under way.
+type standbyRun struct {
+	*standbyResult
+	farm  *farm
+	rng   *rand.Rand
+	tasks map[string]int // by job
+}
+
 func oneStandbyRun(ctx context.Context, bin, dir string, seed uint64, turns int, causes []string, t times) *standbyResult {
 	r := &standbyResult{gaps: map[string][]time.Duration{}}
 	f, err := startFarm(ctx, bin, dir, 24, t)
@@ -51,93 +59,14 @@
 		r.err = err
 		return r
 	}
-	rng := rand.New(rand.NewPCG(seed, 53))
-	tasks := map[string]int{}
-	submit := func() {
-		id := fmt.Sprintf("job-1%05d", len(tasks))
-		tasks[id] = 2 + rng.IntN(8)
-		if err := f.submit(ctx, id, f.job(id, []string{"red", "blue"}[len(tasks)%2], "sweep", tasks[id], 1+3*rng.Float64())); err != nil && r.err == nil {
-			r.err = err
-		}
-	}
-	both := func() bool { // each holds one
-		h, err := f.holder(ctx, f.apis[0])
-		return err == nil && h[0] != "" && h[1] != "" && h[0] != h[1]
-	}
-	order := rng.Perm(len(causes))
+	run := &standbyRun{standbyResult: r, farm: f, rng: rand.New(rand.NewPCG(seed, 53)), tasks: map[string]int{}}
+	order := run.rng.Perm(len(causes))
 	for turn := range turns {
-		for range 2 {
-			submit()
-		}
-		if !until(ctx, 30*time.Second, both) {
-			r.wrong = append(r.wrong, "the shares did not spread over both controllers again")
-			return r
-		}
-		// Its standby must have been told of it for a while, and its share served.
-		time.Sleep(span(rng, 5500*time.Millisecond, 6500*time.Millisecond))
-		cause := causes[order[turn%len(order)]]
-		i := rng.IntN(2)
-		name, other := fmt.Sprint("n-", i), f.apis[1-i]
-		p := f.process(name)
-		before, err := f.holder(ctx, other)
-		if err != nil || before[0] == before[1] {
-			continue
-		}
-		began := time.Now()
-		switch cause {
-		case "killed":
-			p.kill()
-		case "left":
-			p.signal(syscall.SIGTERM)
-		case "stood_still":
-			p.signal(syscall.SIGSTOP)
-		case "restarted_at_once":
-			p.kill()
-			if err := p.start(); err != nil {
-				r.err = err
-				return r
-			}
-		}
-		took := time.Duration(0)
-		if !until(ctx, 12*time.Second, func() bool {
-			h, err := f.holder(ctx, other)
-			if err != nil {
-				return false
-			}
-			for share, was := range before {
-				if was != name {
-					continue
-				}
-				if cause == "restarted_at_once" {
-					// It may have its share back in its new life, or the other one has it.
-					if s, ok := f.shares(ctx); ok && s[share].Phase != "" {
-						continue
-					}
-					return false
-				}
-				if h[share] == name || h[share] == "" {
-					return false
-				}
-			}
-			took = time.Since(began)
-			return true
-		}) {
-			r.wrong = append(r.wrong, fmt.Sprintf("%s %s: its share has nobody after 12 s", name, cause))
-			return r
-		}
-		r.gaps[cause] = append(r.gaps[cause], took)
-		submit()
-		time.Sleep(span(rng, 500*time.Millisecond, 2*time.Second))
-		p.signal(syscall.SIGCONT)
-		if cause == "left" {
-			p.kill() // it has ended; this takes note
-		}
-		if err := p.start(); err != nil {
-			r.err = err
+		if !run.turn(ctx, causes[order[turn%len(order)]]) {
 			return r
 		}
 	}
-	wrong, _, err := f.settled(ctx, tasks)
+	wrong, _, err := f.settled(ctx, run.tasks)
 	r.wrong = append(r.wrong, wrong...)
 	if err != nil {
 		r.err = err
@@ -145,6 +74,102 @@
 	return r
 }
 
+func (r *standbyRun) submit(ctx context.Context) {
+	id := fmt.Sprintf("job-1%05d", len(r.tasks))
+	r.tasks[id] = 2 + r.rng.IntN(8)
+	team := []string{"red", "blue"}[len(r.tasks)%2]
+	if err := r.farm.submit(ctx, id, r.farm.job(id, team, "sweep", r.tasks[id], 1+3*r.rng.Float64())); err != nil && r.err == nil {
+		r.err = err
+	}
+}
+
+// turn lets one controller go and measures until the other has its share; then the first is
+// back. It returns false if the run can't go on.
+func (r *standbyRun) turn(ctx context.Context, cause string) bool {
+	for range 2 {
+		r.submit(ctx)
+	}
+	if !until(ctx, 30*time.Second, func() bool { return r.eachHoldsOne(ctx) }) {
+		r.wrong = append(r.wrong, "the shares did not spread over both controllers again")
+		return false
+	}
+	// Its standby must have been told of it for a while, and its share served.
+	time.Sleep(span(r.rng, 5500*time.Millisecond, 6500*time.Millisecond))
+	i := r.rng.IntN(2)
+	name, other := fmt.Sprint("n-", i), r.farm.apis[1-i]
+	p := r.farm.process(name)
+	before, err := r.farm.holder(ctx, other)
+	if err != nil || before[0] == before[1] {
+		return true
+	}
+	began := time.Now()
+	if err := goBy(p, cause); err != nil {
+		r.err = err
+		return false
+	}
+	if !until(ctx, 12*time.Second, func() bool { return r.takenOver(ctx, name, other, cause, before) }) {
+		r.wrong = append(r.wrong, fmt.Sprintf("%s %s: its share has nobody after 12 s", name, cause))
+		return false
+	}
+	r.gaps[cause] = append(r.gaps[cause], time.Since(began))
+	r.submit(ctx)
+	time.Sleep(span(r.rng, 500*time.Millisecond, 2*time.Second))
+	p.signal(syscall.SIGCONT)
+	if cause == "left" {
+		p.kill() // it has ended; this takes note
+	}
+	if err := p.start(); err != nil {
+		r.err = err
+		return false
+	}
+	return true
+}
+
+// eachHoldsOne says whether each controller holds one of the two shares.
+func (r *standbyRun) eachHoldsOne(ctx context.Context) bool {
+	h, err := r.farm.holder(ctx, r.farm.apis[0])
+	return err == nil && h[0] != "" && h[1] != "" && h[0] != h[1]
+}
+
+// goBy makes a controller go.
+func goBy(p *process, cause string) error {
+	switch cause {
+	case "killed":
+		p.kill()
+	case "left":
+		p.signal(syscall.SIGTERM)
+	case "stood_still":
+		p.signal(syscall.SIGSTOP)
+	case "restarted_at_once":
+		p.kill()
+		return p.start()
+	}
+	return nil
+}
+
+// takenOver says whether, as the other controller tells, what a controller held before is
+// held again.
+func (r *standbyRun) takenOver(ctx context.Context, name, other, cause string, before map[int]string) bool {
+	holders, err := r.farm.holder(ctx, other)
+	if err != nil {
+		return false
+	}
+	for share, was := range before {
+		if was != name {
+			continue
+		}
+		if cause == "restarted_at_once" {
+			// It may have its share back in its new life, or the other one has it.
+			if s, ok := r.farm.shares(ctx); !ok || s[share].Phase == "" {
+				return false
+			}
+		} else if holders[share] == name || holders[share] == "" {
+			return false
+		}
+	}
+	return true
+}
+
 func standbyProof() *cobra.Command {
 	turns, before, place := 4, "", false
 	c := runsProof("standby", "Kill, stop and restart a holder, and measure until its standby has the share", 4, 4, func(ctx context.Context, out io.Writer, o runOptions) error {
--- a/cmd/lab/start.go
+++ b/cmd/lab/start.go
@@ -113,6 +113,15 @@
 	return wrong, ended
 }
 
+// startRun is a run under way.
+type startRun struct {
+	*startResult
+	farm   *farm
+	rng    *rand.Rand
+	tasks  map[string]int // by job
+	arrays int
+}
+
 func oneStartRun(ctx context.Context, bin, dir string, seed uint64, machines, starts int, t times) *startResult {
 	r := &startResult{given: map[string]int{}, held: map[string]int{}}
 	f, err := startFarm(ctx, bin, dir, machines, t)
@@ -121,93 +130,19 @@
 		r.err = err
 		return r
 	}
-	rng := rand.New(rand.NewPCG(seed, 41))
-	tasks := map[string]int{}
-	submit := func(id, shape string, n int, seconds float64) {
-		team := []string{"red", "blue"}[len(tasks)%2]
-		tasks[id] = n
-		if err := f.submit(ctx, id, f.job(id, team, shape, n, seconds)); err != nil && r.err == nil {
-			r.err = err
-		}
-	}
-	services := machines * 4 * 6 / 10 / 8
-	for i := range services {
-		submit(fmt.Sprintf("job-8%05d", i), "standing", 8, 0)
-	}
-	if !until(ctx, 30*time.Second, func() bool {
-		n := 0
-		for i := range services {
-			n += f.running(ctx, fmt.Sprintf("job-8%05d", i))
-		}
-		return n >= services*8
-	}) {
+	run := &startRun{startResult: r, farm: f, rng: rand.New(rand.NewPCG(seed, 41)), tasks: map[string]int{}}
+	if !run.startServices(ctx, machines) {
 		r.err = fmt.Errorf("the services did not start")
 		return r
 	}
-	arrays := 0
 	for range starts {
-		for range 3 + rng.IntN(3) {
-			submit(fmt.Sprintf("job-1%05d", arrays), "sweep", 4+rng.IntN(12), 2+3*rng.Float64())
-			arrays++
-		}
-		if f.place {
-			submit(fmt.Sprintf("job-3%05d", arrays), "gang", 1+rng.IntN(2), 2+3*rng.Float64())
-		}
-		time.Sleep(span(rng, 200*time.Millisecond, 1500*time.Millisecond))
-		f.orders(ctx, r)
-		var nodes []*process
-		for _, p := range f.procs {
-			if strings.HasPrefix(p.name, "n-") {
-				nodes = append(nodes, p)
-			}
-		}
-		for _, p := range nodes {
-			p.kill()
-			time.Sleep(span(rng, time.Millisecond, 300*time.Millisecond))
-		}
-		time.Sleep(span(rng, 200*time.Millisecond, 2*time.Second))
-		for _, i := range rng.Perm(len(nodes)) {
-			if err := nodes[i].start(); err != nil {
-				r.err = err
-				return r
-			}
-			time.Sleep(span(rng, time.Millisecond, 700*time.Millisecond))
-		}
-		back := time.Now()
-		var serve, half, all time.Duration
-		if !until(ctx, 30*time.Second, func() bool {
-			shares, ok := f.shares(ctx)
-			if !ok {
-				return false
-			}
-			unheard, total, serving := 0, 0, 0
-			for _, s := range shares {
-				unheard, total = unheard+s.Unheard, total+s.Machines
-				if s.Phase == "serving" {
-					serving++
-				}
-			}
-			if took := time.Since(back); len(shares) == 2 {
-				if serving == 2 && serve == 0 {
-					serve = took
-				}
-				if 2*unheard <= total && half == 0 {
-					half = took
-				}
-				if unheard == 0 && all == 0 {
-					all = took
-				}
-			}
-			return serve > 0 && half > 0 && all > 0
-		}) {
-			r.wrong = append(r.wrong, fmt.Sprintf("not squared 30 s after the processes were back (serving after %v, half after %v)", serve, half))
+		if !run.endAll(ctx) || !run.awaitServing(ctx, time.Now()) {
 			return r
 		}
-		r.serve, r.half, r.all = append(r.serve, serve), append(r.half, half), append(r.all, all)
-		time.Sleep(span(rng, time.Millisecond, 3*time.Second))
+		time.Sleep(span(run.rng, time.Millisecond, 3*time.Second))
 	}
 	var wrong []string
-	wrong, r.ended, err = f.settled(ctx, tasks)
+	wrong, r.ended, err = f.settled(ctx, run.tasks)
 	r.wrong = append(r.wrong, wrong...)
 	if err != nil {
 		r.err = err
@@ -216,6 +151,103 @@
 	return r
 }
 
+func (r *startRun) submit(ctx context.Context, id, shape string, n int, seconds float64) {
+	team := []string{"red", "blue"}[len(r.tasks)%2]
+	r.tasks[id] = n
+	if err := r.farm.submit(ctx, id, r.farm.job(id, team, shape, n, seconds)); err != nil && r.err == nil {
+		r.err = err
+	}
+}
+
+// serviceTasks is how many tasks each service of a run has.
+const serviceTasks = 8
+
+// startServices fills six tenths of the machines with services; false if they do not run in
+// time.
+func (r *startRun) startServices(ctx context.Context, machines int) bool {
+	services := machines * 4 * 6 / 10 / serviceTasks
+	id := func(i int) string { return fmt.Sprintf("job-8%05d", i) }
+	for i := range services {
+		r.submit(ctx, id(i), "standing", serviceTasks, 0)
+	}
+	return until(ctx, 30*time.Second, func() bool {
+		running := 0
+		for i := range services {
+			running += r.farm.running(ctx, id(i))
+		}
+		return running >= services*serviceTasks
+	})
+}
+
+// endAll submits some work, ends all controllers, one shortly after the other, and starts
+// them again. It returns false if the run can't go on.
+func (r *startRun) endAll(ctx context.Context) bool {
+	for range 3 + r.rng.IntN(3) {
+		r.submit(ctx, fmt.Sprintf("job-1%05d", r.arrays), "sweep", 4+r.rng.IntN(12), 2+3*r.rng.Float64())
+		r.arrays++
+	}
+	if r.farm.place {
+		r.submit(ctx, fmt.Sprintf("job-3%05d", r.arrays), "gang", 1+r.rng.IntN(2), 2+3*r.rng.Float64())
+	}
+	time.Sleep(span(r.rng, 200*time.Millisecond, 1500*time.Millisecond))
+	r.farm.orders(ctx, r.startResult)
+	var nodes []*process
+	for _, p := range r.farm.procs {
+		if strings.HasPrefix(p.name, "n-") {
+			nodes = append(nodes, p)
+		}
+	}
+	for _, p := range nodes {
+		p.kill()
+		time.Sleep(span(r.rng, time.Millisecond, 300*time.Millisecond))
+	}
+	time.Sleep(span(r.rng, 200*time.Millisecond, 2*time.Second))
+	for _, i := range r.rng.Perm(len(nodes)) {
+		if err := nodes[i].start(); err != nil {
+			r.err = err
+			return false
+		}
+		time.Sleep(span(r.rng, time.Millisecond, 700*time.Millisecond))
+	}
+	return true
+}
+
+// awaitServing measures from when the last process was back until both shares are served,
+// and half and all of their machines have spoken. It returns false if that takes too long.
+func (r *startRun) awaitServing(ctx context.Context, back time.Time) bool {
+	var serve, half, all time.Duration
+	if !until(ctx, 30*time.Second, func() bool {
+		shares, ok := r.farm.shares(ctx)
+		took := time.Since(back)
+		if !ok || len(shares) != 2 {
+			return false
+		}
+		unheard, total, serving := 0, 0, 0
+		for _, s := range shares {
+			unheard, total = unheard+s.Unheard, total+s.Machines
+			if s.Phase == "serving" {
+				serving++
+			}
+		}
+		first(&serve, took, serving == 2)
+		first(&half, took, 2*unheard <= total)
+		first(&all, took, unheard == 0)
+		return serve > 0 && half > 0 && all > 0
+	}) {
+		r.wrong = append(r.wrong, fmt.Sprintf("not squared 30 s after the processes were back (serving after %v, half after %v)", serve, half))
+		return false
+	}
+	r.serve, r.half, r.all = append(r.serve, serve), append(r.half, half), append(r.all, all)
+	return true
+}
+
+// first notes when something was so for the first time.
+func first(at *time.Duration, now time.Duration, is bool) {
+	if is && *at == 0 {
+		*at = now
+	}
+}
+
 // settled waits until users are told that all jobs but services are done, and says what
 // was wrong of what they were told and what machines ran; ended is how many tasks of
 // services ended.
--- a/cmd/lab/why.go
+++ b/cmd/lab/why.go
@@ -202,6 +202,35 @@
 // one builds a condition, holds what both nodes say to it, lifts it and waits for the
 // start.
 func (c *condition) one(ctx context.Context, f *farm, id string, r *whyResult) error {
+	if err := c.prepare(ctx, f, id); err != nil {
+		return err
+	}
+	nodes, undo, err := c.disturb(ctx, f, id, r)
+	if err != nil {
+		return err
+	}
+	defer undo()
+	for _, api := range nodes {
+		c.check(ctx, f, api, id, r)
+	}
+	f.procs[0].signal(syscall.SIGCONT)
+	if f.running(ctx, id) > 0 {
+		r.wrong = append(r.wrong, c.name+": started though it was said to wait")
+	}
+	if err := c.lift(ctx, f, id); err != nil {
+		return err
+	}
+	from := time.Now()
+	if !until(ctx, 60*time.Second, func() bool { return f.running(ctx, id) > 0 }) {
+		r.wrong = append(r.wrong, c.name+": not started after its release")
+	} else if c.name != "fails_everywhere" { // that waits for its next try, up to a minute
+		r.starts = append(r.starts, time.Since(from))
+	}
+	return c.restore(ctx, f, id)
+}
+
+// prepare submits the job that is to wait, amid what makes it wait.
+func (c *condition) prepare(ctx context.Context, f *farm, id string) error {
 	if c.rivals > 0 {
 		rival := condition{}
 		if err := f.submit(ctx, rivalOf(id), rival.submission(rivalOf(id), c.rivals, 600)); err != nil {
@@ -215,102 +244,104 @@
 		return err
 	}
 	time.Sleep(400 * time.Millisecond) // settings reach the nodes
-	if err := f.submit(ctx, id, c.submission(id, c.tasks, 600)); err != nil {
-		return err
-	}
-	ask := func(api string) (*node.Why, error) {
-		var w node.Why
-		from := time.Now()
-		status, out, err := f.call(ctx, "GET", api, "/admin/why/"+id, nil)
-		if err == nil {
-			r.told = append(r.told, time.Since(from))
-			if status != 200 {
-				return nil, fmt.Errorf("%d %s", status, out)
-			}
-			err = json.Unmarshal(out, &w)
-		}
-		return &w, err
-	}
-	nodes := f.apis
+	return f.submit(ctx, id, c.submission(id, c.tasks, 600))
+}
+
+// disturb stops the process that a condition is about, if it is about one. It returns the
+// nodes to be asked then, and what lets the process go on.
+func (c *condition) disturb(ctx context.Context, f *farm, id string, r *whyResult) (nodes []string, undo func(), err error) {
 	switch c.name {
 	case "state_service_down":
 		for _, api := range f.apis { // who does not know a job can't explain it in an outage
-			until(ctx, 5*time.Second, func() bool { w, err := ask(api); return err == nil && w.Waiting > 0 })
+			until(ctx, 5*time.Second, func() bool { w, err := f.why(ctx, api, id, r); return err == nil && w.Waiting > 0 })
 		}
 		f.procs[0].signal(syscall.SIGSTOP)
 		time.Sleep(3 * time.Second)
-		defer f.procs[0].signal(syscall.SIGCONT)
+		return f.apis, func() { f.procs[0].signal(syscall.SIGCONT) }, nil
 	case "holder_silent":
 		time.Sleep(500 * time.Millisecond)
-		w, err := ask(f.apis[0])
+		w, err := f.why(ctx, f.apis[0], id, r)
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
 		f.signal(syscall.SIGSTOP, w.Holder)
-		defer f.signal(syscall.SIGCONT, w.Holder)
 		nodes = f.apis[:1]
 		if w.Holder == "n-0" {
 			nodes = f.apis[1:]
 		}
+		return nodes, func() { f.signal(syscall.SIGCONT, w.Holder) }, nil
 	}
-	for _, api := range nodes {
-		var w *node.Why
-		var err error
-		is := func() bool {
-			w, err = ask(api)
-			if err != nil {
-				return false
-			}
-			for i, x := range w.Causes {
-				if x.Kind.String() == c.name {
-					return i == 0 || !c.binds
-				}
-			}
-			return false
-		}
-		// Looks are some hundred milliseconds apart; a mistake takes a few tries to show.
-		patience := 3 * time.Second
-		switch c.name {
-		case "fails_everywhere":
-			patience = 20 * time.Second
-		case "cloud_refused":
-			patience = 12 * time.Second
-		case "holder_silent":
-			patience = 1500 * time.Millisecond
-		}
-		r.checked++
-		if !until(ctx, patience, is) {
-			said := fmt.Sprint(err)
-			if w != nil {
-				data, _ := json.Marshal(w)
-				said = string(data)
-			}
-			r.wrong = append(r.wrong, fmt.Sprintf("%s: %s", c.name, said))
-			continue
+	return f.apis, func() {}, nil
+}
+
+// why asks a node why a job waits.
+func (f *farm) why(ctx context.Context, api, id string, r *whyResult) (*node.Why, error) {
+	var w node.Why
+	from := time.Now()
+	status, out, err := f.call(ctx, "GET", api, "/admin/why/"+id, nil)
+	if err == nil {
+		r.told = append(r.told, time.Since(from))
+		if status != 200 {
+			return nil, fmt.Errorf("%d %s", status, out)
 		}
-		switch {
-		case c.name == "holder_silent" && w.Unknown == "":
-			r.wrong = append(r.wrong, c.name+": not told as unknown")
-		case c.name != "holder_silent" && len(w.Release) == 0:
-			r.wrong = append(r.wrong, c.name+": nothing is told to release it")
-		case c.name == "state_service_down" && w.StateAge < 2:
-			r.wrong = append(r.wrong, fmt.Sprintf("%s: told as if it were %.1f s old", c.name, w.StateAge))
+		err = json.Unmarshal(out, &w)
+	}
+	return &w, err
+}
+
+// check holds what a node says to what was built.
+func (c *condition) check(ctx context.Context, f *farm, api, id string, r *whyResult) {
+	var w *node.Why
+	var err error
+	r.checked++
+	if !until(ctx, c.patience(), func() bool {
+		w, err = f.why(ctx, api, id, r)
+		return err == nil && c.toldBy(w)
+	}) {
+		said := fmt.Sprint(err)
+		if w != nil {
+			data, _ := json.Marshal(w)
+			said = string(data)
 		}
+		r.wrong = append(r.wrong, fmt.Sprintf("%s: %s", c.name, said))
+		return
 	}
-	f.procs[0].signal(syscall.SIGCONT)
-	if f.running(ctx, id) > 0 {
-		r.wrong = append(r.wrong, c.name+": started though it was said to wait")
+	switch {
+	case c.name == "holder_silent" && w.Unknown == "":
+		r.wrong = append(r.wrong, c.name+": not told as unknown")
+	case c.name != "holder_silent" && len(w.Release) == 0:
+		r.wrong = append(r.wrong, c.name+": nothing is told to release it")
+	case c.name == "state_service_down" && w.StateAge < 2:
+		r.wrong = append(r.wrong, fmt.Sprintf("%s: told as if it were %.1f s old", c.name, w.StateAge))
 	}
-	if err := c.lift(ctx, f, id); err != nil {
-		return err
+}
+
+// toldBy says whether an answer names the condition, first if it must be.
+func (c *condition) toldBy(w *node.Why) bool {
+	for i, cause := range w.Causes {
+		if cause.Kind.String() == c.name {
+			return i == 0 || !c.binds
+		}
 	}
-	from := time.Now()
-	if !until(ctx, 60*time.Second, func() bool { return f.running(ctx, id) > 0 }) {
-		r.wrong = append(r.wrong, c.name+": not started after its release")
-	} else if c.name != "fails_everywhere" { // that waits for its next try, up to a minute
-		r.starts = append(r.starts, time.Since(from))
+	return false
+}
+
+// patience is how long a node may take to name the condition. Looks are some hundred
+// milliseconds apart; a mistake takes a few tries to show.
+func (c *condition) patience() time.Duration {
+	switch c.name {
+	case "fails_everywhere":
+		return 20 * time.Second
+	case "cloud_refused":
+		return 12 * time.Second
+	case "holder_silent":
+		return 1500 * time.Millisecond
 	}
-	// Leave as it was found.
+	return 3 * time.Second
+}
+
+// restore leaves a farm as it was found.
+func (c *condition) restore(ctx context.Context, f *farm, id string) error {
 	for _, job := range []string{id, rivalOf(id)} {
 		f.call(ctx, "POST", f.apis[0], "/api/jobs/"+job+"/cancel", []byte("{}"))
 	}
