--- a/internal/coordination/statusread/queue.go
+++ b/internal/coordination/statusread/queue.go
@@ -48,8 +48,8 @@
 
 // Queue holds the open questions and the barriers under way.
 type Queue[V any] struct {
-	open         []*Read[V] // in the order of their arrival
-	inFlight     []*Barrier[V]
+	open         []*Read[V]    // in the order of their arrival
+	inFlight     []*Barrier[V] // in the order of their sending
 	lastSent     time.Time
 	lostInARow   int
 	responseTime Estimator
@@ -141,18 +141,13 @@
 // Expired closes and returns the questions whose patience is over, and gives up the barriers
 // that are as old.
 func (q *Queue[V]) Expired(now time.Time) []*Read[V] {
-	for _, b := range slices.Clone(q.inFlight) {
-		if now.Sub(b.sent) >= Patience {
-			q.Lost(b)
-		}
+	for len(q.inFlight) > 0 && now.Sub(q.inFlight[0].sent) >= Patience {
+		q.Lost(q.inFlight[0])
 	}
 	var expired []*Read[V]
-	for _, r := range slices.Clone(q.open) {
-		if now.Sub(r.asked) < Patience {
-			break
-		}
-		q.Close(r)
-		expired = append(expired, r)
+	for len(q.open) > 0 && now.Sub(q.open[0].asked) >= Patience {
+		expired = append(expired, q.open[0])
+		q.Close(q.open[0])
 	}
 	return expired
 }
