--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -67,9 +67,10 @@
 	rng     *rand.Rand
 
 	started   time.Time
-	contact   atomic.Int64 // when the last answered store call was sent, since started
-	holdWatch atomic.Int64 // how long a watch waits for changes
-	followed  uint64       // revision of the replica; read atomically by others
+	contact   atomic.Int64  // when the last answered store call was sent, since started
+	holdWatch atomic.Int64  // how long a watch waits for changes
+	catchUp   chan struct{} // ends the pause of the watch; see hastenWatch
+	followed  uint64        // revision of the replica; read atomically by others
 	inbox     chan func()
 	wg        sync.WaitGroup
 	ctx       context.Context
@@ -238,7 +239,7 @@
 		books:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, storage.Ordinary),
 		storing: map[*storage.Committer]int{},
 		rng:     rand.New(rand.NewPCG(seed, 1)),
-		started: time.Now(), inbox: make(chan func(), 1024),
+		started: time.Now(), inbox: make(chan func(), 1024), catchUp: make(chan struct{}, 1),
 		ver: map[string]uint64{}, orphans: map[string]protocol.Chunk{}, jobs: map[string]*job{}, finals: newFinalCache(50000),
 		machines: map[string]*machine{}, batches: map[string]*batch{}, teamOf: map[string]int{}, nodes: map[string]time.Time{},
 		types: map[string]*protocol.MachineType{}, dirty: map[*job]bool{}, starts: map[*machine]bool{}, tombs: map[string]struct{}{},
--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -758,6 +758,7 @@
 	w.settled = true
 	n.packing.busy = false
 	n.packing.stored = append(n.packing.stored, storedBatch{jobs: w.batch, revision: r.Epoch, until: time.Now().Add(mostWait)})
+	n.hastenWatch()
 }
 
 // lookForEntry reads what kept an entry from being stored. Without an answer that is the slot
--- a/internal/coordination/node/replica.go
+++ b/internal/coordination/node/replica.go
@@ -24,8 +24,12 @@
 	watchOften = time.Second
 )
 
-// watchPause bundles changes, so that a busy store costs few watch requests.
-const watchPause = 120 * time.Millisecond
+const (
+	// watchPause bundles changes, so that a busy store costs few watch requests.
+	watchPause = 120 * time.Millisecond
+	// watchRetry is how long after a watch that failed the next one is asked.
+	watchRetry = 300 * time.Millisecond
+)
 
 // keepReplica reads everything once and then follows the watch.
 func (n *Node) keepReplica(ctx context.Context) {
@@ -44,6 +48,7 @@
 		} else {
 			var items []storage.Item
 			var epoch uint64
+			n.forgetCatchUp() // this watch tells all that was stored before it was sent
 			items, epoch, err = n.store.Watch(ctx, protocol.Root, since, time.Duration(n.holdWatch.Load()))
 			switch {
 			case errors.Is(err, storage.ErrCompacted):
@@ -53,14 +58,41 @@
 				n.post(func() { n.follow(items, epoch); n.complete = later(n.complete, sent) })
 			}
 		}
-		wait := watchPause
-		if err != nil {
-			wait = 300 * time.Millisecond
-		}
+		n.awaitNextWatch(ctx, err)
+	}
+}
+
+// awaitNextWatch waits until the watch is to be asked again: after its pause, or at once if
+// something waits for what it tells.
+func (n *Node) awaitNextWatch(ctx context.Context, failed error) {
+	if failed != nil {
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-time.After(watchRetry):
 		}
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-n.catchUp:
+	case <-time.After(watchPause):
+	}
+}
+
+// hastenWatch ends the pause of the watch: a user, or a share that this node has just acquired,
+// waits for all that was stored up to a revision.
+func (n *Node) hastenWatch() {
+	select {
+	case n.catchUp <- struct{}{}:
+	default:
+	}
+}
+
+// forgetCatchUp drops a wish to end the pause of the watch.
+func (n *Node) forgetCatchUp() {
+	select {
+	case <-n.catchUp:
+	default:
 	}
 }
 
--- a/internal/coordination/node/shares.go
+++ b/internal/coordination/node/shares.go
@@ -96,6 +96,7 @@
 	s.acquired = nil
 	if h.Node == n.cfg.Node && h != s.holder && n.ver[protocol.HolderKey(s.index)] > n.caught {
 		s.acquired = &h
+		n.hastenWatch()
 		return
 	}
 	n.setHolder(s, h)
