--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"slices"
 	"strings"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/packed"
+	"dapplestage.example/dapplestage/internal/coordination/statusread"
 	"dapplestage.example/dapplestage/internal/protocol"
 	"dapplestage.example/dapplestage/internal/storage"
 )
@@ -648,6 +650,7 @@
 	batch   []*submission
 	sent    time.Time
 	settled bool // its submissions are answered, or wait for another entry
+	current bool // when it was sent, the replica had all that other nodes had accepted
 }
 
 // flushInbox stores the submissions that wait in one entry.
@@ -691,6 +694,7 @@
 	p.busy = true
 	write := &inboxWrite{op: op, batch: batch, sent: now}
 	p.write = write
+	n.compareInboxes(write)
 	n.asked++
 	op.Done = func(r storage.Result) {
 		n.post(func() {
@@ -757,8 +761,7 @@
 	}
 	w.settled = true
 	n.packing.busy = false
-	n.packing.stored = append(n.packing.stored, storedBatch{jobs: w.batch, revision: r.Epoch, until: time.Now().Add(mostWait)})
-	n.hastenWatch()
+	n.packing.stored = append(n.packing.stored, storedBatch{write: w, revision: r.Epoch, until: time.Now().Add(mostWait)})
 }
 
 // lookForEntry reads what kept an entry from being stored. Without an answer that is the slot
@@ -802,27 +805,55 @@
 	n.packing.waiting = append(again, n.packing.waiting...)
 }
 
+// compareInboxes finds out, while an entry is being stored, whether the replica has all that
+// other nodes have accepted; if not, the watch is to tell.
+func (n *Node) compareInboxes(w *inboxWrite) {
+	own, _ := n.inboxOf(n.cfg.Node).Next()
+	conds := slices.DeleteFunc(n.nextAccepted(), func(c storage.Cond) bool { return c.Key == protocol.InboxKey(n.cfg.Node, own) })
+	n.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, statusread.Patience)
+		defer cancel()
+		ok, _, _, err := n.store.Txn(ctx, conds, nil)
+		n.post(func() {
+			w.current = ok && err == nil
+			if !w.current {
+				n.hastenWatch()
+			}
+		})
+	})
+}
+
 // storedBatch are submissions that were stored in an entry of the inbox at a revision. Another
-// node may have accepted one of them before: that is known once the replica has that revision.
+// node may have accepted one of them before.
 type storedBatch struct {
-	jobs     []*submission
+	write    *inboxWrite
 	revision uint64
 	until    time.Time // when their users are told to come back instead
 }
 
-// confirmAccepted tells users that their jobs are accepted, once all that was stored before is
-// known. An entry could have a condition on the next slots of all other inboxes instead; in a
-// wave, when all nodes write entries all the time, most would fail on it.
+// knownBefore says whether the replica has all that other nodes had stored when the last of the
+// submissions came: who was told before then that one of them is accepted, was told of an entry
+// that is known. It has if it was compared with the store after that, if it is complete up to
+// the revision of their own entry, or if a watch that was sent after they came was answered.
+func (b *storedBatch) knownBefore(complete time.Time, caught uint64) bool {
+	return b.write.current || caught >= b.revision ||
+		!slices.ContainsFunc(b.write.batch, func(x *submission) bool { return complete.Before(x.at) })
+}
+
+// confirmAccepted tells users that their jobs are accepted, once all that was stored before they
+// asked is known. The entry itself could have conditions on the next slots of all other inboxes
+// instead; in a wave, when all nodes write entries all the time, most would fail on it, and
+// failed ones count against the rate of changes.
 func (n *Node) confirmAccepted(now time.Time) {
 	p := &n.packing
 	kept := p.stored[:0]
 	for _, b := range p.stored {
-		known := n.caught >= b.revision
+		known := b.knownBefore(n.complete, n.caught)
 		if !known && now.Before(b.until) {
 			kept = append(kept, b)
 			continue
 		}
-		for _, x := range b.jobs {
+		for _, x := range b.write.batch {
 			n.confirm(x, known)
 		}
 	}
