--- a/internal/coordination/ticket/admit.go
+++ b/internal/coordination/ticket/admit.go
@@ -23,6 +23,10 @@
 
 func never(format string, a ...any) error { return &Refusal{Why: fmt.Sprintf(format, a...)} }
 
+func malformed(format string, a ...any) error {
+	return &Refusal{Malformed: true, Why: fmt.Sprintf(format, a...)}
+}
+
 // Limits of what a ticket is stored in.
 type Limits struct {
 	ValueBytes int // of one stored value
@@ -49,73 +53,95 @@
 	}
 	plan, err := s.Template.Expand(s.Args)
 	if err != nil {
-		return nil, &Refusal{Malformed: true, Why: err.Error()}
+		return nil, malformed("%v", err)
 	}
 	if plan.Tasks > c.Tasks {
 		return nil, never("a ticket of %s may have %d tasks, this one has %d", c.Lot, c.Tasks, plan.Tasks)
 	}
 	if s.Pieces != nil && *s.Pieces != plan.Tasks {
-		return nil, &Refusal{Malformed: true, Why: fmt.Sprintf("pieces: %d, but the ticket has %d tasks", *s.Pieces, plan.Tasks)}
+		return nil, malformed("pieces: %d, but the ticket has %d tasks", *s.Pieces, plan.Tasks)
 	}
 	rec := &protocol.TicketRecord{Name: plan.Name}
 	if rec.Terms, err = c.grant(s); err != nil {
 		return nil, err
 	}
+	if rec.Base, err = c.base(s, plan.Tasks, rec.Terms.Urgency); err != nil {
+		return nil, err
+	}
+	for i, ps := range plan.Steps {
+		st, err := c.step(s, rec.Base, ps)
+		if err != nil {
+			return nil, err
+		}
+		rec.Steps = append(rec.Steps, st)
+		if data, err := json.Marshal(StepSpec(rec, i)); err != nil || len(data) > maxStepSpec {
+			return nil, malformed("step %s: its names are too long together: %d bytes, at most %d are stored", ps.Name, len(data), maxStepSpec)
+		}
+	}
+	return pack(s, rec, lim)
+}
+
+// base is what all steps of a ticket have in common: what the submission says, or else the
+// class.
+func (c Class) base(s *format.Submission, tasks int, urgency string) (*protocol.JobSpec, error) {
 	shape := cmp.Or(s.Shape, c.Shapes[0])
 	if !slices.Contains(c.Shapes, shape) {
 		return nil, never("shape: %s is not among those of %s: %s", shape, c.Lot, strings.Join(c.Shapes, ", "))
 	}
-	b := &protocol.JobSpec{ID: s.ID, Class: s.Lot, Team: s.Crew, Shape: shape, Priority: rec.Terms.Urgency, Tasks: plan.Tasks,
+	b := &protocol.JobSpec{ID: s.ID, Class: s.Lot, Team: s.Crew, Shape: shape, Priority: urgency, Tasks: tasks,
 		Image: c.Bundle, ImageGB: c.SizeGB, Types: s.Builds, Zone: s.Region, OneZone: s.Together, Spread: s.Scatter, Spot: c.Loaners,
 		EstimateS: cmp.Or(s.ExpectS, c.ExpectS), CheckpointS: s.SnapshotS, SaveS: s.StoreS, DeadlineS: s.DueS}
 	if s.Bundle != "" {
 		b.Image, b.ImageGB = s.Bundle, *s.SizeGB
 	}
 	if b.Image == "" {
-		return nil, &Refusal{Malformed: true, Why: "bundle: is missing, and its class has none"}
+		return nil, malformed("bundle: is missing, and its class has none")
 	}
 	if s.Loaners != nil {
 		b.Spot = *s.Loaners
 	}
 	b.CPUs, b.GPUs, b.MemoryGB = first(s.CPUs, c.VCPUs), first(s.GPUs, c.Cards), first(s.MemoryGB, c.MemGB)
-	rec.Base = b
-	for i, ps := range plan.Steps {
-		st := protocol.TicketStep{Name: ps.Name, Tasks: ps.Space.Len(), Deps: ps.Deps,
-			CPUs: first(ps.CPUs, b.CPUs), GPUs: first(ps.GPUs, b.GPUs), MemoryGB: first(ps.MemoryGB, b.MemoryGB), Types: ps.Builds, Zone: ps.Region}
-		if ps.Builds != nil && s.Builds != nil {
-			if st.Types = intersect(ps.Builds, s.Builds); st.Types == nil {
-				return nil, never("step %s: none of its machine types is among the submission's builds", ps.Name)
-			}
-		}
-		if ps.Region != "" && s.Region != "" && ps.Region != s.Region {
-			return nil, never("step %s: its region %s is not the submission's, %s", ps.Name, ps.Region, s.Region)
-		}
-		switch {
-		case st.CPUs == 0 && st.GPUs == 0 && st.MemoryGB == 0:
-			return nil, &Refusal{Malformed: true, Why: fmt.Sprintf("step %s: a task takes nothing; say so in its hostRequirements, the submission or the class", ps.Name)}
-		case c.MostVCPU > 0 && st.CPUs > c.MostVCPU:
-			return nil, never("step %s: %g vcpus a task, %s allows %g", ps.Name, st.CPUs, c.Lot, c.MostVCPU)
-		case c.MostGPU > 0 && st.GPUs > c.MostGPU:
-			return nil, never("step %s: %g cards a task, %s allows %g", ps.Name, st.GPUs, c.Lot, c.MostGPU)
-		}
-		rec.Steps = append(rec.Steps, st)
-		if data, err := json.Marshal(StepSpec(rec, i)); err != nil || len(data) > maxStepSpec {
-			return nil, &Refusal{Malformed: true, Why: fmt.Sprintf("step %s: its names are too long together: %d bytes, at most %d are stored", ps.Name, len(data), maxStepSpec)}
+	return b, nil
+}
+
+// step is what a step's tasks take, within what the submission and the class allow.
+func (c Class) step(s *format.Submission, base *protocol.JobSpec, ps format.PlanStep) (protocol.TicketStep, error) {
+	st := protocol.TicketStep{Name: ps.Name, Tasks: ps.Space.Len(), Deps: ps.Deps,
+		CPUs: first(ps.CPUs, base.CPUs), GPUs: first(ps.GPUs, base.GPUs), MemoryGB: first(ps.MemoryGB, base.MemoryGB), Types: ps.Builds, Zone: ps.Region}
+	if ps.Builds != nil && s.Builds != nil {
+		if st.Types = intersect(ps.Builds, s.Builds); st.Types == nil {
+			return st, never("step %s: none of its machine types is among the submission's builds", ps.Name)
 		}
 	}
-	a := &Admitted{ID: s.ID, Record: rec}
-	if a.Packed, err = s.Pack(); err != nil {
-		return nil, &Refusal{Malformed: true, Why: err.Error()}
+	if ps.Region != "" && s.Region != "" && ps.Region != s.Region {
+		return st, never("step %s: its region %s is not the submission's, %s", ps.Name, ps.Region, s.Region)
+	}
+	switch {
+	case st.CPUs == 0 && st.GPUs == 0 && st.MemoryGB == 0:
+		return st, malformed("step %s: a task takes nothing; say so in its hostRequirements, the submission or the class", ps.Name)
+	case c.MostVCPU > 0 && st.CPUs > c.MostVCPU:
+		return st, never("step %s: %g vcpus a task, %s allows %g", ps.Name, st.CPUs, c.Lot, c.MostVCPU)
+	case c.MostGPU > 0 && st.GPUs > c.MostGPU:
+		return st, never("step %s: %g cards a task, %s allows %g", ps.Name, st.GPUs, c.Lot, c.MostGPU)
+	}
+	return st, nil
+}
+
+// pack packs a ticket's template and arguments, and says whether what is to be stored fits.
+func pack(s *format.Submission, rec *protocol.TicketRecord, lim Limits) (*Admitted, error) {
+	packed, err := s.Pack()
+	if err != nil {
+		return nil, malformed("%v", err)
 	}
 	// Packed bytes are stored as base64; a record grows by what becomes of its steps.
-	if n, most := len(a.Packed)*4/3+64, lim.ValueBytes; n > most {
+	if n, most := len(packed)*4/3+64, lim.ValueBytes; n > most {
 		return nil, never("template: %d bytes even when packed, at most %d are stored", n, most)
 	}
 	data, err := json.Marshal(rec)
 	if n, most := len(data)+512+130*len(rec.Steps), lim.ValueBytes; err != nil || n > most {
 		return nil, never("steps: %d bytes with what will become of them, at most %d are stored", n, most)
 	}
-	return a, nil
+	return &Admitted{ID: s.ID, Record: rec, Packed: packed}, nil
 }
 
 func first(p *float64, otherwise float64) float64 {
