--- a/cmd/lab/tickets.go
+++ b/cmd/lab/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -143,10 +144,16 @@
 	}
 }
 
-// startFarm makes a farm, anew if another program took one of its ports meanwhile.
-func startFarm(ctx context.Context, bin, dir string, machines int, t times) (f *farm, err error) {
+// startFarm makes a farm without troubles of its own.
+func startFarm(ctx context.Context, bin, dir string, machines int, t times) (*farm, error) {
+	return startFarmOf(ctx, bin, dir, 0, farmRetries, machines, t)
+}
+
+// startFarmOf makes a farm whose machines do what a seed says (0: nothing bad), anew if
+// another program took one of its ports meanwhile.
+func startFarmOf(ctx context.Context, bin, dir string, seed uint64, retries, machines int, t times) (f *farm, err error) {
 	for try := range 3 {
-		if f, err = newFarm(ctx, bin, fmt.Sprintf("%s/%d", dir, try), 0, farmRetries, machines, t); err == nil {
+		if f, err = newFarm(ctx, bin, fmt.Sprintf("%s/%d", dir, try), seed, retries, machines, t); err == nil {
 			break
 		}
 		f.end()
@@ -451,45 +458,58 @@
 // play gives a farm the tickets and waits for their ends.
 func (f *farm) play(ctx context.Context, seed uint64, tickets []*farmTicket, carried bool) (map[string]*node.TicketStatus, []time.Duration, error) {
 	rng := rand.New(rand.NewPCG(seed, 12))
-	told := map[string]*node.TicketStatus{}
 	var accepts []time.Duration
 	for _, t := range tickets {
-		if err := uploadAll(ctx, f, t.body(false), len(t.steps)); err != nil {
+		took, err := f.give(ctx, rng, t, carried)
+		if err != nil {
 			return nil, nil, err
 		}
-		path := "/tickets"
-		if carried {
-			path = "/api/jobs"
-		}
-		came := time.Now()
-		for try := 0; ; try++ {
-			status, out, err := f.call(ctx, "POST", f.apis[rng.IntN(2)], path, t.body(carried))
-			if err == nil && (status == 200 || status == 201) {
-				break
-			}
-			if try > 60 || ctx.Err() != nil || err == nil && status < 500 {
-				return nil, nil, fmt.Errorf("%s: %d %s %v", t.name, status, out, err)
-			}
-			time.Sleep(time.Second)
-		}
-		accepts = append(accepts, time.Since(came))
-		if t.cancelled {
-			if status, out, err := f.call(ctx, "POST", f.apis[rng.IntN(2)], "/tickets/"+t.id+"/cancel", []byte("{}")); err != nil || status != 200 {
-				return nil, nil, fmt.Errorf("%s: cancel: %d %s %v", t.name, status, out, err)
-			}
-		}
+		accepts = append(accepts, took)
 	}
 	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		f.drainSome(ctx, rand.New(rand.NewPCG(seed, 13)), stop)
-	}()
+	var drains sync.WaitGroup
+	drains.Go(func() { f.drainSome(ctx, rand.New(rand.NewPCG(seed, 13)), stop) })
 	defer func() {
 		close(stop)
-		wg.Wait()
+		drains.Wait()
 	}()
+	told, err := f.awaitTickets(ctx, rng, tickets)
+	return told, accepts, err
+}
+
+// give submits a ticket, by itself or carried by an ordinary submission, until it is
+// accepted; took is how long that was. One that is to be cancelled is cancelled.
+func (f *farm) give(ctx context.Context, rng *rand.Rand, t *farmTicket, carried bool) (took time.Duration, err error) {
+	if err := uploadAll(ctx, f, t.body(false), len(t.steps)); err != nil {
+		return 0, err
+	}
+	path := "/tickets"
+	if carried {
+		path = "/api/jobs"
+	}
+	came := time.Now()
+	for try := 0; ; try++ {
+		status, out, err := f.call(ctx, "POST", f.apis[rng.IntN(2)], path, t.body(carried))
+		if err == nil && (status == 200 || status == 201) {
+			break
+		}
+		if try > 60 || ctx.Err() != nil || err == nil && status < 500 {
+			return 0, fmt.Errorf("%s: %d %s %v", t.name, status, out, err)
+		}
+		time.Sleep(time.Second)
+	}
+	took = time.Since(came)
+	if t.cancelled {
+		if status, out, err := f.call(ctx, "POST", f.apis[rng.IntN(2)], "/tickets/"+t.id+"/cancel", []byte("{}")); err != nil || status != 200 {
+			return 0, fmt.Errorf("%s: cancel: %d %s %v", t.name, status, out, err)
+		}
+	}
+	return took, nil
+}
+
+// awaitTickets asks until all tickets have ended and nothing of them runs.
+func (f *farm) awaitTickets(ctx context.Context, rng *rand.Rand, tickets []*farmTicket) (map[string]*node.TicketStatus, error) {
+	told := map[string]*node.TicketStatus{}
 	for deadline := time.Now().Add(120 * time.Second); ; time.Sleep(300 * time.Millisecond) {
 		open := 0
 		for _, t := range tickets {
@@ -500,51 +520,33 @@
 				continue
 			}
 			told[t.name] = &st
-			if st.Running > 0 || st.Status != protocol.JobDone && st.Status != protocol.JobFailed && st.Status != protocol.JobCancelled || slices.ContainsFunc(st.Steps, func(s node.StepStatus) bool { return s.Running > 0 }) {
+			if !ticketOver(&st) {
 				open++
 			}
 		}
 		if open == 0 {
-			return told, accepts, nil
+			return told, nil
 		}
 		if time.Now().After(deadline) || ctx.Err() != nil {
-			return told, accepts, fmt.Errorf("%d tickets did not end", open)
+			return told, fmt.Errorf("%d tickets did not end", open)
 		}
 	}
 }
 
+// ticketOver says whether a ticket has ended and nothing of it runs.
+func ticketOver(st *node.TicketStatus) bool {
+	ended := st.Status == protocol.JobDone || st.Status == protocol.JobFailed || st.Status == protocol.JobCancelled
+	return ended && st.Running == 0 && !slices.ContainsFunc(st.Steps, func(s node.StepStatus) bool { return s.Running > 0 })
+}
+
 // drainSome holds back one machine after another, as an operator does, and notes
 // starts on them.
 func (f *farm) drainSome(ctx context.Context, rng *rand.Rand, stop chan struct{}) {
-	set := func(names ...string) bool {
-		_, out, err := f.call(ctx, "GET", f.apis[0], "/admin/settings", nil)
-		var v struct{ Stamp uint64 }
-		if err != nil || json.Unmarshal(out, &v) != nil {
-			return false
-		}
-		body, _ := json.Marshal(map[string]any{"value": append([]string{}, names...), "stamp": v.Stamp})
-		status, _, err := f.call(ctx, "PUT", f.apis[0], "/admin/settings/held_back", body)
-		return err == nil && status == 200
-	}
 	for {
 		var list protocol.MachineList
 		_, out, err := f.call(ctx, "GET", f.cloud, "/hosts", nil)
 		if err == nil && json.Unmarshal(out, &list) == nil && len(list.Machines) > 0 {
-			m := list.Machines[rng.IntN(len(list.Machines))].ID
-			if set(m) {
-				from := time.Now().Add(1500 * time.Millisecond)
-				time.Sleep(3 * time.Second)
-				until := time.Now()
-				if events, err := readEvents(f.events); err == nil {
-					for _, e := range events {
-						// What was stored before the drain may still start; an image takes 0.15 s.
-						if at := time.Unix(0, e.At); e.Event == "start" && e.Machine == m && at.After(from) && at.Before(until) {
-							f.heldStart = append(f.heldStart, fmt.Sprintf("%s started on %s, which was held back", e.Task, m))
-						}
-					}
-				}
-				set()
-			}
+			f.drain(ctx, list.Machines[rng.IntN(len(list.Machines))].ID)
 		}
 		select {
 		case <-stop:
@@ -556,6 +558,37 @@
 	}
 }
 
+// drain holds a machine back for a while and notes starts on it.
+func (f *farm) drain(ctx context.Context, machine string) {
+	if !f.holdBack(ctx, machine) {
+		return
+	}
+	// What was stored before the drain may still start; an image takes 0.15 s.
+	from := time.Now().Add(1500 * time.Millisecond)
+	time.Sleep(3 * time.Second)
+	until := time.Now()
+	if events, err := readEvents(f.events); err == nil {
+		for _, e := range events {
+			if at := time.Unix(0, e.At); e.Event == "start" && e.Machine == machine && at.After(from) && at.Before(until) {
+				f.heldStart = append(f.heldStart, fmt.Sprintf("%s started on %s, which was held back", e.Task, machine))
+			}
+		}
+	}
+	f.holdBack(ctx)
+}
+
+// holdBack holds back these machines and no others; false if that was not stored.
+func (f *farm) holdBack(ctx context.Context, machines ...string) bool {
+	_, out, err := f.call(ctx, "GET", f.apis[0], "/admin/settings", nil)
+	var v struct{ Stamp uint64 }
+	if err != nil || json.Unmarshal(out, &v) != nil {
+		return false
+	}
+	body, _ := json.Marshal(map[string]any{"value": append([]string{}, machines...), "stamp": v.Stamp})
+	status, _, err := f.call(ctx, "PUT", f.apis[0], "/admin/settings/held_back", body)
+	return err == nil && status == 200
+}
+
 // farmResult is what a run showed.
 type farmResult struct {
 	lines   int
@@ -567,91 +600,102 @@
 	err     error
 }
 
+// wayResult is what one of the two ways showed.
+type wayResult struct {
+	lines   []string
+	events  []farmEvent
+	accepts []time.Duration
+	broken  []string
+	err     error
+}
+
+// playWay plays tickets one way, on a farm of its own.
+func playWay(ctx context.Context, bin, dir string, seed uint64, tickets []*farmTicket, retries int, carried bool) (r wayResult) {
+	f, err := startFarmOf(ctx, bin, dir, seed, retries, 24, farmTimes)
+	defer f.end()
+	if err != nil {
+		return wayResult{err: err}
+	}
+	told, accepts, err := f.play(ctx, seed, tickets, carried)
+	if err != nil {
+		return wayResult{err: err}
+	}
+	r = wayResult{accepts: accepts, broken: f.heldStart}
+	if r.events, r.err = readEvents(f.events); r.err != nil {
+		return r
+	}
+	for _, t := range tickets {
+		lines, err := t.lines(told[t.name], r.events)
+		if err != nil {
+			r.err = err
+			return r
+		}
+		r.lines = append(r.lines, lines...)
+	}
+	return r
+}
+
 // compareWays plays the same tickets both ways. doorRetries is what the class of the
 // second farm allows: other than the first's it is a side door, which must be found.
 func compareWays(ctx context.Context, bin, dir string, seed uint64, doorRetries int) *farmResult {
-	r := &farmResult{}
 	tickets := drawTickets(seed)
-	var lines [2][]string
-	var fails [2]error
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for way := range 2 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			retries := farmRetries
-			if way == 1 {
-				retries = doorRetries
-			}
-			var f *farm
-			var err error
-			for try := range 3 { // another program may take a port first
-				if f, err = newFarm(ctx, bin, filepath.Join(dir, fmt.Sprintf("way-%d-%d", way, try)), seed, retries, 24, farmTimes); err == nil {
-					break
-				}
-				f.end()
-			}
-			defer f.end()
-			if err != nil {
-				fails[way] = err
-				return
-			}
-			told, accepts, err := f.play(ctx, seed, tickets, way == 1)
-			if err != nil {
-				fails[way] = err
-				return
-			}
-			events, err := readEvents(f.events)
-			if err != nil {
-				fails[way] = err
-				return
-			}
-			for _, t := range tickets {
-				ls, err := t.lines(told[t.name], events)
-				if err != nil {
-					fails[way] = err
-					return
-				}
-				lines[way] = append(lines[way], ls...)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			r.accepts = append(r.accepts, accepts...)
-			r.broken = append(r.broken, f.heldStart...)
-			for _, e := range events {
-				switch e.Event {
-				case "start":
-					r.starts++
-				case "error":
-					r.errors++
-				case "end":
-					r.lost++
-				}
-			}
-		}()
+	var ways [2]wayResult
+	var both sync.WaitGroup
+	for i, retries := range []int{farmRetries, doorRetries} {
+		both.Go(func() {
+			ways[i] = playWay(ctx, bin, filepath.Join(dir, fmt.Sprint("way-", i)), seed, tickets, retries, i == 1)
+		})
+	}
+	both.Wait()
+	r := &farmResult{}
+	for _, w := range ways {
+		r.take(w)
 	}
-	wg.Wait()
-	for _, err := range fails {
-		if err != nil {
-			r.err = err
-			return r
+	if r.err != nil {
+		return r
+	}
+	want, err := expectedLines(seed, tickets)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	r.lines = len(want)
+	r.broken = append(r.broken, compare("tickets", "ordinary", ways[0].lines, ways[1].lines)...)
+	r.broken = append(r.broken, compare("tickets", "the seed", ways[0].lines, want)...)
+	return r
+}
+
+// take adds up what a way showed.
+func (r *farmResult) take(w wayResult) {
+	if w.err != nil {
+		r.err = cmp.Or(r.err, w.err)
+		return
+	}
+	r.accepts = append(r.accepts, w.accepts...)
+	r.broken = append(r.broken, w.broken...)
+	for _, e := range w.events {
+		switch e.Event {
+		case "start":
+			r.starts++
+		case "error":
+			r.errors++
+		case "end":
+			r.lost++
 		}
 	}
-	var want []string
+}
+
+// expectedLines are what the seed says of all tickets.
+func expectedLines(seed uint64, tickets []*farmTicket) (lines []string, err error) {
 	plan := standin.NewFarm(seed)
 	for _, t := range tickets {
-		ls, err := t.expected(plan)
+		expected, err := t.expected(plan)
 		if err != nil {
-			r.err = err
-			return r
+			return nil, err
 		}
-		want = append(want, ls...)
+		lines = append(lines, expected...)
 	}
-	r.lines = len(want)
-	r.broken = append(r.broken, compare("tickets", "ordinary", lines[0], lines[1])...)
-	r.broken = append(r.broken, compare("tickets", "the seed", lines[0], want)...)
-	return r
+	return lines, nil
 }
 
 func ticketsProof() *cobra.Command {
--- a/cmd/lab/why.go
+++ b/cmd/lab/why.go
@@ -358,14 +358,7 @@
 	rng.Shuffle(len(cs), func(i, k int) { cs[i], cs[k] = cs[k], cs[i] })
 	for i := range cs {
 		// A farm for each: machines of the one before must not serve the next.
-		var f *farm
-		var err error
-		for try := range 3 {
-			if f, err = newFarm(ctx, bin, fmt.Sprintf("%s/%d-%d", dir, i, try), 0, farmRetries, 24, whyTimes); err == nil {
-				break
-			}
-			f.end()
-		}
+		f, err := startFarm(ctx, bin, fmt.Sprintf("%s/%d", dir, i), 24, whyTimes)
 		if err == nil {
 			time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
 			err = cs[i].one(ctx, f, fmt.Sprintf("job-%d", 100+i), r)
