--- a/internal/protocol/ticket/submission.go
+++ b/internal/protocol/ticket/submission.go
@@ -105,56 +105,17 @@
 			r.fail(v, path, "must be job- and 1 to 32 digits")
 		}
 	}
-	name := func(field string, needed bool) string {
-		v, path := f.get(field)
-		switch {
-		case v != nil:
-			return r.str(v, path, 1, 200, false)
-		case needed:
-			r.fail(f.v, path, "is missing")
-		}
-		return ""
-	}
-	s.Lot, s.Crew, s.Bundle, s.Region = name("lot", true), name("crew", true), name("bundle", false), name("region", false)
+	s.Lot, s.Crew, s.Bundle, s.Region = f.label("lot", true), f.label("crew", true), f.label("bundle", false), f.label("region", false)
 	s.Shape = f.oneOf("shape", "", protocol.Array, protocol.Gang, protocol.Service)
 	s.Urgency = f.oneOf("urgency", "", "critical", "high", "standard", "best_effort")
-	amount := func(field string) *float64 {
-		v, path := f.get(field)
-		if v == nil {
-			return nil
-		}
-		x, err := strconv.ParseFloat(v.text, 64)
-		if v.kind != integer && v.kind != float || err != nil || !(x >= 0) || x > 1e9 || math.IsInf(x, 0) {
-			r.fail(v, path, "must be a number from 0 to 1000000000")
-		}
-		return &x
-	}
-	plain := func(p *float64) float64 {
-		if p == nil {
-			return 0
-		}
-		return *p
-	}
-	flag := func(field string) *bool {
-		v, path := f.get(field)
-		if v == nil {
-			return nil
-		}
-		if v.kind != boolean {
-			r.fail(v, path, "must be true or false")
-		}
-		b := v.text == "true"
-		return &b
-	}
-	is := func(p *bool) bool { return p != nil && *p }
-	s.CPUs, s.GPUs, s.MemoryGB, s.SizeGB = amount("vcpus"), amount("cards"), amount("memGb"), amount("sizeGb")
+	s.CPUs, s.GPUs, s.MemoryGB, s.SizeGB = f.optAmount("vcpus"), f.optAmount("cards"), f.optAmount("memGb"), f.optAmount("sizeGb")
 	if s.Bundle != "" && s.SizeGB == nil {
 		r.fail(f.v, "sizeGb", "is missing beside bundle")
 	} else if s.Bundle == "" && s.SizeGB != nil {
 		r.fail(f.v, "bundle", "is missing beside sizeGb")
 	}
-	s.Together, s.Scatter, s.Loaners = is(flag("together")), is(flag("scatter")), flag("loaners")
-	s.ExpectS, s.SnapshotS, s.StoreS, s.DueS = plain(amount("expectS")), plain(amount("snapshotS")), plain(amount("storeS")), amount("dueS")
+	s.Together, s.Scatter, s.Loaners = orZero(f.optBool("together")), orZero(f.optBool("scatter")), f.optBool("loaners")
+	s.ExpectS, s.SnapshotS, s.StoreS, s.DueS = orZero(f.optAmount("expectS")), orZero(f.optAmount("snapshotS")), orZero(f.optAmount("storeS")), f.optAmount("dueS")
 	if v, path := f.get("builds"); v != nil {
 		for i, it := range r.list(v, path, 1, 64) {
 			s.Builds = append(s.Builds, r.str(it, at(path, i), 1, 64, false))
@@ -165,6 +126,52 @@
 	}
 }
 
+// label reads a short text.
+func (f *fields) label(field string, needed bool) string {
+	v, path := f.get(field)
+	switch {
+	case v != nil:
+		return f.r.str(v, path, 1, 200, false)
+	case needed:
+		f.r.fail(f.v, path, "is missing")
+	}
+	return ""
+}
+
+// optAmount reads a number that is not negative; nil if it is not given.
+func (f *fields) optAmount(field string) *float64 {
+	v, path := f.get(field)
+	if v == nil {
+		return nil
+	}
+	x, err := strconv.ParseFloat(v.text, 64)
+	if v.kind != integer && v.kind != float || err != nil || !(x >= 0) || x > 1e9 || math.IsInf(x, 0) {
+		f.r.fail(v, path, "must be a number from 0 to 1000000000")
+	}
+	return &x
+}
+
+// optBool reads true or false; nil if it is not given.
+func (f *fields) optBool(field string) *bool {
+	v, path := f.get(field)
+	if v == nil {
+		return nil
+	}
+	if v.kind != boolean {
+		f.r.fail(v, path, "must be true or false")
+	}
+	b := v.text == "true"
+	return &b
+}
+
+// orZero is what p points to, or the zero value for nil.
+func orZero[T any](p *T) (v T) {
+	if p != nil {
+		v = *p
+	}
+	return v
+}
+
 // readTicket reads the template and what users know from submitting one.
 func (s *Submission) readTicket(r *reader, f *fields) {
 	form := f.oneOf("templateType", "", "JSON", "YAML")
--- a/internal/protocol/ticket/template.go
+++ b/internal/protocol/ticket/template.go
@@ -471,53 +471,18 @@
 	f.need("type")
 	p.Type = f.oneOf("type", "", parameterTypes...)
 	p.Description = f.optStr("description", maxDescribed, true)
-	number := p.Type == "INT" || p.Type == "FLOAT"
-	bound := func(name string) *string {
-		v, path := f.get(name)
-		if v == nil {
-			return nil
-		}
-		s, err := scalar(p.Type, v)
-		if err != nil {
-			r.fail(v, path, "%v", err)
-		}
-		return &s
-	}
-	if number {
-		p.Min, p.Max = bound("minValue"), bound("maxValue")
-		if p.Min != nil && p.Max != nil && r.err == nil && less(p.Type, *p.Max, *p.Min) {
-			r.fail(v, path+".maxValue", "%s is below minValue %s", *p.Max, *p.Min)
-		}
-	} else if p.Type != "" {
-		p.MinLength, p.MaxLength = f.optInt("minLength", 0, maxParameterValue), f.optInt("maxLength", 1, maxParameterValue)
-		if p.MinLength != nil && p.MaxLength != nil && *p.MinLength > *p.MaxLength {
-			r.fail(v, path+".maxLength", "%d is below minLength %d", *p.MaxLength, *p.MinLength)
-		}
-	}
+	r.bounds(f, &p)
 	if p.Type == "PATH" {
 		p.ObjectType = f.oneOf("objectType", "", "FILE", "DIRECTORY")
 		p.DataFlow = f.oneOf("dataFlow", "", "NONE", "IN", "OUT", "INOUT")
 	}
 	if v, path := f.get("allowedValues"); v != nil {
 		for i, it := range r.list(v, path, 1, maxList) {
-			s, err := scalar(p.Type, it)
-			if err == nil {
-				err = p.check(s, false)
-			}
-			if err != nil {
-				r.fail(it, at(path, i), "%v", err)
-			}
-			p.Allowed = append(p.Allowed, s)
+			p.Allowed = append(p.Allowed, r.checked(&p, it, at(path, i), false))
 		}
 	}
 	if v, path := f.get("default"); v != nil {
-		s, err := scalar(p.Type, v)
-		if err == nil {
-			err = p.check(s, true)
-		}
-		if err != nil {
-			r.fail(v, path, "%v", err)
-		}
+		s := r.checked(&p, v, path, true)
 		p.Default = &s
 	}
 	if v, path := f.get("userInterface"); v != nil {
@@ -528,6 +493,47 @@
 	return p
 }
 
+// bounds reads the least and the greatest value of a number, or length of a text.
+func (r *reader) bounds(f *fields, p *Parameter) {
+	switch p.Type {
+	case "":
+	case "INT", "FLOAT":
+		p.Min, p.Max = r.bound(f, "minValue", p.Type), r.bound(f, "maxValue", p.Type)
+		if p.Min != nil && p.Max != nil && r.err == nil && less(p.Type, *p.Max, *p.Min) {
+			r.fail(f.v, f.path+".maxValue", "%s is below minValue %s", *p.Max, *p.Min)
+		}
+	default:
+		p.MinLength, p.MaxLength = f.optInt("minLength", 0, maxParameterValue), f.optInt("maxLength", 1, maxParameterValue)
+		if p.MinLength != nil && p.MaxLength != nil && *p.MinLength > *p.MaxLength {
+			r.fail(f.v, f.path+".maxLength", "%d is below minLength %d", *p.MaxLength, *p.MinLength)
+		}
+	}
+}
+
+func (r *reader) bound(f *fields, name, typ string) *string {
+	v, path := f.get(name)
+	if v == nil {
+		return nil
+	}
+	s, err := scalar(typ, v)
+	if err != nil {
+		r.fail(v, path, "%v", err)
+	}
+	return &s
+}
+
+// checked reads a value of a parameter and holds it to the parameter's definition.
+func (r *reader) checked(p *Parameter, v *value, path string, allowed bool) string {
+	s, err := scalar(p.Type, v)
+	if err == nil {
+		err = p.check(s, allowed)
+	}
+	if err != nil {
+		r.fail(v, path, "%v", err)
+	}
+	return s
+}
+
 // maxParameterValue is the longest value of a job parameter.
 const maxParameterValue = 1024
 
@@ -647,50 +653,14 @@
 	f := r.object(v, path)
 	h := &Host{}
 	names := map[string]bool{}
-	name := func(f *fields, known []string) string {
-		v, path := f.need("name")
-		s := r.str(v, path, 1, 100, false)
-		if s != "" && !slices.Contains(known, s) {
-			r.fail(v, path, "%s is not supported; of %s", clip(s), strings.Join(known, ", "))
-		}
-		if names[s] {
-			r.fail(v, path, "%s is named twice", clip(s))
-		}
-		names[s] = true
-		return s
-	}
 	if v, path := f.get("amounts"); v != nil {
 		for i, it := range r.list(v, path, 1, 50) {
-			a := r.object(it, at(path, i))
-			am := Amount{Name: name(a, amounts)}
-			v, path := a.need("min")
-			x, err := strconv.ParseFloat(v.text, 64)
-			if v.kind != null && (v.kind != integer && v.kind != float || err != nil || !(x >= 0) || x > 1e6) {
-				r.fail(v, path, "must be a number from 0 to 1000000")
-			}
-			am.Min = x
-			a.done()
-			h.Amounts = append(h.Amounts, am)
+			h.Amounts = append(h.Amounts, r.amount(it, at(path, i), names))
 		}
 	}
 	if v, path := f.get("attributes"); v != nil {
 		for i, it := range r.list(v, path, 1, 50) {
-			a := r.object(it, at(path, i))
-			at := Attribute{Name: name(a, attributes)}
-			values := func(name string) (out []string) {
-				if v, path := a.get(name); v != nil {
-					for i, it := range r.list(v, path, 1, 50) {
-						out = append(out, r.format(it, fmt.Sprintf("%s[%d]", path, i), 1, 100, false, scope{}))
-					}
-				}
-				return out
-			}
-			at.AnyOf, at.AllOf = values("anyOf"), values("allOf")
-			if at.AnyOf == nil && at.AllOf == nil {
-				r.fail(it, a.path, "anyOf or allOf is needed")
-			}
-			a.done()
-			h.Attributes = append(h.Attributes, at)
+			h.Attributes = append(h.Attributes, r.attribute(it, at(path, i), names))
 		}
 	}
 	if h.Amounts == nil && h.Attributes == nil {
@@ -700,6 +670,52 @@
 	return h
 }
 
+// hostName reads the name of a requirement, one of those known, which none before has.
+func (r *reader) hostName(f *fields, known []string, names map[string]bool) string {
+	v, path := f.need("name")
+	s := r.str(v, path, 1, 100, false)
+	if s != "" && !slices.Contains(known, s) {
+		r.fail(v, path, "%s is not supported; of %s", clip(s), strings.Join(known, ", "))
+	}
+	if names[s] {
+		r.fail(v, path, "%s is named twice", clip(s))
+	}
+	names[s] = true
+	return s
+}
+
+func (r *reader) amount(it *value, path string, names map[string]bool) Amount {
+	f := r.object(it, path)
+	a := Amount{Name: r.hostName(f, amounts, names)}
+	v, vpath := f.need("min")
+	x, err := strconv.ParseFloat(v.text, 64)
+	if v.kind != null && (v.kind != integer && v.kind != float || err != nil || !(x >= 0) || x > 1e6) {
+		r.fail(v, vpath, "must be a number from 0 to 1000000")
+	}
+	a.Min = x
+	f.done()
+	return a
+}
+
+func (r *reader) attribute(it *value, path string, names map[string]bool) Attribute {
+	f := r.object(it, path)
+	a := Attribute{Name: r.hostName(f, attributes, names)}
+	values := func(name string) (out []string) {
+		if v, path := f.get(name); v != nil {
+			for i, it := range r.list(v, path, 1, 50) {
+				out = append(out, r.format(it, at(path, i), 1, 100, false, scope{}))
+			}
+		}
+		return out
+	}
+	a.AnyOf, a.AllOf = values("anyOf"), values("allOf")
+	if a.AnyOf == nil && a.AllOf == nil {
+		r.fail(it, f.path, "anyOf or allOf is needed")
+	}
+	f.done()
+	return a
+}
+
 func (r *reader) space(v *value, path string) *SpaceDef {
 	f := r.object(v, path)
 	s := &SpaceDef{}
@@ -835,69 +851,75 @@
 func (r *reader) script(v *value, path, prefix string, task map[string]bool, actions ...string) Script {
 	f := r.object(v, path)
 	s := Script{}
-	files := map[string]bool{}
-	sc := scope{onWorker: true, task: task, files: files}
+	sc := scope{onWorker: true, task: task, files: map[string]bool{}}
 	if v, path := f.get("embeddedFiles"); v != nil {
 		items := r.list(v, path, 1, maxFiles)
 		for i, it := range items { // their names first: they may name one another
-			if name, _ := r.object(it, at(path, i)).get("name"); name != nil {
-				if key := prefix + "." + name.text; files[key] {
-					r.fail(name, at(path, i)+".name", "file %s is defined twice", clip(name.text))
-				} else {
-					files[key] = true
-				}
-			}
+			r.fileName(it, at(path, i), prefix, sc.files)
 		}
 		for i, it := range items {
-			f := r.object(it, at(path, i))
-			file := File{Name: f.identifier("name")}
-			f.need("type")
-			file.Type = f.oneOf("type", "", "TEXT")
-			file.Filename = f.optStr("filename", maxName, false)
-			if strings.ContainsAny(file.Filename, `/\`) || file.Filename == "." || file.Filename == ".." {
-				r.fail(it, at(path, i)+".filename", "%s is not a plain file name", clip(file.Filename))
-			}
-			d, dpath := f.need("data")
-			file.Data = r.format(d, dpath, 1, maxString, true, sc)
-			if v, path := f.get("runnable"); v != nil {
-				if v.kind != boolean {
-					r.fail(v, path, "must be true or false")
-				}
-				file.Runnable = v.text == "true"
-			}
-			f.done()
-			s.Files = append(s.Files, file)
-		}
-	}
-	acts, apath := f.need("actions")
-	if acts.kind != null {
-		a := r.object(acts, apath)
-		any := false
-		for _, name := range actions {
-			v, path := a.get(name)
-			if v == nil {
-				continue
-			}
-			any = true
-			act := r.action(v, path, sc)
-			switch name {
-			case "onRun":
-				s.Actions.Run = act
-			case "onEnter":
-				s.Actions.Enter = act
-			case "onExit":
-				s.Actions.Exit = act
-			}
-		}
-		if !any {
-			r.fail(acts, apath, "one of %s is needed", strings.Join(actions, ", "))
+			s.Files = append(s.Files, r.file(it, at(path, i), sc))
 		}
-		a.done()
+	}
+	if v, path := f.need("actions"); v.kind != null {
+		s.Actions = r.actions(v, path, sc, actions)
 	}
 	f.done()
 	return s
 }
 
+// fileName notes the name of an embedded file, which none before has.
+func (r *reader) fileName(it *value, path, prefix string, files map[string]bool) {
+	name, _ := r.object(it, path).get("name")
+	if name == nil {
+		return
+	}
+	key := prefix + "." + name.text
+	if files[key] {
+		r.fail(name, path+".name", "file %s is defined twice", clip(name.text))
+	}
+	files[key] = true
+}
+
+func (r *reader) file(it *value, path string, sc scope) File {
+	f := r.object(it, path)
+	file := File{Name: f.identifier("name")}
+	f.need("type")
+	file.Type = f.oneOf("type", "", "TEXT")
+	file.Filename = f.optStr("filename", maxName, false)
+	if strings.ContainsAny(file.Filename, `/\`) || file.Filename == "." || file.Filename == ".." {
+		r.fail(it, path+".filename", "%s is not a plain file name", clip(file.Filename))
+	}
+	d, dpath := f.need("data")
+	file.Data = r.format(d, dpath, 1, maxString, true, sc)
+	if v, path := f.get("runnable"); v != nil {
+		if v.kind != boolean {
+			r.fail(v, path, "must be true or false")
+		}
+		file.Runnable = v.text == "true"
+	}
+	f.done()
+	return file
+}
+
+// actions reads those actions of a script that it may have, of which it needs one.
+func (r *reader) actions(v *value, path string, sc scope, names []string) (out Actions) {
+	f := r.object(v, path)
+	into := map[string]**Action{"onRun": &out.Run, "onEnter": &out.Enter, "onExit": &out.Exit}
+	any := false
+	for _, name := range names {
+		if v, path := f.get(name); v != nil {
+			any = true
+			*into[name] = r.action(v, path, sc)
+		}
+	}
+	if !any {
+		r.fail(v, path, "one of %s is needed", strings.Join(names, ", "))
+	}
+	f.done()
+	return out
+}
+
 func (r *reader) action(v *value, path string, sc scope) *Action {
 	f := r.object(v, path)
 	a := &Action{}
