--- a/internal/storage/segments/segments.go
+++ b/internal/storage/segments/segments.go
@@ -210,70 +210,118 @@
 // txnBytes keeps a transaction below the service's 64 KiB.
 const txnBytes = 48 << 10
 
-// writeSome makes one transaction of as many entries as fit, and of the oldest
-// segments' live entries while there are too many segments.
-func (l *Log) writeSome(ctx context.Context, entries []Entry) (int, error) {
-	var segs [][]Entry
-	var cur []Entry
-	used, total, n := 0, 0, 0
-	mostOps := max(1, l.lim.TxnOps-2)
-	add := func(e Entry) bool {
-		s := size(&e)
-		if used+s > l.room() && len(cur) > 0 {
-			if len(segs)+2 > mostOps {
-				return false
-			}
-			segs = append(segs, cur)
-			cur, used = nil, 0
-		}
-		if total+s > txnBytes && total > 0 {
+// batch is what one transaction will write: new segments, and old ones to be deleted.
+type batch struct {
+	log     *Log
+	done    [][]Entry // full segments
+	current []Entry   // the segment being filled
+	used    int       // bytes of current
+	total   int       // bytes of all
+	keys    map[string]bool
+	drop    []uint64
+}
+
+// add takes an entry in; false if the transaction has no room for it.
+func (b *batch) add(e Entry) bool {
+	s := size(&e)
+	if b.used+s > b.log.room() && len(b.current) > 0 {
+		if len(b.done)+2 > max(1, b.log.lim.TxnOps-2) {
 			return false
 		}
-		cur, used, total = append(cur, e), used+s, total+s
-		return true
+		b.done = append(b.done, b.current)
+		b.current, b.used = nil, 0
 	}
-	for n < len(entries) && add(entries[n]) {
-		n++
+	if b.total+s > txnBytes && b.total > 0 {
+		return false
 	}
-	var drop []uint64
-	inBatch := map[string]bool{}
-	for _, e := range entries[:n] {
-		inBatch[e.Key] = true
+	b.current, b.used, b.total = append(b.current, e), b.used+s, b.total+s
+	b.keys[e.Key] = true
+	return true
+}
+
+// fits says whether the transaction has room for the current segment and one more deletion.
+func (b *batch) fits() bool { return len(b.done)+1+len(b.drop)+1 <= b.log.lim.TxnOps }
+
+// mostDropped is how many segments one transaction deletes at the most.
+const mostDropped = 4
+
+// compact moves the live entries of the oldest segments into the transaction, and deletes
+// those segments, while there are too many.
+func (b *batch) compact() {
+	l := b.log
+	for victim := l.oldest; l.tooMany(len(b.drop)) && len(b.drop) < mostDropped && victim < l.next; victim++ {
+		if _, ok := l.inSeg[victim]; ok && !b.move(victim) {
+			return
+		}
 	}
-	for victim := l.oldest; n == len(entries) && l.tooMany(len(drop)) && len(drop) < 4 && victim < l.next; victim++ {
-		if _, ok := l.inSeg[victim]; !ok {
+}
+
+// move takes in the live entries of a segment, to be deleted; false if they do not fit.
+func (b *batch) move(victim uint64) bool {
+	before := *b
+	fits := b.fits()
+	var moved []string
+	for _, k := range b.log.inSeg[victim] {
+		v := b.log.live[k]
+		if !fits || v.seg != victim || b.keys[k] {
 			continue
 		}
-		before, beforeUsed, beforeTotal, beforeSegs := len(cur), used, total, len(segs)
-		fits := len(segs)+1+len(drop)+1 <= l.lim.TxnOps
-		for _, k := range l.inSeg[victim] {
-			if v := l.live[k]; fits && v.seg == victim && !inBatch[k] {
-				if fits = add(Entry{Key: k, Value: v.value}); fits {
-					inBatch[k] = true
-				}
-			}
+		if fits = b.add(Entry{Key: k, Value: v.value}); fits {
+			moved = append(moved, k)
 		}
-		if !fits || len(segs)+1+len(drop)+1 > l.lim.TxnOps {
-			if len(segs) == beforeSegs { // what was added of it does no harm; it stays
-				cur, used, total = cur[:before], beforeUsed, beforeTotal
-			}
-			break
+	}
+	if fits && b.fits() {
+		b.drop = append(b.drop, victim)
+		return true
+	}
+	if len(b.done) == len(before.done) { // what was added of it does no harm; it stays
+		b.current, b.used, b.total = before.current, before.used, before.total
+		for _, k := range moved {
+			delete(b.keys, k)
 		}
-		drop = append(drop, victim)
 	}
-	if len(cur) > 0 {
-		segs = append(segs, cur)
+	return false
+}
+
+// segments are the new segments' entries.
+func (b *batch) segments() [][]Entry {
+	if len(b.current) == 0 {
+		return b.done
 	}
-	if len(segs)+len(drop) == 0 {
+	return append(b.done, b.current)
+}
+
+// writeSome makes one transaction of as many entries as fit, and of the oldest
+// segments' live entries while there are too many segments.
+func (l *Log) writeSome(ctx context.Context, entries []Entry) (int, error) {
+	b := &batch{log: l, keys: map[string]bool{}}
+	n := 0
+	for n < len(entries) && b.add(entries[n]) {
+		n++
+	}
+	if n == len(entries) {
+		b.compact()
+	}
+	segs := b.segments()
+	if len(segs)+len(b.drop) == 0 {
 		return n, nil
 	}
+	if err := l.commitBatch(ctx, segs, b.drop); err != nil {
+		return 0, err
+	}
+	l.written(segs, b.drop)
+	return n, nil
+}
+
+// commitBatch stores new segments and deletes old ones.
+func (l *Log) commitBatch(ctx context.Context, segs [][]Entry, drop []uint64) error {
 	conds := []storage.Cond{{Key: fenceKey, Stamp: l.stamp}}
 	var writes []storage.Write
 	for i, s := range segs {
 		key := segKey(l.next + uint64(i))
 		v, err := json.Marshal(stored{version, s})
 		if err != nil {
-			return 0, err
+			return err
 		}
 		conds = append(conds, storage.Cond{Key: key})
 		writes = append(writes, storage.Write{Put: key, Value: v})
@@ -281,9 +329,11 @@
 	for _, d := range drop {
 		writes = append(writes, storage.Write{Delete: segKey(d)})
 	}
-	if err := l.commit(ctx, conds, writes); err != nil {
-		return 0, err
-	}
+	return l.commit(ctx, conds, writes)
+}
+
+// written takes in what was stored and deleted.
+func (l *Log) written(segs [][]Entry, drop []uint64) {
 	for i, s := range segs {
 		seg := l.next + uint64(i)
 		l.inSeg[seg] = nil
@@ -301,7 +351,6 @@
 		}
 		l.oldest++
 	}
-	return n, nil
 }
 
 // tooMany says whether there are more segments than twice what the live entries
