--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -95,78 +95,109 @@
 	}
 }
 
-// run owns who is served and who waits.
+// admission is who is served and who waits; the routine of run owns it.
+type admission struct {
+	front   *Front
+	waiting []*frontConn // of the many
+	young   int          // of the many: in their first request
+	ready   bool
+	second  time.Time // in which early connections are counted
+	early   int
+}
+
+// run admits connections until the front ends.
 func (f *Front) run() {
 	defer close(f.out)
-	var waiting []*frontConn
-	young := 0
-	ready := false
-	var second time.Time // in which early connections are counted
-	early := 0
-	serve := func(c *frontConn) bool {
-		select {
-		case f.out <- c:
-			return true
-		case <-f.done:
-			c.Close()
-			return false
-		}
-	}
+	a := &admission{front: f}
 	for {
+		goesOn := true
 		select {
 		case <-f.done:
-			for _, c := range waiting {
-				c.Conn.Close()
-			}
+			a.closeWaiting()
 			return
 		case <-f.ready:
-			ready = true
+			a.ready = true
 		case <-f.grown:
-			if len(waiting) == 0 {
-				young--
-				continue
-			}
-			next := waiting[0]
-			waiting[0] = nil
-			waiting = waiting[1:]
-			if !serve(next) {
-				return
-			}
+			goesOn = a.serveNext()
 		case c, ok := <-f.in:
 			if !ok {
 				return
 			}
-			if now := time.Now(); !ready && now.Sub(second) >= time.Second {
-				second, early = now, 0
-			}
-			early++
-			many := ready && f.many(fromOf(c))
-			wait := many && young >= f.limits.Young
-			open := f.limits.Open
-			if many {
-				open = open * 9 / 10 // the rest is for all others
-			}
-			if f.limits.Open > 0 && f.Open() >= open || !ready && early > f.limits.Early || wait && len(waiting) >= f.limits.Waiting {
-				f.closed.Add(1)
-				c.Close()
-				continue
-			}
-			f.open.Add(1)
-			fc := &frontConn{Conn: c, f: f, many: many}
-			if wait {
-				waiting = append(waiting, fc)
-				continue
-			}
-			if many {
-				young++
-			}
-			if !serve(fc) {
-				return
-			}
+			goesOn = a.admit(c, time.Now())
+		}
+		if !goesOn {
+			return
 		}
 	}
 }
 
+func (a *admission) closeWaiting() {
+	for _, c := range a.waiting {
+		c.Conn.Close()
+	}
+}
+
+// serveNext serves the one that waits longest in the place of one that has grown. Like serve
+// it returns false if the front has ended.
+func (a *admission) serveNext() bool {
+	if len(a.waiting) == 0 {
+		a.young--
+		return true
+	}
+	next := a.waiting[0]
+	a.waiting[0] = nil
+	a.waiting = a.waiting[1:]
+	return a.serve(next)
+}
+
+// serve hands a connection to the server.
+func (a *admission) serve(c *frontConn) bool {
+	select {
+	case a.front.out <- c:
+		return true
+	case <-a.front.done:
+		c.Close()
+		return false
+	}
+}
+
+// admit serves a new connection, lets it wait or closes it.
+func (a *admission) admit(c net.Conn, now time.Time) bool {
+	f := a.front
+	if !a.ready && now.Sub(a.second) >= time.Second {
+		a.second, a.early = now, 0
+	}
+	a.early++
+	many := a.ready && f.many(fromOf(c))
+	wait := many && a.young >= f.limits.Young
+	if a.tooMany(many, wait) {
+		f.closed.Add(1)
+		c.Close()
+		return true
+	}
+	f.open.Add(1)
+	fc := &frontConn{Conn: c, f: f, many: many}
+	if wait {
+		a.waiting = append(a.waiting, fc)
+		return true
+	}
+	if many {
+		a.young++
+	}
+	return a.serve(fc)
+}
+
+// tooMany says whether a new connection, one of the many or one that would wait, is to be
+// closed at once.
+func (a *admission) tooMany(many, wait bool) bool {
+	l := a.front.limits
+	open := l.Open
+	if many {
+		open = open * 9 / 10 // the rest is for all others
+	}
+	return l.Open > 0 && a.front.Open() >= open || !a.ready && a.early > l.Early || wait && len(a.waiting) >= l.Waiting
+}
+
 // Ready ends the time in which nothing can be answered yet and only a few connections a
 // second are let through.
 func (f *Front) Ready() {
