--- a/internal/coordination/gateway/api.go
+++ b/internal/coordination/gateway/api.go
@@ -24,23 +24,7 @@
 	reg := prometheus.NewRegistry()
 	m := newMeters(reg, d)
 	reg.MustRegister(extra...)
-	r.POST("/api/jobs", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		data, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody+1))
-		var s *protocol.JobSpec
-		if err == nil {
-			s, err = protocol.ParseJob(data)
-		}
-		if err != nil {
-			reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
-			return
-		}
-		stored, err := json.Marshal(s)
-		if err != nil {
-			reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
-			return
-		}
-		d.serve(w, r, m, Request{Kind: Submit, ID: s.ID, Spec: s, Body: stored, NowMS: uint64(time.Now().UnixMilli())})
-	})
+	r.POST("/api/jobs", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) { d.postJob(w, r, m) })
 	r.GET("/api/jobs/:id", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		d.serve(w, r, m, Request{Kind: Poll, ID: p.ByName("id")})
 	})
@@ -48,37 +32,58 @@
 		io.Copy(io.Discard, io.LimitReader(r.Body, protocol.MaxBody))
 		d.serve(w, r, m, Request{Kind: Cancel, ID: p.ByName("id")})
 	})
-	r.GET("/ready", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		if s, ok := d.Status(r); ok && s.Majority && s.Store == "ok" {
-			reply(w, http.StatusOK, 0, struct{}{})
-			return
-		}
-		reply(w, http.StatusServiceUnavailable, 1, errorBody{"no majority of members is heard, or the store can't be written"})
-	})
+	r.GET("/ready", d.getReady)
 	r.GET("/admin/gateway/status", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		if s, ok := d.Status(r); ok {
 			reply(w, http.StatusOK, 0, s)
 		}
 	})
-	r.GET("/admin/gateway/jobs/:id", func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-		type found struct {
-			v  JobView
-			ok bool
-		}
-		f, ok := ask(d, r.Context(), func() found { v, ok := d.core.view(p.ByName("id")); return found{v, ok} })
-		switch {
-		case !ok:
-		case !f.ok:
-			reply(w, http.StatusNotFound, 0, errorBody{"this member knows no such job"})
-		default:
-			reply(w, http.StatusOK, 0, f.v)
-		}
-	})
+	r.GET("/admin/gateway/jobs/:id", d.getJobView)
 	r.PUT("/admin/gateway/drained", d.putDrained)
 	r.Handler("GET", "/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{DisableCompression: true, MaxRequestsInFlight: 2}))
 	return r
 }
 
+func (d *Daemon) postJob(w http.ResponseWriter, r *http.Request, m *meters) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody+1))
+	var s *protocol.JobSpec
+	if err == nil {
+		s, err = protocol.ParseJob(data)
+	}
+	var stored []byte
+	if err == nil {
+		stored, err = json.Marshal(s)
+	}
+	if err != nil {
+		reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
+		return
+	}
+	d.serve(w, r, m, Request{Kind: Submit, ID: s.ID, Spec: s, Body: stored, NowMS: uint64(time.Now().UnixMilli())})
+}
+
+func (d *Daemon) getReady(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if s, ok := d.Status(r); ok && s.Majority && s.Store == "ok" {
+		reply(w, http.StatusOK, 0, struct{}{})
+		return
+	}
+	reply(w, http.StatusServiceUnavailable, 1, errorBody{"no majority of members is heard, or the store can't be written"})
+}
+
+func (d *Daemon) getJobView(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	type found struct {
+		v  JobView
+		ok bool
+	}
+	f, ok := ask(d, r.Context(), func() found { v, ok := d.core.view(p.ByName("id")); return found{v, ok} })
+	switch {
+	case !ok:
+	case !f.ok:
+		reply(w, http.StatusNotFound, 0, errorBody{"this member knows no such job"})
+	default:
+		reply(w, http.StatusOK, 0, f.v)
+	}
+}
+
 type errorBody struct {
 	Error string `json:"error"`
 }
