--- a/cmd/dapplestage/report.go
+++ b/cmd/dapplestage/report.go
@@ -443,28 +443,9 @@
 	}
 	out.Node = p.Node
 	var b textBuffer
-	for _, r := range p.Rows {
-		if r.Job != a.Job {
-			continue
-		}
-		fmt.Fprintf(&b, "%s  %s\n\nteam %s, class %s, %s, image %s\n", r.Job, r.State, r.Team, r.Class, r.Shape, r.Image)
-		if r.Ticket != "" {
-			fmt.Fprintf(&b, "a step of ticket %s\n", r.Ticket)
-		}
-		fmt.Fprintf(&b, "%d tasks: %d done, %d running, %d starting, %d waiting, %d failed\n", r.Tasks, r.Done, r.Running, r.Starting, r.Waiting, r.Failed)
-		fmt.Fprintf(&b, "submitted %s ago", time.Since(time.UnixMilli(r.Submitted)).Round(time.Second))
-		if r.Since > 0 {
-			fmt.Fprintf(&b, ", %s for %s", r.State, time.Since(time.UnixMilli(r.Since)).Round(time.Second))
-		}
-		fmt.Fprintf(&b, "\nlost %d runs; saved up to %.0f s; in %s on %s\n", r.Lost, r.SavedS, strings.Join(r.Zones, ", "), strings.Join(r.Machines, ", "))
-		if r.Why != "" {
-			fmt.Fprintf(&b, "%s\n", r.Why)
-		}
-		for i, e := range r.Story {
-			if i == 0 {
-				fmt.Fprintf(&b, "\nas %s saw it:\n", r.Node)
-			}
-			fmt.Fprintf(&b, "  %s  %s\n", time.UnixMilli(e.AtMS).UTC().Format("15:04:05"), e.Text)
+	for i := range p.Rows {
+		if p.Rows[i].Job == a.Job {
+			printRow(&b, &p.Rows[i])
 		}
 	}
 	var w node.Why
@@ -479,3 +460,27 @@
 	out.Job = strings.Split(strings.TrimRight(string(b), "\n"), "\n")
 	return out
 }
+
+// printRow writes all that a row tells of a job.
+func printRow(b io.Writer, r *ledger.Row) {
+	fmt.Fprintf(b, "%s  %s\n\nteam %s, class %s, %s, image %s\n", r.Job, r.State, r.Team, r.Class, r.Shape, r.Image)
+	if r.Ticket != "" {
+		fmt.Fprintf(b, "a step of ticket %s\n", r.Ticket)
+	}
+	fmt.Fprintf(b, "%d tasks: %d done, %d running, %d starting, %d waiting, %d failed\n", r.Tasks, r.Done, r.Running, r.Starting, r.Waiting, r.Failed)
+	fmt.Fprintf(b, "submitted %s ago", time.Since(time.UnixMilli(r.Submitted)).Round(time.Second))
+	if r.Since > 0 {
+		fmt.Fprintf(b, ", %s for %s", r.State, time.Since(time.UnixMilli(r.Since)).Round(time.Second))
+	}
+	fmt.Fprintf(b, "\nlost %d runs; saved up to %.0f s; in %s on %s\n", r.Lost, r.SavedS, strings.Join(r.Zones, ", "), strings.Join(r.Machines, ", "))
+	if r.Why != "" {
+		fmt.Fprintf(b, "%s\n", r.Why)
+	}
+	for i, e := range r.Story {
+		if i == 0 {
+			fmt.Fprintf(b, "\nas %s saw it:\n", r.Node)
+		}
+		fmt.Fprintf(b, "  %s  %s\n", time.UnixMilli(e.AtMS).UTC().Format("15:04:05"), e.Text)
+	}
+
+}
--- a/cmd/dapplestage/ticket.go
+++ b/cmd/dapplestage/ticket.go
@@ -103,78 +103,102 @@
 	First    [][]format.Binding `json:"first_tasks,omitempty"`
 }
 
+// checkFlags are those of `ticket check`.
+type checkFlags struct {
+	show       int // tasks of each step to be written out
+	asTemplate bool
+}
+
 func (f *ticketFlags) check() *cobra.Command {
-	var show int
-	var asTemplate bool
+	var flags checkFlags
 	c := f.command("check FILE", "Expand a template and show its steps, tasks and requirements", cobra.ExactArgs(1), false, func(cmd *cobra.Command, args []string) error {
-		if asTemplate {
-			t, _, err := f.template(args[0])
-			if err != nil {
-				return err
-			}
-			data, err := t.Print()
-			if err == nil {
-				fmt.Fprintln(cmd.OutOrStdout(), string(data))
-			}
-			return err
-		}
-		if show < 0 || show > format.MaxTasks {
-			return fmt.Errorf("%w: --show %d is not within 0 to %d", errUsage, show, format.MaxTasks)
-		}
-		given, err := f.args()
-		if err != nil {
-			return err
-		}
-		t, _, err := f.template(args[0])
-		if err != nil {
-			return err
-		}
-		plan, err := t.Expand(given)
-		if err != nil {
-			return fmt.Errorf("%s: %w", args[0], err)
-		}
-		var steps []checkedStep
-		for _, s := range plan.Steps {
-			v := checkedStep{Step: s.Name, Tasks: s.Space.Len(), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Builds: s.Builds, Region: s.Region}
-			for _, d := range s.Deps {
-				v.After = append(v.After, plan.Steps[d].Name)
-			}
-			for i := range min(show, v.Tasks) {
-				v.First = append(v.First, s.Space.At(i))
-			}
-			steps = append(steps, v)
-		}
-		if f.asJSON {
-			return printJSON(cmd.OutOrStdout(), map[string]any{"name": plan.Name, "tasks": plan.Tasks, "steps": steps})
-		}
-		out := cmd.OutOrStdout()
-		fmt.Fprintf(out, "%s: %d tasks in %d steps\n\n", plan.Name, plan.Tasks, len(steps))
-		w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-		fmt.Fprintln(w, "STEP\tTASKS\tVCPUS\tCARDS\tMEM GB\tMACHINES\tREGION\tAFTER")
-		number := func(p *float64) string {
-			if p == nil {
-				return "class"
-			}
-			return strconv.FormatFloat(*p, 'g', 4, 64)
+		if flags.asTemplate {
+			return f.printTemplate(cmd.OutOrStdout(), args[0])
 		}
-		for _, s := range steps {
-			fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", s.Step, s.Tasks, number(s.CPUs), number(s.GPUs), number(s.MemoryGB),
-				orAny(strings.Join(s.Builds, ",")), orAny(s.Region), strings.Join(s.After, ", "))
-		}
-		w.Flush()
-		for _, s := range steps {
-			for i, t := range s.First {
-				fmt.Fprintf(out, "%s/%d:%s\n", s.Step, i, bindings(t))
-			}
-		}
-		return nil
+		return f.printPlan(cmd.OutOrStdout(), args[0], flags.show)
 	})
 	c.Flags().StringArrayVar(&f.params, "param", nil, "a job parameter, as NAME=VALUE; may be repeated")
-	c.Flags().IntVar(&show, "show", 0, "write out so many tasks of each step")
-	c.Flags().BoolVar(&asTemplate, "template", false, "print the checked template as JSON instead")
+	c.Flags().IntVar(&flags.show, "show", 0, "write out so many tasks of each step")
+	c.Flags().BoolVar(&flags.asTemplate, "template", false, "print the checked template as JSON instead")
 	return c
 }
 
+func (f *ticketFlags) printTemplate(out io.Writer, path string) error {
+	t, _, err := f.template(path)
+	if err != nil {
+		return err
+	}
+	data, err := t.Print()
+	if err == nil {
+		fmt.Fprintln(out, string(data))
+	}
+	return err
+}
+
+// printPlan shows what a template expands to.
+func (f *ticketFlags) printPlan(out io.Writer, path string, show int) error {
+	if show < 0 || show > format.MaxTasks {
+		return fmt.Errorf("%w: --show %d is not within 0 to %d", errUsage, show, format.MaxTasks)
+	}
+	given, err := f.args()
+	if err != nil {
+		return err
+	}
+	t, _, err := f.template(path)
+	if err != nil {
+		return err
+	}
+	plan, err := t.Expand(given)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	steps := checkedSteps(plan, show)
+	if f.asJSON {
+		return printJSON(out, map[string]any{"name": plan.Name, "tasks": plan.Tasks, "steps": steps})
+	}
+	fmt.Fprintf(out, "%s: %d tasks in %d steps\n\n", plan.Name, plan.Tasks, len(steps))
+	printSteps(out, steps)
+	return nil
+}
+
+// checkedSteps are a plan's steps, with the first tasks of each.
+func checkedSteps(plan *format.Plan, show int) (steps []checkedStep) {
+	for _, s := range plan.Steps {
+		v := checkedStep{Step: s.Name, Tasks: s.Space.Len(), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Builds: s.Builds, Region: s.Region}
+		for _, d := range s.Deps {
+			v.After = append(v.After, plan.Steps[d].Name)
+		}
+		for i := range min(show, v.Tasks) {
+			v.First = append(v.First, s.Space.At(i))
+		}
+		steps = append(steps, v)
+	}
+	return steps
+}
+
+func printSteps(out io.Writer, steps []checkedStep) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "STEP\tTASKS\tVCPUS\tCARDS\tMEM GB\tMACHINES\tREGION\tAFTER")
+	for _, s := range steps {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", s.Step, s.Tasks, orClass(s.CPUs), orClass(s.GPUs), orClass(s.MemoryGB),
+			orAny(strings.Join(s.Builds, ",")), orAny(s.Region), strings.Join(s.After, ", "))
+	}
+	w.Flush()
+	for _, s := range steps {
+		for i, t := range s.First {
+			fmt.Fprintf(out, "%s/%d:%s\n", s.Step, i, bindings(t))
+		}
+	}
+}
+
+// orClass is an amount, or that the class says it.
+func orClass(amount *float64) string {
+	if amount == nil {
+		return "class"
+	}
+	return strconv.FormatFloat(*amount, 'g', 4, 64)
+}
+
 func orAny(s string) string {
 	if s == "" {
 		return "any"
@@ -207,46 +231,24 @@
 	MostFailed *int        `json:"maxFailedTasksCount,omitempty"`
 }
 
+// submitFlags are those of `ticket submit`; what is not given is not sent.
+type submitFlags struct {
+	ticket                    submission
+	sizeGB                    float64
+	priority, retries, failed int
+	upload                    string
+	watch                     bool
+}
+
 func (f *ticketFlags) submit() *cobra.Command {
-	var s submission
-	var sizeGB float64
-	var priority, retries, failed int
-	var upload string
-	var watch bool
+	s := &submitFlags{}
 	c := f.command("submit FILE", "Submit a template as a ticket; repeating it submits nothing again", cobra.ExactArgs(1), true, func(cmd *cobra.Command, args []string) error {
-		for flag, v := range map[string]string{"--lot": s.Lot, "--crew": s.Crew, "--id or --token": s.ID + s.Token} {
-			if v == "" {
-				return fmt.Errorf("%w: %s is needed", errUsage, flag)
-			}
-		}
-		var err error
-		if s.Args, err = f.args(); err != nil {
-			return err
-		}
-		_, data, err := f.template(args[0])
+		body, err := f.body(s, args[0], cmd.Flags().Changed)
 		if err != nil {
 			return err
 		}
-		s.Template = string(data)
-		set := cmd.Flags().Changed
-		if set("size-gb") {
-			s.SizeGB = &sizeGB
-		}
-		if set("priority") {
-			s.Priority = &priority
-		}
-		if set("retries") {
-			s.Retries = &retries
-		}
-		if set("most-failed") {
-			s.MostFailed = &failed
-		}
-		body, err := json.Marshal(s)
-		if err != nil {
-			return err
-		}
-		if upload != "" {
-			if err := f.upload(cmd.Context(), upload, body); err != nil {
+		if s.upload != "" {
+			if err := f.upload(cmd.Context(), s.upload, body); err != nil {
 				return err
 			}
 		}
@@ -254,26 +256,58 @@
 		if err != nil {
 			return err
 		}
-		return f.show(cmd, st, watch)
+		return f.show(cmd, st, s.watch)
 	})
-	fl := c.Flags()
-	fl.StringVar(&s.ID, "id", "", "the ticket's id: job- and digits")
-	fl.StringVar(&s.Token, "token", "", "any text of at most 64 characters that names the ticket; its id is derived from it and the crew")
-	fl.StringVar(&s.Lot, "lot", "", "the class of the ticket")
-	fl.StringVar(&s.Crew, "crew", "", "the team")
-	fl.StringVar(&s.Urgency, "urgency", "", "critical, high, standard or best_effort")
-	fl.StringVar(&s.Bundle, "bundle", "", "the image, if not the class's")
-	fl.Float64Var(&sizeGB, "size-gb", 0, "its size in GB")
-	fl.Float64Var(&s.ExpectS, "expect-s", 0, "expected run time of a task in seconds")
+	fl, t := c.Flags(), &s.ticket
+	fl.StringVar(&t.ID, "id", "", "the ticket's id: job- and digits")
+	fl.StringVar(&t.Token, "token", "", "any text of at most 64 characters that names the ticket; its id is derived from it and the crew")
+	fl.StringVar(&t.Lot, "lot", "", "the class of the ticket")
+	fl.StringVar(&t.Crew, "crew", "", "the team")
+	fl.StringVar(&t.Urgency, "urgency", "", "critical, high, standard or best_effort")
+	fl.StringVar(&t.Bundle, "bundle", "", "the image, if not the class's")
+	fl.Float64Var(&s.sizeGB, "size-gb", 0, "its size in GB")
+	fl.Float64Var(&t.ExpectS, "expect-s", 0, "expected run time of a task in seconds")
 	fl.StringArrayVar(&f.params, "param", nil, "a job parameter, as NAME=VALUE; may be repeated")
-	fl.IntVar(&priority, "priority", 50, "0 to 100, if no urgency is given")
-	fl.IntVar(&retries, "retries", 0, "how often a failed task may be tried again")
-	fl.IntVar(&failed, "most-failed", 0, "how many failed tasks the ticket survives")
-	fl.StringVar(&upload, "upload", "", "where descriptions are uploaded for the workers, as IP:PORT")
-	fl.BoolVar(&watch, "watch", false, "wait for the end")
+	fl.IntVar(&s.priority, "priority", 50, "0 to 100, if no urgency is given")
+	fl.IntVar(&s.retries, "retries", 0, "how often a failed task may be tried again")
+	fl.IntVar(&s.failed, "most-failed", 0, "how many failed tasks the ticket survives")
+	fl.StringVar(&s.upload, "upload", "", "where descriptions are uploaded for the workers, as IP:PORT")
+	fl.BoolVar(&s.watch, "watch", false, "wait for the end")
 	return c
 }
 
+// body is the body of POST /tickets for a template. given says whether a flag was given.
+func (f *ticketFlags) body(s *submitFlags, path string, given func(flag string) bool) ([]byte, error) {
+	t := &s.ticket
+	for flag, v := range map[string]string{"--lot": t.Lot, "--crew": t.Crew, "--id or --token": t.ID + t.Token} {
+		if v == "" {
+			return nil, fmt.Errorf("%w: %s is needed", errUsage, flag)
+		}
+	}
+	var err error
+	if t.Args, err = f.args(); err != nil {
+		return nil, err
+	}
+	_, data, err := f.template(path)
+	if err != nil {
+		return nil, err
+	}
+	t.Template = string(data)
+	if given("size-gb") {
+		t.SizeGB = &s.sizeGB
+	}
+	if given("priority") {
+		t.Priority = &s.priority
+	}
+	if given("retries") {
+		t.Retries = &s.retries
+	}
+	if given("most-failed") {
+		t.MostFailed = &s.failed
+	}
+	return json.Marshal(t)
+}
+
 // send submits until the ticket is taken or refused: a repeat is the same ticket.
 func (f *ticketFlags) send(ctx context.Context, body []byte) (*node.TicketStatus, error) {
 	client := transport.NewClient(f.addr, 0)
