--- a/cmd/lab/load.go
+++ b/cmd/lab/load.go
@@ -50,6 +50,20 @@
 	Turned    int     `json:"turned_away"`
 }
 
+// loadResult are the figures of a measurement.
+type loadResult struct {
+	Runs     int     `json:"runs"`
+	Broken   int     `json:"broken"`
+	Seed     int     `json:"seed"`
+	Clients  int     `json:"clients"`
+	Rate     int     `json:"state_changes_per_s"`
+	Straight way     `json:"straight_to_one_site"`
+	Through  way     `json:"through_the_gateway"`
+	Ratio    float64 `json:"through_over_straight"`
+	Changes  float64 `json:"changes_per_job_and_site"`
+	Journal  int64   `json:"journal_bytes"`
+}
+
 func loadGateway(ctx context.Context, out io.Writer, seconds, clients, rate int) error {
 	bin, err := build(ctx)
 	if err != nil {
@@ -68,80 +82,86 @@
 		return err
 	}
 	defer w.end()
-	var next atomic.Int64
-	measure := func(addrs []string) way {
-		hist := hdrhistogram.New(1, 60_000_000, 3)
-		var mu sync.Mutex
-		var r way
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(seconds)*time.Second)
-		defer cancel()
-		var wg sync.WaitGroup
-		for i := range clients {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				for ctx.Err() == nil {
-					id := fmt.Sprintf("job-%09d", next.Add(1))
-					body := submission(id, "red", 1, 1)
-					begun := time.Now()
-					code, _, _, err := w.call(ctx, "POST", addrs[i%len(addrs)], "/api/jobs", body)
-					took := time.Since(begun)
-					mu.Lock()
-					if err == nil && code == 201 {
-						r.Accepted++
-						hist.RecordValue(took.Microseconds())
-					} else if err == nil {
-						r.Turned++
-					}
-					mu.Unlock()
-					if code != 201 {
-						time.Sleep(100 * time.Millisecond)
-					}
-				}
-			}()
-		}
-		wg.Wait()
-		r.PerSecond = float64(r.Accepted) / float64(seconds)
-		r.Median, r.P99 = float64(hist.ValueAtQuantile(50))/1000, float64(hist.ValueAtQuantile(99))/1000
-		return r
-	}
-	straight := measure(w.sites[0].apis)
+	load := &jobLoad{world: w, lasts: time.Duration(seconds) * time.Second, clients: clients}
+	straight := load.measure(ctx, w.sites[0].apis)
 	time.Sleep(2 * time.Second)
-	through := measure([]string{w.gateAPI})
+	through := load.measure(ctx, []string{w.gateAPI})
 	time.Sleep(2 * time.Second)
-	// The daemons' logs number their segments: so many changes did the registers cost.
-	changes := 0.0
+	changes, err := w.registerChanges(ctx)
+	if err != nil {
+		return err
+	}
+	st, _ := os.Stat(filepath.Join(w.dir, "gate.journal"))
+	res := loadResult{Runs: 1, Clients: clients, Rate: rate, Straight: straight, Through: through, Journal: st.Size()}
+	if through.Accepted > 0 {
+		res.Changes = changes / 2 / float64(through.Accepted)
+	}
+	if straight.PerSecond > 0 {
+		res.Ratio = through.PerSecond / straight.PerSecond
+	}
+	return figures(out, res)
+}
+
+// jobLoad is clients that submit one job after the other.
+type jobLoad struct {
+	world   *world
+	lasts   time.Duration
+	clients int
+	next    atomic.Int64 // number of the last job
+}
+
+// measure submits at some addresses for a while.
+func (l *jobLoad) measure(ctx context.Context, addrs []string) way {
+	hist := hdrhistogram.New(1, 60_000_000, 3) // in microseconds
+	var mu sync.Mutex
+	var r way
+	ctx, cancel := context.WithTimeout(ctx, l.lasts)
+	defer cancel()
+	note := func(code int, err error, took time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err == nil && code == 201 {
+			r.Accepted++
+			hist.RecordValue(took.Microseconds())
+		} else if err == nil {
+			r.Turned++
+		}
+	}
+	var all sync.WaitGroup
+	for i := range l.clients {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				body := submission(fmt.Sprintf("job-%09d", l.next.Add(1)), "red", 1, 1)
+				begun := time.Now()
+				code, _, _, err := l.world.call(ctx, "POST", addrs[i%len(addrs)], "/api/jobs", body)
+				note(code, err, time.Since(begun))
+				if code != 201 {
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+		})
+	}
+	all.Wait()
+	r.PerSecond = float64(r.Accepted) / l.lasts.Seconds()
+	r.Median, r.P99 = float64(hist.ValueAtQuantile(50))/1000, float64(hist.ValueAtQuantile(99))/1000
+	return r
+}
+
+// registerChanges is how many changes the registers have cost both sites. The daemons' logs
+// number their segments.
+func (w *world) registerChanges(ctx context.Context) (changes float64, err error) {
 	for _, s := range w.sites {
 		var page struct {
 			Items []struct{ Path string }
 		}
 		if err := w.get(ctx, s.stateAddr, "/store?under=g/s/", &page); err != nil || len(page.Items) == 0 {
-			return fmt.Errorf("the log of %s can't be read: %v", s.name, err)
+			return 0, fmt.Errorf("the log of %s can't be read: %v", s.name, err)
 		}
 		var last uint64
 		fmt.Sscanf(page.Items[len(page.Items)-1].Path, "g/s/%x", &last)
 		changes += float64(last)
 	}
-	st, _ := os.Stat(filepath.Join(w.dir, "gate.journal"))
-	res := struct {
-		Runs     int     `json:"runs"`
-		Broken   int     `json:"broken"`
-		Seed     int     `json:"seed"`
-		Clients  int     `json:"clients"`
-		Rate     int     `json:"state_changes_per_s"`
-		Straight way     `json:"straight_to_one_site"`
-		Through  way     `json:"through_the_gateway"`
-		Ratio    float64 `json:"through_over_straight"`
-		Changes  float64 `json:"changes_per_job_and_site"`
-		Journal  int64   `json:"journal_bytes"`
-	}{Runs: 1, Clients: clients, Rate: rate, Straight: straight, Through: through, Journal: st.Size()}
-	if through.Accepted > 0 {
-		res.Changes = changes / 2 / float64(through.Accepted)
-	}
-	if straight.PerSecond > 0 {
-		res.Ratio = through.PerSecond / straight.PerSecond
-	}
-	return figures(out, res)
+	return changes, nil
 }
 
 // gatewayGrowth measures a gateway's journal and memory by the number of jobs.
--- a/cmd/lab/proof.go
+++ b/cmd/lab/proof.go
@@ -253,57 +253,67 @@
 	return t
 }
 
+// pause waits; false if ctx has ended meanwhile.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // live is a user: it uploads the job's files, submits until the job is accepted,
 // and asks until it is over, each time at any member.
 func (w *world) live(ctx context.Context, u *user, wait time.Duration, rng *rand.Rand) {
-	pause := func(d time.Duration) bool {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(d):
-			return true
-		}
-	}
-	if !pause(wait) {
+	if !pause(ctx, wait) || !w.upload(ctx, u) || !w.submit(ctx, u, rng) {
 		return
 	}
+	accepted := time.Now()
+	for {
+		kind := "poll"
+		if u.cancelAt > 0 && time.Since(accepted) > u.cancelAt {
+			kind = "cancel"
+		}
+		least, most := 300*time.Millisecond, 900*time.Millisecond
+		if t := u.ask(ctx, w, kind, w.anyMember(rng)); t.code == 200 && (t.state == protocol.JobDone || t.state == protocol.JobCancelled) {
+			u.over.Store(true)
+			least, most = 2*time.Second, 4*time.Second
+		}
+		if !pause(ctx, span(rng, least, most)) {
+			return
+		}
+	}
+}
+
+func (w *world) anyMember(rng *rand.Rand) string { return w.members[rng.IntN(len(w.members))] }
+
+// upload gives both sites' workers the description of a user's job.
+func (w *world) upload(ctx context.Context, u *user) bool {
 	for _, s := range w.sites {
 		for code := 0; code != 200; {
 			var err error
-			if code, _, _, err = w.call(ctx, "POST", s.cloudAddr, "/upload", u.body); err != nil && !pause(500*time.Millisecond) {
-				return
+			if code, _, _, err = w.call(ctx, "POST", s.cloudAddr, "/upload", u.body); err != nil && !pause(ctx, 500*time.Millisecond) {
+				return false
 			}
 		}
 	}
-	any := func() string { return w.members[rng.IntN(len(w.members))] }
-	begun := time.Now()
-	for {
-		if t := u.ask(ctx, w, "submit", any()); t.code == 200 || t.code == 201 {
-			break
+	return true
+}
+
+// submit submits until the job is accepted. After a minute the user takes it for turned
+// away for good: nothing was promised.
+func (w *world) submit(ctx context.Context, u *user, rng *rand.Rand) bool {
+	for begun := time.Now(); ; {
+		if t := u.ask(ctx, w, "submit", w.anyMember(rng)); t.code == 200 || t.code == 201 {
+			return true
 		}
-		if !pause(span(rng, 500*time.Millisecond, 1500*time.Millisecond)) {
-			return
+		if !pause(ctx, span(rng, 500*time.Millisecond, 1500*time.Millisecond)) {
+			return false
 		}
 		if time.Since(begun) > 60*time.Second {
-			u.over.Store(true) // turned away for good; nothing was promised
-			return
-		}
-	}
-	accepted := time.Now()
-	for {
-		kind := "poll"
-		if u.cancelAt > 0 && time.Since(accepted) > u.cancelAt {
-			kind = "cancel"
-		}
-		if t := u.ask(ctx, w, kind, any()); t.code == 200 && (t.state == protocol.JobDone || t.state == protocol.JobCancelled) {
 			u.over.Store(true)
-			if !pause(span(rng, 2*time.Second, 4*time.Second)) {
-				return
-			}
-			continue
-		}
-		if !pause(span(rng, 300*time.Millisecond, 900*time.Millisecond)) {
-			return
+			return false
 		}
 	}
 }
@@ -496,73 +506,107 @@
 // checkUsers holds what each user was told against all it had been told before it
 // asked, and against what machines completed.
 func (w *world) checkUsers(r *runResult, users []*user, runs []ran) {
-	done := map[string]map[string]time.Time{} // tasks completed, by job
-	for _, x := range runs {
-		if x.done {
-			if done[jobOf(x.task)] == nil {
-				done[jobOf(x.task)] = map[string]time.Time{}
-			}
-			if at, ok := done[jobOf(x.task)][x.task]; !ok || x.to.Before(at) {
-				done[jobOf(x.task)][x.task] = x.to
-			}
-		}
-	}
+	done := completed(runs)
 	for _, u := range users {
-		var accepted, asked time.Time
-		final := ""
-		var finalAt time.Time
-		for _, t := range u.log {
-			ok := t.code == 200 || t.code == 201
-			if ok && (accepted.IsZero() || t.at.Before(accepted)) {
-				accepted = t.at
-			}
-			if t.kind == "cancel" && (asked.IsZero() || t.asked.Before(asked)) {
-				asked = t.asked
-			}
-		}
+		accepted, cancelled := u.accepted(), u.cancelled()
 		if accepted.IsZero() {
 			r.refusals++
 			continue
 		}
 		r.accepted++
-		for _, t := range u.log {
-			switch {
-			case t.code == 404 && t.asked.After(accepted):
-				r.lost = append(r.lost, u.id+" was accepted and is unknown at "+t.from)
-			case (t.code == 400 || t.code == 422) && t.asked.After(accepted):
-				r.lost = append(r.lost, fmt.Sprintf("%s was accepted and gets %d at %s", u.id, t.code, t.from))
-			case t.code != 200:
-				continue
-			}
-			is := t.state == protocol.JobDone || t.state == protocol.JobCancelled
-			switch {
-			case final != "" && is && t.state != final, final != "" && !is && t.asked.After(finalAt):
-				r.doubled = append(r.doubled, fmt.Sprintf("%s was called %s and is called %s at %s", u.id, final, t.state, t.from))
-			case final == "" && is:
-				final, finalAt = t.state, t.at
-			}
-		}
+		final, at := u.checkAnswers(r, accepted)
 		switch {
 		case final == "":
 			r.unanswered = append(r.unanswered, u.id+" has no final answer")
-		case final == protocol.JobCancelled && (asked.IsZero() || asked.After(finalAt)):
+		case final == protocol.JobCancelled && (cancelled.IsZero() || cancelled.After(at)):
 			r.untrue = append(r.untrue, u.id+" is cancelled and nobody asked")
 		case final == protocol.JobDone:
-			if len(done[u.id]) < u.tasks {
-				r.untrue = append(r.untrue, fmt.Sprintf("%s is called done and %d of %d tasks were", u.id, len(done[u.id]), u.tasks))
-			}
-			for task, at := range done[u.id] {
-				if at.After(finalAt) {
-					r.untrue = append(r.untrue, fmt.Sprintf("%s was called done before %s was", u.id, task))
-				}
-			}
+			u.checkDone(r, done[u.id], at)
 		case final == protocol.JobCancelled:
-			most := finalAt.Add(time.Duration(quick.cancel * float64(time.Second)))
-			for _, x := range runs {
-				if jobOf(x.task) == u.id && (x.from.After(most) || !x.to.IsZero() && x.to.After(most)) {
-					r.lateCancels = append(r.lateCancels, fmt.Sprintf("%s ran at %s after it was called cancelled", x.task, x.site))
-				}
-			}
+			u.checkCancelled(r, runs, at)
+		}
+	}
+}
+
+// completed are the tasks that machines completed, by job, and when each first was.
+func completed(runs []ran) map[string]map[string]time.Time {
+	done := map[string]map[string]time.Time{}
+	for _, x := range runs {
+		if !x.done {
+			continue
+		}
+		job := jobOf(x.task)
+		if done[job] == nil {
+			done[job] = map[string]time.Time{}
+		}
+		if at, ok := done[job][x.task]; !ok || x.to.Before(at) {
+			done[job][x.task] = x.to
+		}
+	}
+	return done
+}
+
+// accepted is when a user was first told that the job is accepted; zero: never.
+func (u *user) accepted() (at time.Time) {
+	for _, t := range u.log {
+		if (t.code == 200 || t.code == 201) && (at.IsZero() || t.at.Before(at)) {
+			at = t.at
+		}
+	}
+	return at
+}
+
+// cancelled is when a user first asked for the cancellation; zero: never.
+func (u *user) cancelled() (at time.Time) {
+	for _, t := range u.log {
+		if t.kind == "cancel" && (at.IsZero() || t.asked.Before(at)) {
+			at = t.asked
+		}
+	}
+	return at
+}
+
+// checkAnswers finds answers that deny an accepted job or a final answer. It returns the
+// first final answer and when it came.
+func (u *user) checkAnswers(r *runResult, accepted time.Time) (final string, at time.Time) {
+	for _, t := range u.log {
+		switch {
+		case t.code == 404 && t.asked.After(accepted):
+			r.lost = append(r.lost, u.id+" was accepted and is unknown at "+t.from)
+		case (t.code == 400 || t.code == 422) && t.asked.After(accepted):
+			r.lost = append(r.lost, fmt.Sprintf("%s was accepted and gets %d at %s", u.id, t.code, t.from))
+		case t.code != 200:
+			continue
+		}
+		isFinal := t.state == protocol.JobDone || t.state == protocol.JobCancelled
+		switch {
+		case final != "" && isFinal && t.state != final, final != "" && !isFinal && t.asked.After(at):
+			r.doubled = append(r.doubled, fmt.Sprintf("%s was called %s and is called %s at %s", u.id, final, t.state, t.from))
+		case final == "" && isFinal:
+			final, at = t.state, t.at
+		}
+	}
+	return final, at
+}
+
+// checkDone holds a job that was called done to the tasks that machines completed.
+func (u *user) checkDone(r *runResult, done map[string]time.Time, finalAt time.Time) {
+	if len(done) < u.tasks {
+		r.untrue = append(r.untrue, fmt.Sprintf("%s is called done and %d of %d tasks were", u.id, len(done), u.tasks))
+	}
+	for task, at := range done {
+		if at.After(finalAt) {
+			r.untrue = append(r.untrue, fmt.Sprintf("%s was called done before %s was", u.id, task))
+		}
+	}
+}
+
+// checkCancelled finds tasks that ran too long after their job was called cancelled.
+func (u *user) checkCancelled(r *runResult, runs []ran, finalAt time.Time) {
+	most := finalAt.Add(time.Duration(quick.cancel * float64(time.Second)))
+	for _, x := range runs {
+		if jobOf(x.task) == u.id && (x.from.After(most) || !x.to.IsZero() && x.to.After(most)) {
+			r.lateCancels = append(r.lateCancels, fmt.Sprintf("%s ran at %s after it was called cancelled", x.task, x.site))
 		}
 	}
 }
@@ -640,22 +684,58 @@
 // checkStores ends the members and compares what their stores hold with what users
 // were told: of each final answer a majority must hold the same.
 func (w *world) checkStores(ctx context.Context, r *runResult, users []*user) {
-	stores := make([]map[string]wire.Item, 0, 3)
-	w.gateway.kill()
-	take := func(items []wire.Item) {
+	stores, err := w.readStores(ctx)
+	if err != nil {
+		r.stores = append(r.stores, err.Error())
+		return
+	}
+	for _, u := range users {
+		want := u.final()
+		if want == wire.Open {
+			continue
+		}
+		has := 0
+		for _, s := range stores {
+			if it, ok := s[u.id]; ok && it.Record.Final == want {
+				has++
+			}
+		}
+		if has < 2 {
+			r.stores = append(r.stores, fmt.Sprintf("the end of %s is stored by %d of 3 members", u.id, has))
+		}
+	}
+}
+
+// final is the last final answer that a user was told, as records have it; Open if none.
+func (u *user) final() uint8 {
+	final := uint8(wire.Open)
+	for _, t := range u.log {
+		switch {
+		case t.code == 200 && t.state == protocol.JobDone:
+			final = wire.Done
+		case t.code == 200 && t.state == protocol.JobCancelled:
+			final = wire.Cancelled
+		}
+	}
+	return final
+}
+
+// readStores ends the members and reads the registers that each has stored, by job.
+func (w *world) readStores(ctx context.Context) (stores []map[string]wire.Item, err error) {
+	byJob := func(items []wire.Item) map[string]wire.Item {
 		m := map[string]wire.Item{}
 		for _, it := range items {
 			m[it.ID] = it
 		}
-		stores = append(stores, m)
+		return m
 	}
+	w.gateway.kill()
 	j, items, _, err := gateway.OpenJournal(filepath.Join(w.dir, "gate.journal"), "gate")
 	if err != nil {
-		r.stores = append(r.stores, err.Error())
-		return
+		return nil, err
 	}
 	j.Close()
-	take(items)
+	stores = append(stores, byJob(items))
 	for _, s := range w.sites {
 		s.daemon.kill()
 		svc := storage.NewStore(s.stateAddr, protocol.StateSettings{RPS: 1000, WriteRPS: 1000, ValueKB: 8, TxnOps: 12}, 1)
@@ -664,32 +744,9 @@
 			items, err = gateway.DecodeEntries(entries)
 		}
 		if err != nil {
-			r.stores = append(r.stores, err.Error())
-			return
-		}
-		take(items)
-	}
-	for _, u := range users {
-		want := uint8(wire.Open)
-		for _, t := range u.log {
-			switch {
-			case t.code == 200 && t.state == protocol.JobDone:
-				want = wire.Done
-			case t.code == 200 && t.state == protocol.JobCancelled:
-				want = wire.Cancelled
-			}
-		}
-		if want == wire.Open {
-			continue
-		}
-		has := 0
-		for _, s := range stores {
-			if it, ok := s[u.id]; ok && it.Record.Final == want {
-				has++
-			}
-		}
-		if has < 2 {
-			r.stores = append(r.stores, fmt.Sprintf("the end of %s is stored by %d of 3 members", u.id, has))
+			return nil, err
 		}
+		stores = append(stores, byJob(items))
 	}
+	return stores, nil
 }
