--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -685,26 +685,12 @@
 	if c.reachable() < c.majority() {
 		return
 	}
-	// The first member that is there does it; the next ones only if it does not for
-	// some seconds. (Found with real processes: three members that all tried twice a
-	// second, with stores that take a tenth of a second, kept one another from a
-	// majority for more than a minute.)
-	before := 0
-	for i := range c.cfg.Self {
-		if !c.away(i) {
-			before++
-		}
-	}
-	rank := time.Duration(before) * careTurn
-	ids := c.careIDs()
-	n := 0
-	probed := make([]bool, len(c.cfg.Members))
-	for _, id := range ids {
+	rank := c.careRank()
+	begun := 0
+	probed := make([]bool, len(c.cfg.Members)) // sites from which a job is being taken
+	for _, id := range c.careIDs() {
 		r := c.open[id]
-		if r == nil {
-			continue
-		}
-		if c.now < r.careAt {
+		if r == nil || c.now < r.careAt {
 			continue
 		}
 		if c.rounds[id] != nil {
@@ -713,37 +699,63 @@
 			}
 			continue
 		}
-		if n >= mostCare || len(c.rounds) >= c.cfg.InFlight {
+		if begun >= mostCare || len(c.rounds) >= c.cfg.InFlight {
 			c.careFrom = id
 			return
 		}
-		switch {
-		case !r.committed:
-			if c.now-r.touched > silence+rank {
-				c.cared(r, rank)
-				c.propose(id, op{kind: opLearn, care: true}, dutyPatience, nil)
-				n++
-			}
-		case r.rec.Holder == 0:
-		default:
-			site := int(r.rec.Holder) - 1
-			l := c.lenders[site]
-			switch {
-			case r.rec.Stopped && c.now-r.touched > rank:
-			case !r.rec.Stopped && !c.leased(site) && c.now > l.until+grantSpread+rank && c.now >= l.hold && !(l.contested && probed[site]):
-				probed[site] = true
-			default:
-				continue
-			}
-			c.cared(r, rank)
-			if c.reclaim(id, r) {
-				n++
-			}
+		if c.careFor(id, r, rank, probed) {
+			begun++
 		}
 	}
 	c.careFrom = ""
 }
 
+// careRank is how much later than the first member that is there this one looks after jobs:
+// it does so only if those before it do not for some seconds. (Found with real processes:
+// three members that all tried twice a second, with stores that take a tenth of a second,
+// kept one another from a majority for more than a minute.)
+func (c *Core) careRank() time.Duration {
+	before := 0
+	for i := range c.cfg.Self {
+		if !c.away(i) {
+			before++
+		}
+	}
+	return time.Duration(before) * careTurn
+}
+
+// careFor proposes what a job needs, if it needs something and it is this member's turn.
+func (c *Core) careFor(id string, r *register, rank time.Duration, probed []bool) (begun bool) {
+	if !r.committed {
+		if c.now-r.touched <= silence+rank {
+			return false
+		}
+		c.cared(r, rank)
+		c.propose(id, op{kind: opLearn, care: true}, dutyPatience, nil)
+		return true
+	}
+	if r.rec.Holder == 0 {
+		return false
+	}
+	site := int(r.rec.Holder) - 1
+	switch {
+	case r.rec.Stopped && c.now-r.touched > rank:
+	case !r.rec.Stopped && c.mayReclaim(site, rank, probed[site]):
+		probed[site] = true
+	default:
+		return false
+	}
+	c.cared(r, rank)
+	return c.reclaim(id, r)
+}
+
+// mayReclaim says whether a job may be taken from a site that has not released it: as far as
+// this member knows nobody grants its lease any more.
+func (c *Core) mayReclaim(site int, rank time.Duration, probed bool) bool {
+	l := c.lenders[site]
+	return !c.leased(site) && c.now > l.until+grantSpread+rank && c.now >= l.hold && !(l.contested && probed)
+}
+
 // cared notes that this member has looked after a job: the others get their turn
 // before it does so again.
 func (c *Core) cared(r *register, rank time.Duration) {
--- a/internal/coordination/gateway/status.go
+++ b/internal/coordination/gateway/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
@@ -51,47 +52,56 @@
 		}
 	}
 	for _, r := range c.rounds {
-		for _, ch := range append(r.queue, r.now...) {
-			if ch.op.kind == opClaim {
-				s.Handoffs++
-				break
-			}
+		if slices.ContainsFunc(append(r.queue, r.now...), func(ch *change) bool { return ch.op.kind == opClaim }) {
+			s.Handoffs++
 		}
 	}
-	for i, m := range c.cfg.Members {
-		v := MemberStatus{Name: m.Name, Site: m.Site, State: "heard", SinceS: tenths(c.now - c.heard[i]), Holds: c.holds[i], HintAge: -1}
-		switch {
-		case i == c.cfg.Self:
-			v.State, v.SinceS = "this member", 0
-		case c.away(i):
-			v.State = "unknown"
-		}
-		if l := c.lenders[i]; l != nil {
-			v.Left = l.blocking
-			switch {
-			case c.now < l.until:
-				v.Lease = fmt.Sprintf("granted, tasks may run %.0f s more", (l.until - c.now).Seconds())
-			case c.now < c.booted+c.grantTime():
-				v.Lease = "unknown: this member started less than a lease ago"
-			case c.away(i):
-				v.Lease = "not granted here; unknown whether by others"
-			default:
-				v.Lease = "not granted"
-			}
-			v.Drained = "unknown"
-			if h := c.hints[i]; h.hint != nil {
-				v.HintAge = tenths(c.now - h.at)
-				if !c.away(i) {
-					v.Drained = fmt.Sprint(h.hint.Drained)
-					v.Waiting, v.FreeGPU = h.hint.Waiting, h.hint.FreeGPUs
-				}
-			}
-		}
-		s.Members = append(s.Members, v)
+	for i := range c.cfg.Members {
+		s.Members = append(s.Members, c.memberStatus(i))
 	}
 	return s
 }
 
+func (c *Core) memberStatus(i int) MemberStatus {
+	m := c.cfg.Members[i]
+	v := MemberStatus{Name: m.Name, Site: m.Site, State: "heard", SinceS: tenths(c.now - c.heard[i]), Holds: c.holds[i], HintAge: -1}
+	switch {
+	case i == c.cfg.Self:
+		v.State, v.SinceS = "this member", 0
+	case c.away(i):
+		v.State = "unknown"
+	}
+	l := c.lenders[i]
+	if l == nil {
+		return v
+	}
+	v.Left, v.Lease, v.Drained = l.blocking, c.leaseStatus(i), "unknown"
+	h := c.hints[i]
+	if h.hint == nil {
+		return v
+	}
+	v.HintAge = tenths(c.now - h.at)
+	if !c.away(i) {
+		v.Drained = fmt.Sprint(h.hint.Drained)
+		v.Waiting, v.FreeGPU = h.hint.Waiting, h.hint.FreeGPUs
+	}
+	return v
+}
+
+// leaseStatus says what this member knows of a site's lease.
+func (c *Core) leaseStatus(site int) string {
+	until := c.lenders[site].until
+	switch {
+	case c.now < until:
+		return fmt.Sprintf("granted, tasks may run %.0f s more", (until - c.now).Seconds())
+	case c.now < c.booted+c.grantTime():
+		return "unknown: this member started less than a lease ago"
+	case c.away(site):
+		return "not granted here; unknown whether by others"
+	}
+	return "not granted"
+}
+
 // JobView is what the members' records say of one job, for operators.
 type JobView struct {
 	ID      string `json:"id"`
