--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -81,8 +81,8 @@
 	rec                wire.Record
 }
 
-// lender is what this member granted one site, and what that site must know.
-type lender struct {
+// leaseGrant is what this member granted one site, and what that site must know.
+type leaseGrant struct {
 	until time.Duration // the site may run jobs until then
 	hold  time.Duration // others grant it: take nothing from it before
 	// contested: others granted it when this member last tried to take a job from it.
@@ -126,7 +126,7 @@
 	open     map[string]*register
 	nFinal   int
 	booted   time.Duration
-	lenders  []*lender // by member; nil for gateways
+	grants   []*leaseGrant // by member; nil for gateways
 	heard    []time.Duration
 	hints    []hintAt
 	rounds   map[string]*round
@@ -180,12 +180,12 @@
 		regs: map[string]*register{}, open: map[string]*register{}, rounds: map[string]*round{}, reads: map[uint64]*readBatch{},
 		progress: map[string]progress{}, budgets: make([]budget, len(cfg.Members)), holds: make([]int, len(cfg.Members)),
 		dirty: map[string]struct{}{}, heard: make([]time.Duration, len(cfg.Members)), hints: make([]hintAt, len(cfg.Members)),
-		lenders: make([]*lender, len(cfg.Members))}
+		grants: make([]*leaseGrant, len(cfg.Members))}
 	c.out.Send = map[int][]wire.Item{}
 	for i, m := range cfg.Members {
 		c.heard[i] = now - silence
 		if m.Site {
-			c.lenders[i] = newLender()
+			c.grants[i] = newLeaseGrant()
 		}
 	}
 	drained := false
@@ -214,7 +214,7 @@
 		}
 	}
 	// What each site has to know is found again; it says again what it knows.
-	for i, l := range c.lenders {
+	for i, l := range c.grants {
 		if l != nil {
 			c.refill(i, l)
 		}
@@ -222,8 +222,8 @@
 	return c
 }
 
-func newLender() *lender {
-	return &lender{pending: map[string]bool{}, blocks: map[string]bool{}, dead: map[string]uint32{}}
+func newLeaseGrant() *leaseGrant {
+	return &leaseGrant{pending: map[string]bool{}, blocks: map[string]bool{}, dead: map[string]uint32{}}
 }
 
 // majority of the members.
@@ -410,7 +410,7 @@
 		c.post(from, wire.Item{Kind: wire.Nack, ID: it.ID, Ballot: it.Ballot, Accepted: r.promised})
 		return
 	}
-	if site := int(it.Record.Prev) - 1; site >= 0 && site < len(c.lenders) && c.lenders[site] != nil && c.leased(site) && !c.cfg.Faults.IgnoreLease {
+	if site := int(it.Record.Prev) - 1; site >= 0 && site < len(c.grants) && c.grants[site] != nil && c.leased(site) && !c.cfg.Faults.IgnoreLease {
 		// Said before anything is accepted: a claim that only some accepted would keep
 		// its site from its lease, and others from taking the job.
 		c.post(from, wire.Item{Kind: wire.Nack, ID: it.ID, Ballot: it.Ballot, Why: wire.Leased})
@@ -433,7 +433,7 @@
 		return true
 	}
 	site := int(rec.Prev) - 1
-	l := c.lenders[site]
+	l := c.grants[site]
 	if l == nil || l.dead[id] >= rec.Epoch {
 		return true
 	}
@@ -443,7 +443,7 @@
 // leased says whether a site may, as far as this member knows, still run jobs. A
 // member that has just started has forgotten what it granted.
 func (c *Core) leased(site int) bool {
-	return c.now < c.lenders[site].until || c.now < c.booted+c.grantTime()
+	return c.now < c.grants[site].until || c.now < c.booted+c.grantTime()
 }
 
 // grantTime is how long after a renewal has come the site may run tasks by this
@@ -534,7 +534,7 @@
 	if committed {
 		c.setCommitted(id, r)
 	}
-	for i, l := range c.lenders {
+	for i, l := range c.grants {
 		if l != nil {
 			c.expect(i, l, id, r)
 		}
@@ -542,7 +542,7 @@
 }
 
 // expect notes whether a site has to know of a register.
-func (c *Core) expect(site int, l *lender, id string, r *register) {
+func (c *Core) expect(site int, l *leaseGrant, id string, r *register) {
 	concerns, blocks := concerned(&r.rec, site)
 	if r.acked&bit(site) != 0 {
 		concerns, blocks = concerns && !blocks, false
@@ -558,7 +558,7 @@
 	}
 }
 
-func (c *Core) unexpect(l *lender, id string) {
+func (c *Core) unexpect(l *leaseGrant, id string) {
 	if known, ok := l.pending[id]; ok {
 		if l.blocks[id] && !known {
 			l.blocking--
@@ -569,7 +569,7 @@
 }
 
 // refill finds again what a site has to know: it has started anew, or this member has.
-func (c *Core) refill(site int, l *lender) {
+func (c *Core) refill(site int, l *leaseGrant) {
 	l.pending, l.blocks, l.blocking = map[string]bool{}, map[string]bool{}, 0
 	for id, r := range c.regs {
 		if r.exists {
@@ -581,7 +581,7 @@
 // onRenew grants a site its lease, unless the site does not know yet that a job is
 // not its any more. With either answer it is told of what concerns it.
 func (c *Core) onRenew(from int, it *wire.Item) {
-	l := c.lenders[from]
+	l := c.grants[from]
 	if l == nil {
 		return
 	}
@@ -624,7 +624,7 @@
 
 // onAck learns that a site knows: claims of its own below an epoch are dead there.
 func (c *Core) onAck(from int, it *wire.Item) {
-	l := c.lenders[from]
+	l := c.grants[from]
 	if l == nil || !it.Durable && uint64(it.Ballot.Who) != l.session {
 		return // said before the site's daemon started anew: it may have forgotten
 	}
@@ -678,7 +678,7 @@
 // later ones a little later; the agreement makes doing it twice harmless.
 func (c *Core) care() {
 	for i := range c.cfg.Members {
-		if l := c.lenders[i]; l != nil {
+		if l := c.grants[i]; l != nil {
 			c.budgets[i].back(c.now, !c.away(i) && c.now < l.until)
 		}
 	}
@@ -752,7 +752,7 @@
 // mayReclaim says whether a job may be taken from a site that has not released it: as far as
 // this member knows nobody grants its lease any more.
 func (c *Core) mayReclaim(site int, rank time.Duration, probed bool) bool {
-	l := c.lenders[site]
+	l := c.grants[site]
 	return !c.leased(site) && c.now > l.until+grantSpread+rank && c.now >= l.hold && !(l.contested && probed)
 }
 
@@ -789,7 +789,7 @@
 			c.counts.Moved++
 		} else {
 			c.counts.Forced++
-			c.lenders[from].contested = false
+			c.grants[from].contested = false
 		}
 		c.log.Info("job handed over", "job", id, "from", c.cfg.Members[from].Name, "to", c.cfg.Members[to].Name, "epoch", rec.Epoch, "proved", stopped)
 	})
--- a/internal/coordination/gateway/duty.go
+++ b/internal/coordination/gateway/duty.go
@@ -125,7 +125,7 @@
 // valid says whether the site may run gateway jobs.
 func (d *duty) valid() bool { return d.c.now < d.until || d.c.cfg.Faults.IgnoreLease }
 
-// take handles what lenders say.
+// take handles what members that grant the lease say.
 func (d *duty) take(from int, it *wire.Item) {
 	c := d.c
 	switch it.Kind {
@@ -147,7 +147,7 @@
 	}
 }
 
-// notice learns what a lender says of a job that concerns the site.
+// notice learns what a member that grants the lease says of a job that concerns the site.
 func (d *duty) notice(from int, it *wire.Item) {
 	c := d.c
 	if it.Committed {
@@ -178,7 +178,7 @@
 	return wire.Item{Kind: wire.Ack, ID: id, Ballot: wire.Ballot{Who: d.session}, Record: wire.Record{Epoch: epoch}}
 }
 
-// confirm tells a lender what the site knows: not only that it has been told, but
+// confirm tells a member that grants the lease what the site knows: not only that it has been told, but
 // that its controllers will not run the job any more.
 func (d *duty) confirm(to int, id string, rec *wire.Record) {
 	concerns, blocks := concerned(rec, d.c.cfg.Self)
@@ -372,7 +372,7 @@
 		}
 	}
 	for i := range c.cfg.Members {
-		if i == c.cfg.Self || c.lenders[i] == nil {
+		if i == c.cfg.Self || c.grants[i] == nil {
 			continue
 		}
 		h := c.hints[i].hint
--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -333,7 +333,7 @@
 		if !m.Site || i == not {
 			continue
 		}
-		v := SiteView{Site: i, Barred: barred&bit(i) != 0, AgeS: math.Inf(1), Away: c.away(i) || c.now >= c.lenders[i].until && c.now > c.booted+c.cfg.Lease,
+		v := SiteView{Site: i, Barred: barred&bit(i) != 0, AgeS: math.Inf(1), Away: c.away(i) || c.now >= c.grants[i].until && c.now > c.booted+c.cfg.Lease,
 			Open: c.holds[i], UnderWay: c.budgets[i].underWay(c.now), Allowed: c.budgets[i].allowed(c.now, c.cfg.Route)}
 		if h := c.hints[i]; h.hint != nil {
 			v.Hint, v.AgeS = h.hint, (c.now - h.at).Seconds()
--- a/internal/coordination/gateway/round.go
+++ b/internal/coordination/gateway/round.go
@@ -99,8 +99,8 @@
 			// Somebody else hears the site. To ask again and again would cost every
 			// member a stored promise a job.
 			for _, ch := range append(r.queue, r.now...) {
-				if f := ch.op.from; f != 0 && c.lenders[f-1] != nil {
-					l := c.lenders[f-1]
+				if f := ch.op.from; f != 0 && c.grants[f-1] != nil {
+					l := c.grants[f-1]
 					l.hold, l.contested = c.now+time.Second, true
 				}
 			}
--- a/internal/coordination/gateway/status.go
+++ b/internal/coordination/gateway/status.go
@@ -71,7 +71,7 @@
 	case c.away(i):
 		v.State = "unknown"
 	}
-	l := c.lenders[i]
+	l := c.grants[i]
 	if l == nil {
 		return v
 	}
@@ -90,7 +90,7 @@
 
 // leaseStatus says what this member knows of a site's lease.
 func (c *Core) leaseStatus(site int) string {
-	until := c.lenders[site].until
+	until := c.grants[site].until
 	switch {
 	case c.now < until:
 		return fmt.Sprintf("granted, tasks may run %.0f s more", (until - c.now).Seconds())
