--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -236,9 +236,9 @@
 	n := &Node{
 		ctx: ctx, cfg: cfg, log: log, store: store, cloud: cloud, workers: workers,
 		pace:    pace,
-		users:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, storage.ForUsers),
-		press:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, storage.Pressing),
-		books:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, storage.Ordinary),
+		users:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, storage.UserLevel),
+		press:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, storage.UrgentLevel),
+		books:   storage.NewCommitter(store, cfg.Params.State.TxnOps, pace, storage.BackgroundLevel),
 		storing: map[*storage.Committer]int{},
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		started: time.Now(), inbox: make(chan func(), 1024),
--- a/internal/storage/commit.go
+++ b/internal/storage/commit.go
@@ -102,7 +102,7 @@
 			most = max(len(queue[0].Writes), c.pace.fairBatch(c.txnOps))
 		}
 		batch, rest := pack(queue, most)
-		if c.level != ForUsers {
+		if c.level != UserLevel {
 			queue = append(c.commit(ctx, batch), rest...)
 			continue
 		}
--- a/internal/storage/pace.go
+++ b/internal/storage/pace.go
@@ -13,10 +13,11 @@
 // Level is how urgent a change is.
 type Level uint8
 
+// Levels, the most urgent first.
 const (
-	ForUsers Level = iota // a user waits for it
-	Pressing              // somebody's start, the end of a job, who holds what
-	Ordinary              // everything else
+	UserLevel       Level = iota // a user waits for it
+	UrgentLevel                  // somebody's start, the end of a job, who holds what
+	BackgroundLevel              // everything else
 	levels
 )
 
@@ -26,8 +27,8 @@
 // 35 s. Without the first the placing of small tasks, which takes all that there is of 20
 // changes a second, kept half of the submissions waiting for more than 200 ms.)
 var (
-	spare = [levels]int{Pressing: 3, Ordinary: 7}
-	least = [levels]float64{Pressing: 0.5, Ordinary: 0.15}
+	spare = [levels]int{UrgentLevel: 3, BackgroundLevel: 7}
+	least = [levels]float64{UrgentLevel: 0.5, BackgroundLevel: 0.15}
 )
 
 // Pace spends this node's part of the rate of changes.
@@ -43,7 +44,7 @@
 	p := &Pace{total: usable * limits.WriteRPS}
 	part := max(1, p.total/float64(nodes))
 	burst := max(limits.TxnOps, int(part))
-	p.limiter = rate.NewLimiter(rate.Limit(part), burst+spare[Ordinary])
+	p.limiter = rate.NewLimiter(rate.Limit(part), burst+spare[BackgroundLevel])
 	for l := range p.own {
 		p.own[l] = rate.NewLimiter(rate.Limit(least[l]*part), burst)
 	}
@@ -74,7 +75,7 @@
 // wait takes n changes from the rate.
 func (p *Pace) wait(ctx context.Context, n int, level Level) error {
 	p.asked.Add(int64(n))
-	if level == ForUsers {
+	if level == UserLevel {
 		return p.limiter.WaitN(ctx, min(n, p.limiter.Burst()))
 	}
 	n = min(n, p.limiter.Burst()-spare[level])
--- a/internal/storage/pace_test.go
+++ b/internal/storage/pace_test.go
@@ -23,13 +23,13 @@
 				case <-stop:
 					return
 				default:
-					p.wait(ctx, 4, ForUsers)
+					p.wait(ctx, 4, UserLevel)
 				}
 			}
 		}()
 		start := time.Now()
 		for range 10 {
-			if err := p.wait(ctx, 2, Ordinary); err != nil {
+			if err := p.wait(ctx, 2, BackgroundLevel); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -40,10 +40,10 @@
 		synctest.Wait()
 		time.Sleep(time.Minute)
 		// With the rate unused again, a user need not wait for the books' changes.
-		go p.wait(ctx, 12, Ordinary)
+		go p.wait(ctx, 12, BackgroundLevel)
 		synctest.Wait()
 		start = time.Now()
-		p.wait(ctx, 1, ForUsers)
+		p.wait(ctx, 1, UserLevel)
 		if took := time.Since(start); took > 0 {
 			t.Errorf("a user waited %v for the books", took)
 		}
@@ -60,7 +60,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := 0
 		go func() {
-			for p.wait(ctx, 4, Ordinary) == nil {
+			for p.wait(ctx, 4, BackgroundLevel) == nil {
 				done += 4
 			}
 		}()
@@ -68,9 +68,9 @@
 		var user, pressing time.Duration
 		for i := range 40 {
 			time.Sleep(time.Second)
-			level, longest := ForUsers, &user
+			level, longest := UserLevel, &user
 			if i%2 == 1 {
-				level, longest = Pressing, &pressing
+				level, longest = UrgentLevel, &pressing
 			}
 			from := time.Now()
 			p.wait(ctx, 1, level)
@@ -92,12 +92,12 @@
 		p := NewPace(protocol.StateSettings{WriteRPS: 40, TxnOps: 12}, 3)
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
-			for p.wait(ctx, 4, Pressing) == nil {
+			for p.wait(ctx, 4, UrgentLevel) == nil {
 			}
 		}()
 		done := 0
 		go func() {
-			for p.wait(ctx, 2, Ordinary) == nil {
+			for p.wait(ctx, 2, BackgroundLevel) == nil {
 				done += 2
 			}
 		}()
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -88,7 +88,7 @@
 		func([]Cond, []Write) (bool, uint64, []string, error) { return false, 9, []string{"bad"}, nil },
 		func([]Cond, []Write) (bool, uint64, []string, error) { return true, 10, nil, nil },
 	}}
-	c := NewCommitter(s, 12, NewPace(protocol.StateSettings{WriteRPS: 1000, TxnOps: 12}, 1), Ordinary)
+	c := NewCommitter(s, 12, NewPace(protocol.StateSettings{WriteRPS: 1000, TxnOps: 12}, 1), BackgroundLevel)
 	got := map[string]Result{}
 	op := func(key string) *Op {
 		return &Op{Conds: []Cond{{key, 1}}, Writes: []Write{{Put: key, Value: json.RawMessage("1")}}, Done: func(r Result) { got[key] = r }}
@@ -160,7 +160,7 @@
 // With a slow state service users do not wait for one another's transactions; the books,
 // whose order matters, go one after the other.
 func TestUsersAreStoredSideBySide(t *testing.T) {
-	for level, want := range map[Level]time.Duration{ForUsers: 150 * time.Millisecond, Ordinary: 600 * time.Millisecond} {
+	for level, want := range map[Level]time.Duration{UserLevel: 150 * time.Millisecond, BackgroundLevel: 600 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			c := NewCommitter(&slowStore{takes: 150 * time.Millisecond}, 12, NewPace(protocol.StateSettings{WriteRPS: 300, TxnOps: 12}, 1), level)
@@ -174,7 +174,7 @@
 				synctest.Wait() // the one before is under way
 			}
 			all.Wait()
-			if took := time.Since(start); took > want+20*time.Millisecond || level == Ordinary && took < 300*time.Millisecond {
+			if took := time.Since(start); took > want+20*time.Millisecond || level == BackgroundLevel && took < 300*time.Millisecond {
 				t.Errorf("level %d: four changes took %v, want %v", level, took, want)
 			}
 			cancel()
