--- a/internal/coordination/gateway/sim_test.go
+++ b/internal/coordination/gateway/sim_test.go
@@ -91,18 +91,18 @@
 // simSite is a site's controllers and workers, which need its daemon only for the
 // lease and to be told of jobs.
 type simSite struct {
-	s      *sim
-	i      int
-	jobs   map[string]*siteJob
-	tomb   map[string]uint32
-	done   map[string]uint32
-	rev    uint64
-	seen   uint64 // the replica's revision
-	gate   time.Duration
-	floor  uint64
-	dead   map[string]bool
-	up     bool
-	cutOff time.Duration // daemon and controllers can't reach one another until then
+	s         *sim
+	i         int
+	jobs      map[string]*siteJob
+	tombstone map[string]uint32
+	done      map[string]uint32
+	rev       uint64
+	seen      uint64 // the replica's revision
+	gate      time.Duration
+	floor     uint64
+	dead      map[string]bool
+	up        bool
+	cutOff    time.Duration // daemon and controllers can't reach one another until then
 }
 
 type siteJob struct {
@@ -130,7 +130,7 @@
 		s.members = append(s.members, mem)
 		var site *simSite
 		if m.Site {
-			site = &simSite{s: s, i: i, jobs: map[string]*siteJob{}, tomb: map[string]uint32{}, done: map[string]uint32{}, up: true, dead: map[string]bool{}}
+			site = &simSite{s: s, i: i, jobs: map[string]*siteJob{}, tombstone: map[string]uint32{}, done: map[string]uint32{}, up: true, dead: map[string]bool{}}
 			s.after(100*time.Millisecond, site.step)
 			s.after(s.span(0, 500*time.Millisecond), site.pull)
 		}
@@ -367,7 +367,7 @@
 	if n, ok := x.done[c.ID]; ok {
 		return Result{Code: wire.Ended, Done: n}
 	}
-	tomb, dead := x.tomb[c.ID]
+	tombstone, dead := x.tombstone[c.ID]
 	switch c.Kind {
 	case wire.Submit:
 		switch {
@@ -379,11 +379,11 @@
 			return Result{Code: wire.Held, Rev: x.rev}
 		case j != nil:
 			return Result{Code: wire.Busy}
-		case dead && tomb >= c.Epoch:
+		case dead && tombstone >= c.Epoch:
 			return Result{Code: wire.Over}
 		}
 		x.rev++
-		delete(x.tomb, c.ID)
+		delete(x.tombstone, c.ID)
 		x.jobs[c.ID] = &siteJob{claim: c.Epoch, left: x.s.job(c.ID).work}
 		return Result{Code: wire.Held, Rev: x.rev}
 	case wire.Stop:
@@ -398,15 +398,15 @@
 			delete(x.jobs, c.ID)
 		}
 		if j == nil || j.claim <= c.Epoch {
-			if !dead || tomb < c.Epoch {
+			if !dead || tombstone < c.Epoch {
 				x.rev++
-				x.tomb[c.ID] = c.Epoch
+				x.tombstone[c.ID] = c.Epoch
 			}
 		}
 		return Result{Code: wire.Over, Rev: x.rev}
 	}
 	switch {
-	case j == nil && dead && tomb >= c.Epoch:
+	case j == nil && dead && tombstone >= c.Epoch:
 		return Result{Code: wire.Over}
 	case j == nil:
 		return Result{Code: wire.Missing}
@@ -482,7 +482,7 @@
 			j.started, j.leaving = false, 0
 			if j.stop {
 				delete(x.jobs, id)
-				x.tomb[id] = j.claim
+				x.tombstone[id] = j.claim
 			}
 		case j.started:
 			j.left -= dt
