--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -67,6 +67,7 @@
 	atNextOwner bool                 // kept reports arrive just as a share's owner changes, or soon after
 	cutZone     string               // the zone that is cut off from everything outside; see zone_cut_test.go
 	users       []*user              // of the day under way
+	underWay    int                  // meetings that are being played
 	quietly     bool                 // what is broken is only listed
 	complaints  []string
 	leftOut     string         // a guard that is left out: the tests of meetings find it
