--- a/internal/coordination/node/leadership_meetings_test.go
+++ b/internal/coordination/node/leadership_meetings_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"testing"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/protocol"
@@ -14,8 +15,10 @@
 
 // number is a new number for a job's name.
 func (w *world) number() int {
-	w.took("numbered")
-	return w.times("numbered")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastJob++
+	return w.lastJob
 }
 
 // workerLease is how long a worker's tasks outlive its last answered report.
@@ -307,6 +310,28 @@
 	}
 }
 
+// The own record as owner, known before all that was stored earlier, entitles to nothing yet,
+// whether the share had an owner before or none.
+func TestOwnershipWaitsForTheReplica(t *testing.T) {
+	for _, before := range []protocol.HolderRecord{{}, {Node: "n-1", Token: 8, Lease: 9}} {
+		b := newBench(t)
+		b.put(protocol.HolderKey(0), before)
+		own := storage.Write{Put: protocol.HolderKey(0), Value: mustJSON(protocol.HolderRecord{Node: "n-0", Token: 9, Lease: 3})}
+		b.learn(own, b.rev+5)
+		if s := b.shares[0]; b.mine(s) || !s.changesHands() {
+			t.Fatalf("after %+v the share counts as owned: %+v", before, s.holder)
+		}
+		b.follow(nil, b.rev+4)
+		if b.mine(b.shares[0]) {
+			t.Fatalf("after %+v the share counts as owned one revision too early", before)
+		}
+		b.follow([]storage.Item{{Key: own.Put, Value: own.Value, Stamp: b.rev + 5}}, b.rev+5)
+		if s := b.shares[0]; !b.mine(s) || s.changesHands() || b.stamp(own.Put) != b.rev+5 {
+			t.Fatalf("after %+v the share is not owned when all is known: %+v", before, s.holder)
+		}
+	}
+}
+
 // endOwnershipLate makes the records of owners outlive their leases, for tests of tests.
 func endOwnershipLate(writes []storage.Write) []storage.Write {
 	writes = slices.Clone(writes)
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -68,6 +68,7 @@
 	cutZone     string               // the zone that is cut off from everything outside; see zone_cut_test.go
 	users       []*user              // of the day under way
 	underWay    int                  // meetings that are being played
+	lastJob     int                  // number of the last job of those who joined within the day
 	quietly     bool                 // what is broken is only listed
 	complaints  []string
 	leftOut     string         // a guard that is left out: the tests of meetings find it
