--- a/internal/coordination/node/user_meetings_test.go
+++ b/internal/coordination/node/user_meetings_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// requestsAtTheEnd: a cancellation, a status read or a repeated submission is sent around the
-// moment at which the last task of a job completes.
+// requestsAtTheEnd: a cancellation, a status read or a repeated submission is sent to every node
+// around the moment at which the last task of a job completes.
 func requestsAtTheEnd(w *world) {
 	var users sync.WaitGroup
 	for i := range 48 {
@@ -66,10 +66,17 @@
 		users.Go(func() {
 			u.repeat(u.submitOnce)
 			u.awaitEndOfLastTask()
-			sent := time.Now()
-			if a, err := kind.send(u.any()); err == nil && a.status == 200 {
-				u.metTheEnd(kind.name, sent)
+			var open sync.WaitGroup
+			for _, node := range w.names {
+				open.Go(func() {
+					time.Sleep(w.between(0, 100*time.Millisecond))
+					sent := time.Now()
+					if a, err := kind.send(node); err == nil && a.status == 200 {
+						u.metTheEnd(kind.name, sent)
+					}
+				})
 			}
+			open.Wait()
 			u.lookClosely("after a request at the end")
 			if kind.name == "cancellation" {
 				u.repeat(u.cancelOnce)
@@ -231,8 +238,15 @@
 		by      int
 	}{{"read barrier", 0}, {"final condition", 0}, {"job condition", 1}, {"cancel conditions", 2}, {"gone tasks", 3}} {
 		t.Run(f.leftOut+"/"+userMeetings[f.by].name, func(t *testing.T) {
+			m := userMeetings[f.by]
+			if f.leftOut == "cancel conditions" {
+				m.faults = func(w *world) { // the longer a change is on its way, the more meet another
+					w.set(func() { w.slow = 80 * time.Millisecond })
+					requestsAtTheEnd(w)
+				}
+			}
 			for seed := range seeds(10) {
-				if broken := meet(t, 8000+seed, f.leftOut, userMeetings[f.by]); len(broken) > 0 {
+				if broken := meet(t, 8000+seed, f.leftOut, m); len(broken) > 0 {
 					t.Logf("found with seed %d: %s", 8000+seed, broken[0])
 					return
 				}
