--- a/internal/coordination/node/user_meetings_test.go
+++ b/internal/coordination/node/user_meetings_test.go
@@ -155,6 +155,23 @@
 	}
 }
 
+// The same while controllers end and stand still, networks are cut and the state service is away.
+func TestUserMeetingsAmidTroubles(t *testing.T) {
+	for i, with := range []meeting{{name: "troubles", faults: troubles}, {name: "fast restarts", faults: fastRestarts}} {
+		for k, m := range userMeetings[:3] {
+			for seed := range seeds(1) {
+				t.Run(fmt.Sprintf("%s, %s/%d", m.name, with.name, seed), func(t *testing.T) {
+					if (i+k+int(seed))%2 == 0 {
+						packedOnly(t, 4)
+					}
+					m.took = nil // what must have taken place is asserted of each alone
+					meet(t, 9100+seed, "", m, with)
+				})
+			}
+		}
+	}
+}
+
 // answersWithout are ways to answer users without a guard that the nodes have.
 var answersWithout = map[string]func(w *world, kind requestKind, id string, send func(*Node, chan<- answer)) func(*Node, chan<- answer){
 	// Status reads are answered from the replica, which is not compared with the store.
