--- a/internal/coordination/node/starts.go
+++ b/internal/coordination/node/starts.go
@@ -39,6 +39,12 @@
 	if n.allowed(start.Start, 1) == 0 {
 		return false
 	}
+	n.startDirectly(m, now)
+	return true
+}
+
+// startDirectly starts directly what is stored for a machine and was not sent to it yet.
+func (n *Node) startDirectly(m *machine, now time.Time) {
 	o := protocol.Orders{Token: n.token(m), Session: m.session}
 	var tasks []started
 	for k := range m.on {
@@ -52,7 +58,7 @@
 		tasks = append(tasks, started{protocol.TaskID(j.id, k.task), t.attempt})
 	}
 	if len(tasks) == 0 {
-		return true
+		return
 	}
 	m.calling = true
 	n.direct++
@@ -77,7 +83,6 @@
 			}
 		})
 	})
-	return true
 }
 
 // started is a task that was started directly.
--- a/internal/coordination/node/unreported.go
+++ b/internal/coordination/node/unreported.go
@@ -84,7 +84,6 @@
 	if r.Machine != m.name || n.machines[m.name] != m || !m.known || !n.mine(n.shares[m.rec.Share]) || n.token(m) != token || r.Token != token {
 		return
 	}
-	m.pollAt = now.Add(n.pollInterval(m))
 	expired, first := r.Session > m.session, !m.unreported()
 	if !n.hearDirectly(m, r, token, now) {
 		return // a report of the worker's own has come meanwhile
@@ -93,9 +92,19 @@
 		n.log.Info("worker answers but does not report", "machine", m.name, "tasks", len(m.on), "silent_s", round(now.Sub(n.lastHeard(m)).Seconds()))
 	}
 	n.observeAll(m, r, now)
+	if expired {
+		m.doubt, m.expired = nil, now
+	}
 	n.noteAbsent(m, r, expired, now)
+	m.pollAt = now.Add(n.pollInterval(m))
+	if end := n.leaseEnds(m).Add(expiryMargin); end.After(now) && end.Before(m.pollAt) {
+		m.pollAt = end
+	}
 }
 
+// expiryMargin is how long after the estimated end of a lease a machine is polled.
+const expiryMargin = 200 * time.Millisecond
+
 // hearDirectly takes in the frame of the answer to a direct call; false if a newer report was
 // taken in already. It does not show that the worker reaches this node.
 func (n *Node) hearDirectly(m *machine, r *protocol.Report, token uint64, now time.Time) bool {
@@ -121,28 +130,56 @@
 	for i := range r.Tasks {
 		listed[started{r.Tasks[i].Task, r.Tasks[i].Attempt}] = true
 	}
+	restart := false
 	for k := range m.on {
 		t := &k.job.tasks[k.task]
 		if t.phase != placed || t.fact != noFact || listed[started{protocol.TaskID(k.job.id, k.task), t.attempt}] {
 			continue
 		}
-		if neverSent := t.sent.IsZero() && t.seen == unseen; expired || neverSent {
-			n.runLost(k.job, t, now)
+		neverSent := t.sent.IsZero() && t.seen == unseen
+		if !expired && !neverSent {
+			continue
+		}
+		n.runLost(k.job, t, now)
+		if n.restartable(m, k.job, t, now) {
+			t.sent, t.seen = time.Time{}, unseen
+			restart = true
+		} else {
 			n.note(k.job, k.task, gone)
 		}
 	}
-	if expired {
-		m.doubt = nil
+	if restart {
+		n.restartDirectly(m, now)
+	}
+}
+
+// restartable says whether a task that ended with its machine's lease is to be started again
+// there, for another lease: a replica, since elsewhere it would wait for its image, and any
+// task but a gang's while none can be placed elsewhere.
+func (n *Node) restartable(m *machine, j *job, t *task, now time.Time) bool {
+	return !t.began.IsZero() && (j.spec.Shape == protocol.Service || j.spec.Shape == protocol.Array && !n.canPlace(now)) &&
+		j.claim == 0 && !n.unwanted(j, t) && !n.overLimit(j.team) && !m.notice &&
+		n.mayAnswer(now) && now.Sub(n.lastHeard(m)) <= maxCut
+}
+
+// restartDirectly starts the tasks of a silent machine that were not sent in its session.
+func (n *Node) restartDirectly(m *machine, now time.Time) {
+	if m.calling || m.parked != nil || len(m.doubt) > 0 || n.direct >= mostDirect || n.zoneCut(m.rec.Zone, now) || n.allowed(start.Start, 1) == 0 {
+		return // its next poll finds them again
 	}
+	n.startDirectly(m, now)
 }
 
+// canPlace says whether placements can be stored now.
+func (n *Node) canPlace(now time.Time) bool { return n.sinceContact(now) <= 2*time.Second }
+
 // unreported says whether a machine has answered a direct call when its reports had stopped:
 // its worker lives, but reaches no controller.
 func (m *machine) unreported() bool { return !m.heard.IsZero() && m.answered.After(m.heard) }
 
 // worksOn says whether a silent machine is known to go on with its tasks until its lease ends.
 func (n *Node) worksOn(m *machine, now time.Time) bool {
-	return len(m.on) > 0 && m.unreported() && now.Before(n.leaseEnds(m)) &&
+	return len(m.on) > 0 && m.unreported() && now.Before(n.leaseEnds(m).Add(n.seconds(n.cfg.Params.Workers.ReportS)/2)) &&
 		now.Sub(m.answered).Seconds() < 2.5*n.cfg.Params.Workers.ReportS
 }
 
@@ -153,7 +190,7 @@
 	if last.IsZero() {
 		last = m.heard
 	}
-	return last.Add(n.seconds(n.cfg.Params.Workers.LeaseS))
+	return later(last, m.expired).Add(n.seconds(n.cfg.Params.Workers.LeaseS))
 }
 
 // leavingTasks are the tasks of a silent machine that are to be stopped now, because they
@@ -166,13 +203,17 @@
 		return nil
 	}
 	left := n.leaseEnds(m).Sub(now)
-	movable := silence > n.silentLimit() && n.sinceContact(now) <= 2*time.Second
 	var leaving []taskKey
 	for k := range m.on {
 		j, t := k.job, &k.job.tasks[k.task]
 		if t.phase != placed || t.fact != noFact || n.unwanted(j, t) || !endsWithLease(j, t, left, now) {
 			continue
 		}
+		limit := n.silentLimit()
+		if j.spec.Shape == protocol.Service {
+			limit = maxCut // it is started again there when the lease has ended
+		}
+		movable := silence > limit && n.canPlace(now)
 		if mustSave := j.spec.CheckpointS > 0 && left < n.saveTime(j); movable || mustSave {
 			leaving = append(leaving, k)
 		}
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -46,6 +46,7 @@
 	polling    bool      // a poll is under way; see unreported.go
 	pollAt     time.Time // not to be polled before
 	answered   time.Time // when a poll was last answered
+	expired    time.Time // when a poll last showed that its lease had ended
 	reported   time.Time // when its last report came, here or, by its hints, at its holder
 	toldAt     time.Time // when its holder last told of it
 	unlisted   bool      // the cloud's last list lacks it
