--- a/internal/coordination/node/unreported.go
+++ b/internal/coordination/node/unreported.go
@@ -184,13 +184,14 @@
 }
 
 // leaseEnds is when a machine's lease ends if no other report of it is answered. It serves to
-// plan and proves nothing.
+// plan and proves nothing: after a take-over it may be known only that it had not ended.
 func (n *Node) leaseEnds(m *machine) time.Time {
-	last := m.reported
-	if last.IsZero() {
-		last = m.heard
+	lease := n.seconds(n.cfg.Params.Workers.LeaseS)
+	end := later(m.reported, m.expired).Add(lease)
+	if end.Before(m.heard) {
+		end = m.heard.Add(lease)
 	}
-	return later(last, m.expired).Add(n.seconds(n.cfg.Params.Workers.LeaseS))
+	return end
 }
 
 // leavingTasks are the tasks of a silent machine that are to be stopped now, because they
