--- a/internal/coordination/node/unreported.go
+++ b/internal/coordination/node/unreported.go
@@ -12,7 +12,8 @@
 // Such calls don't renew its lease, but their answers are reports: they tell which tasks
 // have completed, and prove tasks gone. So the owner polls silent machines that have tasks.
 // One that answers is kept until its lease ends, since some of its tasks complete by then.
-// The others are stopped in time, so that they save and go on elsewhere.
+// The others are stopped in time, so that they save and go on elsewhere, but replicas run to
+// its end and start again there.
 
 // pollSilent polls silent machines that have tasks and stops the tasks that are to leave
 // them, as far as the budget of direct calls allows.
