--- a/internal/coordination/decide/explain.go
+++ b/internal/coordination/decide/explain.go
@@ -69,6 +69,8 @@
 		return fmt.Sprintf("team limit: its team uses %g of %g %s, and %d more are needed", c.Used, c.Limit, c.Lacks, c.Need)
 	case GangIncomplete:
 		return fmt.Sprintf("gang incomplete: %d of its %d tasks fit at once", c.Count, c.Need)
+	case GatheringRoom:
+		return fmt.Sprintf("gathering room: %d of %d machines kept (%s)", c.Count, c.Need, some(c.Machines))
 	case NoFreeMachine:
 		return fmt.Sprintf("no free machine: %d that it may use lack %s", c.Count, c.Lacks)
 	case Drained, NotReady, Silent, KeptForGang, Booting, Unheard:
@@ -325,6 +327,9 @@
 			out = append(out, Cause{Kind: GangIncomplete, Count: min(have, j.Tasks), Need: j.Tasks})
 		}
 	}
+	if c, reserved := v.gathering(j); reserved {
+		out = append(out, c)
+	}
 	for _, k := range []Kind{Drained, Silent, KeptForGang, ZoneBound, NoFreeMachine, NotReady, Booting, Unheard} {
 		c := count[k]
 		if c == nil {
@@ -344,6 +349,25 @@
 	return out
 }
 
+// gathering is how much of the room that a gang needs is reserved for it.
+func (v *View) gathering(j *Job) (c Cause, reserved bool) {
+	c = Cause{Kind: GatheringRoom}
+	size := 1 // tasks on the machine that takes most of them
+	for _, m := range v.Index.Machines(v.Share) {
+		if !m.HasReserved(j, v.Now) {
+			continue
+		}
+		c.Count++
+		c.Until = m.EarmarkTo
+		size = max(size, m.Size.Times(j.Need))
+		if len(c.Machines) < mostNamed {
+			c.Machines = append(c.Machines, m.Name)
+		}
+	}
+	c.Need = max(c.Count, (j.Tasks+size-1)/size)
+	return c, c.Count > 0
+}
+
 // Change is something that would have to happen for a job to start.
 type Change struct {
 	Kind     Kind     `json:"releases"`
--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -33,7 +33,7 @@
 }
 
 // together says whether a task runs only with others, on other machines.
-func (h Held) together() bool { return h.Job.Spec.Shape == protocol.Gang && h.Job.Tasks > 1 }
+func (h Held) together() bool { return h.Job.together() }
 
 // Machine is what decisions know of a machine.
 type Machine struct {
@@ -52,6 +52,7 @@
 	Held             []Held
 	Earmark          *Job // a gang that room is kept for
 	EarmarkTo        time.Time
+	Reserved         bool // the earmark is a reservation: what does not delay the gang may go there
 	Needed           bool // by what waits or is expected
 
 	// Kept up by Index.
@@ -152,7 +153,11 @@
 
 // KeptFrom says whether a machine is kept for a gang from a job.
 func (m *Machine) KeptFrom(j *Job, now time.Time) bool {
-	return m.Earmark != nil && m.Earmark != j && now.Before(m.EarmarkTo) && j.Rank >= m.Earmark.Rank && m.Earmark.Waiting > 0
+	gang := m.Earmark
+	if gang == nil || gang.ID == j.ID || !now.Before(m.EarmarkTo) || j.Rank < gang.Rank || gang.Waiting == 0 {
+		return false
+	}
+	return !m.Reserved || m.reservedFrom(j, now)
 }
 
 // Job is what decisions know of a job.
@@ -180,11 +185,17 @@
 	Step      bool // of a ticket
 	Tries     int  // of a job with a mistake
 	LastError string
-	NotBefore time.Time      // after errors
-	RoomTill  time.Time      // how long room made where its image is is waited for
-	Preempted time.Time      // when others may be stopped for it again
-	NoVictims time.Time      // when to look again for others to stop
-	Zones     map[string]int // of a job bound to zones: its tasks by zone
+	NotBefore time.Time // after errors
+	RoomTill  time.Time // how long room made where its image is is waited for
+	Preempted time.Time // when others may be stopped for it again
+	NoVictims time.Time // when to look again for others to stop
+
+	// Of a gang.
+	ReservedSince time.Time // since when machines are reserved for it; zero: none are
+	ReserveAfter  time.Time // when machines may be reserved for it again
+	ExpectedStart time.Time // when the last of the reserved places should be free
+
+	Zones map[string]int // of a job bound to zones: its tasks by zone
 }
 
 // Guest says whether a team has no guarantee: its work runs on what nobody else needs.
--- a/internal/coordination/decide/place.go
+++ b/internal/coordination/decide/place.go
@@ -18,6 +18,8 @@
 	Room   *Room      // room to be made where the job's image is
 	Idling bool       // some of them idle GPUs there, for as long as the job is there
 	Why    Kind       // why not all that wait are placed; None if they are
+
+	Reserve *Reservation // for a gang that does not fit yet
 }
 
 // candidate is a machine that a job fits on so many times.
@@ -73,7 +75,7 @@
 	}
 	switch {
 	case j.Spec.Shape == protocol.Gang && len(picked) < j.Tasks:
-		return Placing{Why: GangIncomplete}
+		return Placing{Why: GangIncomplete, Reserve: v.Reserve(j)}
 	case len(picked) == 0:
 		return Placing{Why: NoFreeMachine}
 	}
--- a/internal/coordination/decide/why.go
+++ b/internal/coordination/decide/why.go
@@ -36,6 +36,7 @@
 	Starting              // tasks are placed and about to start
 	Unreachable           // tasks are on machines that are not heard
 	Unheard               // machines have not spoken since its share was taken
+	GatheringRoom         // machines are reserved for the gang until all of it fits
 	kinds
 )
 
@@ -71,6 +72,7 @@
 	Starting:         {"starting", "being started"},
 	Unreachable:      {"unreachable", "machine unreachable"},
 	Unheard:          {"unheard", "machines have not spoken since its share was taken"},
+	GatheringRoom:    {"gathering_room", "machines are kept for it until all of its gang fits"},
 }
 
 // String is the reason's name, for metrics and programs.
--- a/internal/coordination/node/facts.go
+++ b/internal/coordination/node/facts.go
@@ -72,7 +72,7 @@
 func (n *Node) machineFacts(m *machine) decide.Machine {
 	t := n.types[m.rec.Type]
 	f := decide.Machine{Name: m.name, Type: m.rec.Type, Zone: m.rec.Zone, Spot: m.rec.Spot, Share: m.rec.Share, Used: m.used, SecPerGB: decide.SecondsPerGB(t, m.secPerGB),
-		AvoidTill: m.avoidTill, Heard: m.heard, Addressed: m.rec.Addr != "", EarmarkTo: m.earmarkTo, Needed: m.needed}
+		AvoidTill: m.avoidTill, Heard: m.heard, Addressed: m.rec.Addr != "", EarmarkTo: m.earmarkTo, Reserved: m.reserved, Needed: m.needed}
 	if t != nil {
 		f.HasType, f.Size = true, decide.SizeOf(t)
 	}
@@ -112,6 +112,7 @@
 	f.Cancelled, f.Abandon, f.Busy, f.Closed = j.cancelled, j.abandon, j.busy, n.closed(j, now)
 	f.Mistake, f.Tries, f.LastError, f.Heavy = j.trouble.mistake, j.trouble.tries, j.trouble.last, j.heavy
 	f.NotBefore, f.RoomTill, f.Preempted, f.NoVictims = j.notBefore, j.roomTill, j.preempted, j.noVictims
+	f.ReservedSince, f.ReserveAfter, f.ExpectedStart = j.reservedSince, j.reserveAfter, j.expectedStart
 	return f
 }
 
--- a/internal/coordination/node/facts_test.go
+++ b/internal/coordination/node/facts_test.go
@@ -20,7 +20,7 @@
 		for _, m := range n.machines {
 			want := n.machineFacts(m)
 			got := decide.Machine{Name: m.facts.Name, Type: m.facts.Type, Zone: m.facts.Zone, Spot: m.facts.Spot, Share: m.facts.Share, Block: m.facts.Block, HasType: m.facts.HasType, Size: m.facts.Size, Used: m.facts.Used,
-				SecPerGB: m.facts.SecPerGB, Images: m.facts.Images, AvoidTill: m.facts.AvoidTill, Heard: m.facts.Heard, Addressed: m.facts.Addressed, Held: m.facts.Held, Earmark: m.facts.Earmark, EarmarkTo: m.facts.EarmarkTo, Needed: m.facts.Needed}
+				SecPerGB: m.facts.SecPerGB, Images: m.facts.Images, AvoidTill: m.facts.AvoidTill, Heard: m.facts.Heard, Addressed: m.facts.Addressed, Held: m.facts.Held, Earmark: m.facts.Earmark, EarmarkTo: m.facts.EarmarkTo, Reserved: m.facts.Reserved, Needed: m.facts.Needed}
 			for _, f := range []*decide.Machine{&want, &got} {
 				f.Held, f.Images = slices.Clone(f.Held), slices.Clone(f.Images)
 				sort.Strings(f.Images)
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -96,13 +96,20 @@
 	errored   bool              // of such a job: a task of it has errors that count
 	busy      bool              // a change is being stored
 	heavy     bool
-	abandon   bool         // gang: this attempt is to end
-	seen      time.Time    // when this node learned of it
-	roomTill  time.Time    // how long to wait for room made where its image is
-	allPlaced time.Time    // when the last waiting task was first recorded
-	started   time.Time    // when a task was first seen running
-	preempted time.Time    // when others may be stopped for it again
-	noVictims time.Time    // when to look again for others to stop
+	abandon   bool      // gang: this attempt is to end
+	seen      time.Time // when this node learned of it
+	roomTill  time.Time // how long to wait for room made where its image is
+	allPlaced time.Time // when the last waiting task was first recorded
+	started   time.Time // when a task was first seen running
+	preempted time.Time // when others may be stopped for it again
+	noVictims time.Time // when to look again for others to stop
+
+	// Of a gang that waits for all of its places; see decide.Reservation.
+	reserved      []*machine
+	reservedSince time.Time
+	reserveAfter  time.Time
+	expectedStart time.Time
+
 	dirtyAt   time.Time    // since when something of it waits to be stored
 	trouble   trouble      // its tasks' errors
 	notBefore time.Time    // start nothing before, after errors
@@ -406,6 +413,7 @@
 		n.ticketChanged(j.step.Ticket)
 	}
 	n.noteEnd(j)
+	n.endReservation(j, time.Now())
 	defer n.tellAskers(id)
 	for i := range j.tasks {
 		n.setPhase(j, i, waiting, nil, 0, time.Time{})
--- a/internal/coordination/node/schedule.go
+++ b/internal/coordination/node/schedule.go
@@ -31,6 +31,7 @@
 		var waits []*job
 		for _, j := range s.jobs {
 			if j.nWaiting() == 0 || j.cancelled || j.abandon {
+				n.endReservation(j, now)
 				continue
 			}
 			if n.closed(j, now) {
@@ -143,6 +144,7 @@
 	if j.waits = p.Why; p.Why == decide.RoomIsMade {
 		n.replan = true
 	}
+	n.keepReserved(j, p.Reserve, now)
 	if len(p.On) == 0 {
 		return
 	}
@@ -163,6 +165,67 @@
 	n.log.Debug("placing", "job", j.id, "class", j.spec.Class, "tasks", len(tasks), "heavy", j.heavy, "waiting", j.nWaiting(), "fetch_s", p.FetchS, "after_s", now.Sub(j.seen).Seconds())
 }
 
+// keepReserved keeps for a gang what was decided to be reserved for it, and nothing else any
+// more.
+func (n *Node) keepReserved(j *job, r *decide.Reservation, now time.Time) {
+	if now.Before(j.preempted) {
+		return // room is being made, which is kept already
+	}
+	if r == nil || len(r.Machines) == 0 {
+		n.endReservation(j, now)
+		return
+	}
+	if j.reservedSince.IsZero() {
+		j.reservedSince = now
+	}
+	j.expectedStart = r.ExpectedStart
+	until := j.reservedSince.Add(j.facts.ReservationTime())
+	keep := make([]*machine, 0, len(r.Machines))
+	for _, f := range r.Machines {
+		keep = append(keep, n.machines[f.Name])
+	}
+	for _, m := range j.reserved {
+		if !slices.Contains(keep, m) {
+			n.unreserve(m, j)
+		}
+	}
+	for _, m := range keep {
+		if m.earmark != j || !m.reserved || !m.earmarkTo.Equal(until) {
+			m.earmark, m.earmarkTo, m.reserved = j, until, true
+			n.touch(m)
+		}
+	}
+	j.reserved = keep
+	j.waits = decide.GatheringRoom
+	n.jobFacts(j, now)
+	n.syncIndex(now)
+}
+
+// endReservation lets others use what is reserved for a gang. If it was reserved for as
+// long as it may be, they have it for a while before the gang may have another.
+func (n *Node) endReservation(j *job, now time.Time) {
+	if j.reservedSince.IsZero() {
+		return
+	}
+	if j.facts.ReservationExpired(now) {
+		j.reserveAfter = now.Add(decide.ReservationPause)
+	}
+	for _, m := range j.reserved {
+		n.unreserve(m, j)
+	}
+	j.reserved, j.reservedSince, j.expectedStart = nil, time.Time{}, time.Time{}
+	n.jobFacts(j, now)
+	n.syncIndex(now)
+}
+
+// unreserve ends a machine's reservation for a gang.
+func (n *Node) unreserve(m *machine, j *job) {
+	if m.earmark == j && m.reserved {
+		m.earmark, m.reserved = nil, false
+		n.touch(m)
+	}
+}
+
 // checkPlacing, if a test sets it, is shown each decision with the view it was made on.
 var checkPlacing func(n *Node, v *decide.View, j *decide.Job, p decide.Placing)
 
@@ -213,7 +276,7 @@
 	}
 	for _, f := range r.Keep {
 		m := n.machines[f.Name]
-		m.earmark, m.earmarkTo = j, now.Add(roomTime)
+		m.earmark, m.earmarkTo, m.reserved = j, now.Add(roomTime), false
 		n.touch(m)
 	}
 	for _, c := range r.Stops {
@@ -262,7 +325,9 @@
 	s.recent = decide.Remembered(s.recent, now)
 	d := v.Rent(facts, v.Expected(s.recent, now.Sub(n.ordering.follows), n.policy.Headroom), market)
 	for i, j := range waits {
-		j.waits = d.Why[i]
+		if j.waits != decide.GatheringRoom {
+			j.waits = d.Why[i]
+		}
 	}
 	for f, needed := range d.Need {
 		if m := n.machines[f.Name]; m.needed != needed {
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -56,6 +56,7 @@
 	heldBack   bool
 	earmark    *job // a gang that room is being gathered for
 	earmarkTo  time.Time
+	reserved   bool           // the earmark is a reservation
 	needed     bool           // by what waits or is expected
 	facts      decide.Machine // what decisions see of it; see facts.go
 	stale      bool           // the facts are older than the rest
