--- a/internal/coordination/decide/explain.go
+++ b/internal/coordination/decide/explain.go
@@ -471,7 +471,7 @@
 // without is a view and a job without the causes that are the job's own.
 func (v *View) without(j *Job) (*View, *Job) {
 	w := *v
-	w.noSlot, w.noRoom = nil, nil
+	w.noSlot, w.noRoom, w.shiftables = nil, nil, nil
 	after := *j
 	after.Closed, after.Busy, after.Abandon, after.Pausing, after.NotBefore = false, false, false, 0, time.Time{}
 	if j.Abandon {
--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -409,6 +409,8 @@
 	noSlot map[needs]uint64
 	noRoom map[roomKey]uint64
 	kept   bool // a machine was passed over since it is kept for a gang
+
+	shiftables map[int]map[*Machine]bool // by rank, see shiftable
 }
 
 // needs is what makes two jobs equal for the machines that they fit on.
--- a/internal/coordination/decide/reserve.go
+++ b/internal/coordination/decide/reserve.go
@@ -12,14 +12,15 @@
 // Reservations for gangs. A gang starts with all of its tasks or not at all, so that in a
 // full share smaller jobs of the same priority would take each machine that becomes free
 // while a larger gang waits for several. The machines that are free for the gang in the
-// zone where it is expected to start first are therefore reserved for it. Nobody is stopped
-// for a reservation. Other jobs are backfilled: they may use a reserved machine if they are
+// zone where it is expected to start first are therefore reserved for it, and so are those
+// where less urgent work could be stopped for it. Nobody is stopped for a reservation before
+// all of the gang fits. Other jobs are backfilled: they may use a reserved machine if they are
 // expected to end before the gang can start, or may be stopped for it.
 
 const (
 	// shortestReservation and longestReservation bound how long machines are reserved for
 	// a gang. In between it is as long as the gang itself is expected to run.
-	shortestReservation = time.Minute
+	shortestReservation = 2 * time.Minute
 	longestReservation  = 10 * time.Minute
 	// ReservationPause is how long others may use what a reservation that came to nothing
 	// had kept, before the gang may have another.
@@ -28,7 +29,7 @@
 
 // Reservation is what is reserved for a gang that can't start yet.
 type Reservation struct {
-	Machines      []*Machine // those on which tasks of it fit now
+	Machines      []*Machine // those on which tasks of it have a place, or could be given one
 	ExpectedStart time.Time  // when its last task should have a place
 }
 
@@ -81,7 +82,7 @@
 type place struct {
 	machine *Machine
 	at      time.Time // when it should be free
-	free    bool      // it is free now
+	ready   bool      // it is free, or could be made so for the gang
 }
 
 // Reserve says what to reserve for a gang that finds too few places: nothing if it may not
@@ -104,7 +105,7 @@
 		return nil
 	}
 	for _, p := range best {
-		if p.free && !slices.Contains(r.Machines, p.machine) {
+		if p.ready && !slices.Contains(r.Machines, p.machine) {
 			r.Machines = append(r.Machines, p.machine)
 		}
 	}
@@ -112,19 +113,19 @@
 }
 
 // sooner says whether a gang should start earlier on some places than on others, or at the
-// same time with more of them free already.
+// same time with more of them ready.
 func sooner(a, b []place) bool {
 	last := len(a) - 1
-	return cmp.Or(a[last].at.Compare(b[last].at), countFree(b)-countFree(a), strings.Compare(a[0].machine.Zone, b[0].machine.Zone)) < 0
+	return cmp.Or(a[last].at.Compare(b[last].at), countReady(b)-countReady(a), strings.Compare(a[0].machine.Zone, b[0].machine.Zone)) < 0
 }
 
-func countFree(places []place) (free int) {
+func countReady(places []place) (ready int) {
 	for _, p := range places {
-		if p.free {
-			free++
+		if p.ready {
+			ready++
 		}
 	}
-	return free
+	return ready
 }
 
 // expectedPlaces are the places that a gang could have on the share's machines, by zone if
@@ -169,14 +170,16 @@
 		need Amounts
 	}
 	var endings []ending
+	free := m.Free()
 	for _, h := range m.Held {
-		if at, ends := v.expectedEnd(m, h, j); ends {
+		if v.makesWay(m, h, j) {
+			free = free.Add(h.Job.Need, 1)
+		} else if at, ends := v.expectedEnd(m, h); ends {
 			endings = append(endings, ending{at, h.Job.Need})
 		}
 	}
 	slices.SortStableFunc(endings, func(a, b ending) int { return a.at.Compare(b.at) })
 	var out []place
-	free := m.Free()
 	for range min(free.Times(j.Need), j.Tasks) {
 		out = append(out, place{m, v.Now, true})
 	}
@@ -189,13 +192,49 @@
 	return out
 }
 
-// expectedEnd is when a task's place should be free for a gang, by the owner's estimate: at
-// once if it is overdue, is leaving or may be stopped for the gang; never for a service.
-func (v *View) expectedEnd(m *Machine, h Held, gang *Job) (at time.Time, ends bool) {
+// makesWay says whether a task leaves its place to a gang when all of the gang fits: it is
+// leaving already, is less urgent and may be stopped, or can run elsewhere.
+func (v *View) makesWay(m *Machine, h Held, gang *Job) bool {
 	switch {
-	case h.Unwanted, h.Settled && !h.together() && h.Job.Rank > gang.Rank:
-		return v.Now, true
-	case h.Job.Spec.Shape == protocol.Service:
+	case h.Unwanted:
+		return true
+	case !h.Settled || h.together():
+		return false
+	case h.Job.Rank > gang.Rank:
+		return true
+	}
+	return h.Job.Need.GPUs == 0 && v.shiftsFor(gang, m) && v.shiftable(gang.Rank)[m]
+}
+
+// shiftable are the machines of the share from which all tasks that need none of the GPUs
+// and are as urgent as a rank could be shifted, together.
+func (v *View) shiftable(rank int) map[*Machine]bool {
+	if out, known := v.shiftables[rank]; known {
+		return out
+	}
+	var with []*Machine
+	for _, m := range v.Index.Machines(v.Share) {
+		if m.idlers > 0 {
+			with = append(with, m)
+		}
+	}
+	slices.SortStableFunc(with, func(a, b *Machine) int { return a.idlers - b.idlers })
+	places := v.elsewhere(v.Share)
+	out := map[*Machine]bool{}
+	for _, m := range with {
+		out[m] = (v.Wanted == nil || v.Wanted[m.Type]) && places.takeAll(m, rank)
+	}
+	if v.shiftables == nil {
+		v.shiftables = map[int]map[*Machine]bool{}
+	}
+	v.shiftables[rank] = out
+	return out
+}
+
+// expectedEnd is when a task should end, by the owner's estimate: at once if it is overdue,
+// never for a service.
+func (v *View) expectedEnd(m *Machine, h Held) (at time.Time, ends bool) {
+	if h.Job.Spec.Shape == protocol.Service {
 		return time.Time{}, false
 	}
 	at = h.Since.Add(secondsOf(h.Job.Spec.EstimateS + m.Cost(h.Job.Spec)))
--- /dev/null
+++ b/internal/coordination/decide/reserve_test.go
@@ -0,0 +1,287 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+)
+
+// gangOf is a gang whose tasks fill a g4 machine each.
+func gangOf(id string, tasks int, submitted, runs time.Duration) *Job {
+	j := gang(id, tasks)
+	j.Spec.OneZone, j.Spec.EstimateS = true, runs.Seconds()
+	j.Submitted = start.Add(submitted)
+	return j
+}
+
+// gangShare plays a share of g4 machines second by second: it places what waits by age,
+// keeps what is reserved, and ends tasks when their time is over.
+type gangShare struct {
+	view     *View
+	waits    []*Job
+	started  map[*Job]time.Duration
+	ends     map[*Job]time.Duration
+	idlest   time.Duration // the longest that a machine was free while a job waited
+	freeFrom map[*Machine]time.Duration
+}
+
+func newGangShare(machines int) *gangShare {
+	var ms []*Machine
+	for i := range machines {
+		ms = append(ms, of(g4, fmt.Sprintf("m%d", i), 0, "i"))
+	}
+	return &gangShare{view: typedView(ms...), started: map[*Job]time.Duration{}, ends: map[*Job]time.Duration{}, freeFrom: map[*Machine]time.Duration{}}
+}
+
+func (s *gangShare) set(m *Machine, change func(f *Machine)) {
+	f := *m
+	f.Held = append([]Held(nil), m.Held...)
+	change(&f)
+	s.view.Index.Set(m, &f)
+}
+
+// step decides and applies one look at a time since the start.
+func (s *gangShare) step(at time.Duration, runs func(j *Job) time.Duration) {
+	now := start.Add(at)
+	look := *s.view
+	look.Now = now
+	look.noSlot, look.noRoom, look.shiftables = nil, nil, nil
+	for _, m := range s.view.Index.Machines(0) {
+		s.set(m, func(f *Machine) {
+			f.Heard = now
+			if len(f.Held) > 0 && s.ends[f.Held[0].Job] <= at {
+				f.Held, f.Used = nil, Amounts{}
+			}
+		})
+	}
+	var left []*Job
+	for _, j := range s.waits {
+		p := look.Place(j)
+		s.reserve(j, p.Reserve, now)
+		if len(p.On) == 0 {
+			left = append(left, j)
+			continue
+		}
+		for k, m := range p.On {
+			s.set(m, func(f *Machine) {
+				f.Held = []Held{{Job: j, Task: k, Since: now, Settled: true}}
+				f.Used = f.Used.Add(j.Need, 1)
+			})
+		}
+		j.Waiting, s.started[j], s.ends[j] = 0, at, at+runs(j)
+	}
+	s.waits = left
+	for _, m := range s.view.Index.Machines(0) {
+		if len(m.Held) > 0 || len(s.waits) == 0 {
+			s.freeFrom[m] = at
+		}
+		s.idlest = max(s.idlest, at-s.freeFrom[m])
+	}
+}
+
+// reserve applies a reservation as the actor does.
+func (s *gangShare) reserve(j *Job, r *Reservation, now time.Time) {
+	for _, m := range s.view.Index.Machines(0) {
+		if m.HasReserved(j, now) || m.Earmark == j {
+			s.set(m, func(f *Machine) { f.Earmark, f.Reserved = nil, false })
+		}
+	}
+	if r == nil || len(r.Machines) == 0 {
+		if j.ReservationExpired(now) {
+			j.ReserveAfter = now.Add(ReservationPause)
+		}
+		j.ReservedSince = time.Time{}
+		return
+	}
+	if j.ReservedSince.IsZero() {
+		j.ReservedSince = now
+	}
+	j.ExpectedStart = r.ExpectedStart
+	for _, m := range r.Machines {
+		s.set(m, func(f *Machine) {
+			f.Earmark, f.Reserved, f.EarmarkTo = j, true, j.ReservedSince.Add(j.ReservationTime())
+		})
+	}
+}
+
+// Gangs of one keep coming and take every machine that becomes free. A gang of four of the
+// same priority begins all the same, before the younger ones that would delay it, and no
+// machine stands idle for longer than a reservation lasts.
+func TestLargeGangIsNotOvertakenForever(t *testing.T) {
+	s := newGangShare(6)
+	runs := func(j *Job) time.Duration { return time.Duration(j.Spec.EstimateS) * time.Second }
+	large := gangOf("job-large", 4, 20*time.Second, 60*time.Second)
+	waited := 0
+	for at := time.Duration(0); at < 10*time.Minute; at += time.Second {
+		if at%(9*time.Second) == 0 {
+			s.waits = append(s.waits, gangOf(fmt.Sprintf("job-%03d", at/time.Second), 1, at, 60*time.Second))
+		}
+		if at == 20*time.Second {
+			s.waits = append(s.waits, large)
+		}
+		s.step(at, runs)
+		waited = max(waited, len(s.waits))
+	}
+	began, ok := s.started[large]
+	if !ok || began > 20*time.Second+2*large.ReservationTime() {
+		t.Errorf("the gang of four began after %v (%v)", began, ok)
+	}
+	if waited < 2 {
+		t.Error("nothing else ever waited: the share was not full")
+	}
+	if s.idlest > large.ReservationTime() {
+		t.Errorf("a machine stood idle for %v while others waited", s.idlest)
+	}
+}
+
+// A gang whose places do not become free, since the running tasks go on for longer than
+// was estimated, keeps what is reserved for it no longer than it may; then others go on.
+func TestReservationThatCannotBeMetEnds(t *testing.T) {
+	s := newGangShare(4)
+	runs := func(j *Job) time.Duration {
+		if j.ID == "job-overdue" {
+			return time.Hour
+		}
+		return 30 * time.Second
+	}
+	s.waits = []*Job{gangOf("job-overdue", 3, 0, 30*time.Second)}
+	s.step(0, runs)
+	large, small := gangOf("job-large", 2, 1, 30*time.Second), gangOf("job-small", 1, 2, 30*time.Second)
+	s.waits = []*Job{large, small}
+	for at := time.Second; at < 10*time.Minute; at += time.Second {
+		s.step(at, runs)
+		if at == 10*time.Second && s.started[small] != 0 {
+			t.Fatal("nothing was reserved: the small gang has begun")
+		}
+	}
+	if began := s.started[small]; began == 0 || began > large.ReservationTime()+5*time.Second {
+		t.Errorf("the small gang began after %v, the reservation lasts %v", began, large.ReservationTime())
+	}
+	if _, ok := s.started[large]; ok {
+		t.Error("the large gang has begun without places")
+	}
+}
+
+// What a reservation keeps off a machine, and what it lets through.
+func TestBackfill(t *testing.T) {
+	large := gangOf("job-large", 4, 10*time.Second, time.Minute)
+	large.ExpectedStart = start.Add(time.Minute)
+	job := func(shape string, tasks, rank int, submitted, runs time.Duration) *Job {
+		j := gangOf("job-other", tasks, submitted, runs)
+		j.Spec.Shape, j.Rank = shape, rank
+		return j
+	}
+	gangOfOne := func(submitted, runs time.Duration) *Job {
+		return job(protocol.Gang, 1, large.Rank, submitted, runs)
+	}
+	for _, c := range []struct {
+		name   string
+		job    *Job
+		change func(m *Machine)
+		kept   bool
+	}{
+		{"younger, ends later", gangOfOne(20*time.Second, 2*time.Minute), nil, true},
+		{"younger, ends in time", gangOfOne(20*time.Second, 30*time.Second), nil, false},
+		{"younger, ends in time but for the fetch", gangOfOne(20*time.Second, 59*time.Second), func(m *Machine) { m.Images = nil }, true},
+		{"older", gangOfOne(0, 2*time.Minute), nil, false},
+		{"a service of the same priority", job(protocol.Service, 1, large.Rank, 20*time.Second, time.Second), nil, true},
+		{"more urgent", job(protocol.Gang, 1, protocol.Production, 20*time.Second, 2*time.Minute), nil, false},
+		{"less urgent, may be stopped", job(protocol.Array, 1, protocol.Low, 20*time.Second, time.Hour), nil, false},
+		{"less urgent gang, may not", job(protocol.Gang, 2, protocol.Low, 20*time.Second, time.Hour), nil, true},
+		{"the time is over", gangOfOne(20*time.Second, 2*time.Minute), func(m *Machine) { m.EarmarkTo = start }, false},
+		{"the machine has left the share", gangOfOne(20*time.Second, 2*time.Minute), func(m *Machine) { m.Share = 1 }, false},
+		{"the gang is cancelled", gangOfOne(20*time.Second, 2*time.Minute), func(m *Machine) {
+			cancelled := *large
+			cancelled.Cancelled = true
+			m.Earmark = &cancelled
+		}, false},
+		{"the gang has begun", gangOfOne(20*time.Second, 2*time.Minute), func(m *Machine) {
+			begun := *large
+			begun.Waiting = 0
+			m.Earmark = &begun
+		}, false},
+	} {
+		m := of(g4, "m1", 0, "i")
+		m.Earmark, m.EarmarkTo, m.Reserved = large, start.Add(time.Hour), true
+		if c.change != nil {
+			c.change(m)
+		}
+		if got := m.KeptFrom(c.job, start); got != c.kept {
+			t.Errorf("%s: kept off %v, want %v", c.name, got, c.kept)
+		}
+	}
+}
+
+// What is reserved: the zone where the gang should start first, machines on which it has a
+// place or whose less urgent work may be stopped, and nothing that cannot lead to a start.
+func TestWhatIsReserved(t *testing.T) {
+	running := func(name, zone string, left time.Duration) *Machine {
+		j := gangOf("job-"+name, 1, 0, 5*time.Minute)
+		m := of(g4, name, 0, "i")
+		m.Zone, m.Used = zone, j.Need
+		m.Held = []Held{{Job: j, Since: start.Add(left - 5*time.Minute), Settled: true}}
+		return m
+	}
+	free := func(name, zone string) *Machine {
+		m := of(g4, name, 0, "i")
+		m.Zone = zone
+		return m
+	}
+	service := holding(of(g4, "m9", 24), small("job-pages", protocol.Service, 24, protocol.Production), 24)
+	low := holding(of(g4, "m8", 24), small("job-low", protocol.Array, 24, protocol.Low), 24)
+	other := free("m7", "a")
+	other.Earmark, other.EarmarkTo, other.Reserved = gangOf("job-older", 2, -time.Minute, time.Hour), start.Add(time.Hour), true
+	other.Earmark.ExpectedStart = start
+	for _, c := range []struct {
+		name     string
+		machines []*Machine
+		change   func(j *Job)
+		want     string
+		in       time.Duration
+	}{
+		{"the zone that is ready first", []*Machine{free("m1", "a"), running("m2", "a", 90*time.Second), free("m3", "b"), running("m4", "b", 30*time.Second)}, nil, "m3 ", 30 * time.Second},
+		{"less urgent work may be stopped", []*Machine{low, running("m2", "a", time.Minute)}, nil, "m8 ", time.Minute},
+		{"not where a service stays", []*Machine{service, free("m1", "a")}, nil, "", 0},
+		{"too late", []*Machine{free("m1", "a"), running("m2", "a", 4*time.Minute)}, nil, "", 0},
+		{"an older gang's is left to it", []*Machine{other, free("m1", "a"), running("m2", "a", 10*time.Second), running("m3", "a", 20*time.Second)}, nil, "", 0},
+		{"after a reservation in vain", []*Machine{free("m1", "a"), running("m2", "a", time.Minute)}, func(j *Job) { j.ReserveAfter = start.Add(time.Second) }, "", 0},
+		{"it has lasted", []*Machine{free("m1", "a"), running("m2", "a", time.Minute)}, func(j *Job) { j.ReservedSince = start.Add(-j.ReservationTime()) }, "", 0},
+		{"it fails everywhere", []*Machine{free("m1", "a"), running("m2", "a", time.Minute)}, func(j *Job) { j.Mistake = true }, "", 0},
+		{"not for one task", []*Machine{running("m2", "a", time.Minute)}, func(j *Job) { j.Tasks, j.Waiting = 1, 1 }, "", 0},
+	} {
+		j := gangOf("job-1", 2, 0, time.Minute)
+		if c.change != nil {
+			c.change(j)
+		}
+		r := typedView(c.machines...).Place(j).Reserve
+		got := ""
+		if r != nil {
+			got = names(r.Machines)
+		}
+		if got != c.want {
+			t.Errorf("%s: reserved %q, want %q", c.name, got, c.want)
+		}
+		if c.want != "" && r.ExpectedStart.Sub(start) != c.in {
+			t.Errorf("%s: expected in %v, want %v", c.name, r.ExpectedStart.Sub(start), c.in)
+		}
+	}
+}
+
+// A gang that room is gathered for is told how much of it there is.
+func TestWhyTellsOfTheRoomGathered(t *testing.T) {
+	m1, m2 := of(g4, "m1", 0, "i"), of(g4, "m2", 24, "i")
+	j := gangOf("job-1", 2, 0, time.Minute)
+	m1.Earmark, m1.EarmarkTo, m1.Reserved = j, start.Add(time.Minute), true
+	v := typedView(m1, m2)
+	for _, c := range v.Explain(j, &Around{}) {
+		if c.Kind == GatheringRoom {
+			if got, want := c.String(), "gathering room: 1 of 2 machines kept (m1)"; got != want {
+				t.Errorf("%q, want %q", got, want)
+			}
+			return
+		}
+	}
+	t.Error("it does not say that room is gathered")
+}
--- a/internal/coordination/decide/room.go
+++ b/internal/coordination/decide/room.go
@@ -106,7 +106,7 @@
 		if m.lowest <= j.Rank && !(within && m.lowest >= protocol.High) && !v.shiftsFor(j, m) || m.stopping > 0 {
 			continue // nobody there may be stopped for it
 		}
-		if j.zoneRoom(m.Zone) <= 0 || !Allowed(j.Spec, m.offer()) || !v.usable(m) || cached && !m.Has(j.Spec.Image) || where != Anywhere && v.idles(j, m.Type) > 0 {
+		if j.zoneRoom(m.Zone) <= 0 || !Allowed(j.Spec, m.offer()) || !v.usable(m) || m.KeptFrom(j, v.Now) || cached && !m.Has(j.Spec.Image) || where != Anywhere && v.idles(j, m.Type) > 0 {
 			continue
 		}
 		may = append(may, m)
