--- a/internal/coordination/decide/reserve.go
+++ b/internal/coordination/decide/reserve.go
@@ -134,7 +134,7 @@
 	out := map[string][]place{}
 	lacking := map[string]map[*Job]int{}
 	for _, m := range v.Index.Machines(v.Share) {
-		if j.zoneRoom(m.Zone) <= 0 || !Allowed(j.Spec, m.offer()) || !v.usable(m) || v.idles(j, m.Type) > 0 {
+		if m.Size.Times(j.Need) == 0 || j.zoneRoom(m.Zone) <= 0 || !Allowed(j.Spec, m.offer()) || !v.usable(m) || v.idles(j, m.Type) > 0 {
 			continue
 		}
 		zone := ""
