--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -151,11 +151,17 @@
 	}
 }
 
-// KeptFrom says whether a machine is kept for a gang from a job.
+// KeptFrom says whether a machine is kept for a gang from a job. While work without GPUs
+// leaves it for a gang that needs them, such work is kept off whatever its priority: it has
+// room elsewhere, and being looked at first it would come back before the gang is there. (On
+// simulated days replicas left a machine for one gang every 9 s, and it never began.)
 func (m *Machine) KeptFrom(j *Job, now time.Time) bool {
 	gang := m.Earmark
-	if gang == nil || gang.ID == j.ID || !now.Before(m.EarmarkTo) || j.Rank < gang.Rank || gang.Waiting == 0 {
+	switch {
+	case gang == nil || gang.ID == j.ID || !now.Before(m.EarmarkTo) || gang.Waiting == 0:
 		return false
+	case j.Rank < gang.Rank:
+		return !m.Reserved && j.Need.GPUs == 0 && gang.Need.GPUs > 0
 	}
 	return !m.Reserved || m.reservedFrom(j, now)
 }
--- a/internal/coordination/decide/reserve_test.go
+++ b/internal/coordination/decide/reserve_test.go
@@ -285,3 +285,31 @@
 	}
 	t.Error("it does not say that room is gathered")
 }
+
+// Replicas that made way for a gang do not come back to its machine before it, though they
+// are more urgent and looked at first; more urgent work that needs the GPUs may go there, and
+// when the time is over all may.
+func TestShiftedWorkDoesNotComeBack(t *testing.T) {
+	kept := func() *Machine {
+		m := of(g4, "m1", 0, "i")
+		m.Earmark, m.EarmarkTo = gangOf("job-g", 1, 0, time.Minute), start.Add(8*time.Second)
+		return m
+	}
+	v := typedView(kept())
+	pages := small("job-pages", protocol.Service, 2, protocol.Production)
+	if p := v.Place(pages); len(p.On) != 0 {
+		t.Errorf("replicas come back to %s", names(p.On))
+	}
+	urgent := array("job-urgent", 1, true)
+	urgent.Rank = protocol.Production
+	if p := v.Place(urgent); len(p.On) != 1 {
+		t.Error("more urgent work with GPUs is kept off")
+	}
+	later := kept()
+	later.Heard = later.EarmarkTo
+	v = typedView(later)
+	v.Now = later.EarmarkTo
+	if p := v.Place(pages); len(p.On) != 2 {
+		t.Error("replicas are kept off for longer than the room is")
+	}
+}
