--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -70,6 +70,8 @@
 	userOf      map[string]*user     // users by the ids of their jobs
 	answers     *answerChecker       // of all that users are told
 	submitted   []*protocol.JobSpec  // what was submitted by no user of the day, see submit
+	underWay    int                  // meetings that are being played
+	lastJob     int                  // number of the last job of those who joined within the day
 	quietly     bool                 // what is broken is only listed
 	complaints  []string
 	leftOut     string         // a guard that is left out: the tests of meetings find it
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -46,6 +46,7 @@
 	polling    bool      // a poll is under way; see unreported.go
 	pollAt     time.Time // not to be polled before
 	answered   time.Time // when a poll was last answered
+	expired    time.Time // when a poll last showed that its lease had ended
 	reported   time.Time // when its last report came, here or, by its hints, at its holder
 	toldAt     time.Time // when its holder last told of it
 	unlisted   bool      // the cloud's last list lacks it
@@ -59,6 +60,7 @@
 	heldBack   bool
 	earmark    *job // a gang that room is being gathered for
 	earmarkTo  time.Time
+	reserved   bool           // the earmark is a reservation
 	needed     bool           // by what waits or is expected
 	facts      decide.Machine // what decisions see of it; see facts.go
 	stale      bool           // the facts are older than the rest
