--- /dev/null
+++ b/internal/coordination/node/carried_test.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/standin"
+	"dapplestage.example/dapplestage/internal/storage"
+)
+
+// store puts a value into the state service, and the watch tells of it.
+func (b *bench) store(key string, v any) {
+	b.state.Put(key, v)
+	it, _ := b.state.Get(b.t.Context(), key)
+	b.rev = it.Stamp
+	b.follow([]storage.Item{it}, it.Stamp)
+}
+
+// answered runs what the actor is told until nothing of a share's jobs is being stored.
+func (b *bench) answered(s *share) {
+	b.t.Helper()
+	busy := func(j *job) bool { return j.busy }
+	for s.append != nil || s.saving > 0 || slices.ContainsFunc(s.jobs, busy) {
+		select {
+		case f := <-b.inbox:
+			f()
+		case <-time.After(10 * time.Second):
+			b.t.Fatal("no answer of the state service")
+		}
+	}
+}
+
+// proposedArray is a job of one task on host-1 that is to be stored.
+func (b *bench) proposedArray(id string) *job {
+	spec := &protocol.JobSpec{ID: id, Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1}
+	b.store(protocol.JobKey(id), protocol.JobRecord{Spec: spec, Next: 1})
+	b.propose(b.jobs[id], []int{0}, []*machine{b.machines["host-1"]}, time.Now())
+	return b.jobs[id]
+}
+
+// conditionLimit is a state service that takes so many conditions at once.
+type conditionLimit struct {
+	*standin.State
+	t    *testing.T
+	most int
+}
+
+func (l *conditionLimit) Txn(ctx context.Context, conds []storage.Cond, writes []storage.Write) (bool, uint64, []string, error) {
+	if len(conds) > l.most {
+		l.t.Errorf("a transaction of %d conditions, where %d are taken", len(conds), l.most)
+		return false, 0, nil, storage.ErrMalformed
+	}
+	return l.State.Txn(ctx, conds, writes)
+}
+
+// withLog makes the bench write entries of four slots, of which the one that the next entry
+// takes the place of places a service's task on host-1 with attempt 2.
+func withLog(t *testing.T) (b *bench, service *job) {
+	packedOnly(t, 4)
+	b = newBench(t)
+	for range b.rev + 1 { // what is stored from here on is later than what the bench began with
+		b.state.Put("revision", 0)
+	}
+	b.store(protocol.FormatKey, protocol.FormatRecord{Packed: true})
+	b.store(protocol.HolderKey(0), protocol.HolderRecord{Node: "n-0", Token: 7, Lease: 3})
+	spec := &protocol.JobSpec{ID: "job-1", Team: "red", Class: "c", Shape: protocol.Service, Priority: "critical", Tasks: 1, CPUs: 4, GPUs: 1, Image: "i", ImageGB: 1}
+	b.store(protocol.JobKey(spec.ID), protocol.JobRecord{Spec: spec, Next: 2})
+	for seq := uint64(1); seq <= 4; seq++ {
+		e := protocol.Entry{Version: protocol.EntryVersion, Seq: seq}
+		if seq == 1 {
+			e.Machines = []string{"host-1"}
+			e.Parts = []protocol.Part{{Job: spec.ID, Next: 3, Placed: []protocol.Run{{0, 0, 2, 0}}}}
+		}
+		b.store(protocol.LogKey(0, int(seq%4)), e)
+	}
+	service = b.jobs[spec.ID]
+	if task := &service.tasks[0]; task.phase != placed || task.attempt != 2 || !task.overlaid {
+		t.Fatalf("the entry's task is read as %+v", task)
+	}
+	return b, service
+}
+
+// An entry says again where a service's task is, and while that is on its way, the end of that
+// task is stored in the service's own record. Whichever is executed first, the task is not
+// read as placed once its end is stored: it may run elsewhere by then. (On a quiet day two
+// replicas of a service that had been moved were started again where they had been.)
+func TestEntryDoesNotUndoALaterRecord(t *testing.T) {
+	for _, recordFirst := range []bool{true, false} {
+		t.Run(fmt.Sprintf("record first %v", recordFirst), func(t *testing.T) {
+			b, service := withLog(t)
+			s := b.shares[0]
+			array := b.proposedArray("job-2")
+			b.flush(time.Now())
+			if s.append == nil {
+				t.Fatal("no entry is being stored")
+			}
+			b.note(service, 0, gone)
+			b.flush(time.Now())
+			if s.saving != 1 {
+				t.Fatal("the service's own record is not being stored meanwhile")
+			}
+			first, second := b.press, b.books
+			if !recordFirst {
+				first, second = b.books, b.press
+			}
+			go first.Run(t.Context())
+			(<-b.inbox)()
+			go second.Run(t.Context())
+			b.answered(s)
+			b.flush(time.Now()) // what was refused is stored now
+			b.answered(s)
+			if is := &service.tasks[0]; is.phase != waiting {
+				t.Errorf("the node that stored the end knows the task as %v with attempt %d", is.phase, is.attempt)
+			}
+			if read := reread(t, b.cfg, b.state).storedJobs()["job-1"]; read != "1 false false - " {
+				t.Errorf("a node that starts reads %q", read)
+			}
+			if array.tasks[0].phase == waiting { // its entry was refused
+				b.propose(array, []int{0}, []*machine{b.machines["host-1"]}, time.Now())
+				b.flush(time.Now())
+				b.answered(s)
+			}
+			if array.tasks[0].phase != placed {
+				t.Error("the array's placement was not stored in the end")
+			}
+		})
+	}
+}
+
+// Of entries with many jobs some get records of their own before they would be said again: an
+// entry's transaction has no more conditions than the state service takes.
+func TestConditionsOfCarriedJobsFit(t *testing.T) {
+	b, _ := withLog(t)
+	s := b.shares[0]
+	b.cfg.Params.State.ValueKB = 64
+	e := *s.log.Old()
+	for i := range 60 { // more than conditions
+		id := fmt.Sprintf("job-10%02d", i)
+		spec := &protocol.JobSpec{ID: id, Team: "red", Class: "c", Shape: protocol.Array, Priority: "standard", Tasks: 2, CPUs: 0.1, Image: "i"}
+		b.store(protocol.JobKey(id), protocol.JobRecord{Spec: spec, Next: 1})
+		e.Parts = append(e.Parts, protocol.Part{Job: id, Next: 2, Placed: []protocol.Run{{0, 0, 1, 0}}})
+	}
+	b.store(protocol.LogKey(0, 1), e)
+	limited := &conditionLimit{b.state, t, b.mostConditions()}
+	b.press = storage.NewCommitter(limited, b.cfg.Params.State.TxnOps, b.pace, storage.UrgentLevel)
+	b.books = storage.NewCommitter(limited, b.cfg.Params.State.TxnOps, b.pace, storage.BackgroundLevel)
+	go b.press.Run(t.Context())
+	go b.books.Run(t.Context())
+	array := b.proposedArray("job-2")
+	for range 5 {
+		b.flush(time.Now())
+		b.answered(s)
+	}
+	if _, seq := s.log.Next(); seq != 6 || array.tasks[0].phase != placed {
+		t.Errorf("the next entry is %d, the fifth one's task %v", seq, array.tasks[0].phase)
+	}
+	live, read := b.storedJobs(), reread(t, b.cfg, b.state).storedJobs()
+	for id, j := range b.jobs {
+		if live[id] != read[id] || j.tasks[0].phase != placed {
+			t.Errorf("%s is known as %q and read as %q", id, live[id], read[id])
+		}
+	}
+}
--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -27,9 +27,9 @@
 	packAlways bool
 )
 
-// entryPart is how much of a value an entry may fill, and carryPart how much of that may be
-// said again from the entry that it takes the place of: if more is, jobs are folded into
-// records of their own first.
+// entryPart is how much of a value an entry may fill, and carryPart how much of that, and of
+// the conditions of its transaction, may be for what is said again from the entry that it takes
+// the place of: if more is, jobs are folded into records of their own first.
 const (
 	entryPart = 0.9
 	carryPart = 0.6
@@ -414,17 +414,19 @@
 // ones first, as far as there is room. It returns false if nothing is on its way.
 func (n *Node) appendLog(s *share, turns []turn, now time.Time) bool {
 	w := packed.NewWriter(s.log, int(entryPart*1024*n.cfg.Params.State.ValueKB))
-	if !n.carry(s, w) {
+	carried, fits := n.carry(s, w)
+	if !fits {
 		return false
 	}
 	a := &appending{pressing: turns[0].urgency <= urgentStart}
 	slot, _ := s.log.Next()
 	op := &storage.Op{For: uint8(turns[0].of), Conds: []storage.Cond{n.cond(protocol.HolderKey(s.index)), n.cond(protocol.LogKey(s.index, slot)), n.cond(protocol.FormatKey)}}
+	op.Conds = append(op.Conds, n.unchangedRecords(carried)...)
 	most := n.mostEnds()
 	var finals []storage.Write
 	for _, c := range turns {
 		j := c.job
-		if len(op.Conds)+2 > 4*n.cfg.Params.State.TxnOps {
+		if len(op.Conds)+2 > n.mostConditions() {
 			break
 		}
 		if j.cancelled {
@@ -521,13 +523,30 @@
 	return d
 }
 
-// carry says again what is still needed of the entry that the next one takes the place of.
-// If that is too much, some jobs are folded into records of their own first, and it returns
-// false.
-func (n *Node) carry(s *share, w *packed.Writer) bool {
+// mostConditions is how many conditions a transaction may have.
+func (n *Node) mostConditions() int { return 4 * n.cfg.Params.State.TxnOps }
+
+// unchangedRecords are the conditions that the own records of jobs that an entry says something
+// of again are as this node knows them. A record may be stored while the entry is under way,
+// and what the entry says again would count as later than that. Of a job that is over nothing
+// but its end can be stored, after which nothing counts.
+func (n *Node) unchangedRecords(carried []packed.Carried) []storage.Cond {
+	conds := make([]storage.Cond, 0, len(carried))
+	for _, c := range carried {
+		if n.jobs[c.Job].left() > 0 {
+			conds = append(conds, n.cond(protocol.JobKey(c.Job)))
+		}
+	}
+	return conds
+}
+
+// carry says again what is still needed of the entry that the next one takes the place of, and
+// of which open jobs. If that is too much, or takes too many conditions, some jobs are folded
+// into records of their own first, and it returns false.
+func (n *Node) carry(s *share, w *packed.Writer) ([]packed.Carried, bool) {
 	old := s.log.Old()
 	if old == nil {
-		return true
+		return nil, true
 	}
 	carried, fits := s.log.Carry(w, n.toldOf(s, old), func(id string, seq uint64) packed.Draft {
 		if j := n.jobs[id]; j != nil && j.share == s.index {
@@ -536,22 +555,24 @@
 		return packed.Draft{}
 	})
 	room := int(carryPart * entryPart * 1024 * n.cfg.Params.State.ValueKB)
-	if fits && w.Size() <= room {
-		return true
+	mostJobs := int(carryPart * float64(n.mostConditions()))
+	if fits && w.Size() <= room && len(carried) <= mostJobs {
+		return carried, true
 	}
 	// The largest first.
 	slices.SortStableFunc(carried, func(a, b packed.Carried) int { return cmp.Compare(b.Size, a.Size) })
-	left, folded := w.Size(), false
+	left, jobs, folded := w.Size(), len(carried), false
 	for _, c := range carried {
-		if left <= room/2 && fits {
+		if left <= room/2 && jobs <= mostJobs/2 && fits {
 			break
 		}
 		if j := n.jobs[c.Job]; !j.busy && n.fold(j, old.Seq) {
 			left -= c.Size
+			jobs--
 			folded = true
 		}
 	}
-	return fits && !folded
+	return carried, fits && !folded
 }
 
 // toldOf says whether a record of its own, or an inbox, tells of a job that has ended by an
--- a/internal/coordination/packed/model_test.go
+++ b/internal/coordination/packed/model_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"dapplestage.example/dapplestage/internal/protocol"
@@ -174,7 +175,7 @@
 }
 
 // mFault leaves a rule out.
-type mFault struct{ noCarry, noSlot, noFinal, noTomb, noBehind bool }
+type mFault struct{ noCarry, noSlot, noFinal, noTomb, noBehind, noRecords bool }
 
 // entry begins the next entry of the log, with what is carried; behind says that what is
 // stored is not known up to the entry that it takes the place of.
@@ -221,6 +222,14 @@
 	next := uint8(mLog + slot)
 	behind := st.stalled == uint8(n)+1 && st.since[slot]
 	mine := s[0].val.is == uint8(n)+1 && s[0].ver > 0
+	// The records of jobs other than one of which an entry says again how they are.
+	carriedUnchanged := func(t *mTxn, e *mVal, except int) {
+		for j, says := range e.says {
+			if j != except && says != 0 && says != 2 && !f.noRecords {
+				t.cond(s, uint8(mHead+j))
+			}
+		}
+	}
 	if s[0].ver == 0 && st.hands < 3 {
 		var t mTxn
 		t.cond(s, 0)
@@ -288,13 +297,14 @@
 				continue
 			}
 			e := s.entry(log, behind, f)
+			var t mTxn
+			t.cond(s, 0, next)
+			unended(&t)
+			carriedUnchanged(&t, &e, j)
 			e.says[j] = 1
 			if task > 0 {
 				e.says[j] = task + 3
 			}
-			var t mTxn
-			t.cond(s, 0, next)
-			unended(&t)
 			t.put(next, e)
 			t.job, t.task = uint8(j)+1, task
 			send(fmt.Sprint("entry: task ", task, " of ", j), t)
@@ -309,10 +319,11 @@
 		}
 		if k.task > 0 || k.asked {
 			e := s.entry(log, behind, f)
-			e.says[j] = 2
 			var t mTxn
 			t.cond(s, 0, next)
 			unended(&t)
+			carriedUnchanged(&t, &e, j)
+			e.says[j] = 2
 			t.put(final, mVal{is: 1})
 			t.put(next, e)
 			send(fmt.Sprint("end ", j), t)
@@ -320,6 +331,19 @@
 	}
 }
 
+// stepsMeanwhile are the transactions that a node may send while it waits for the answer of an
+// entry: other jobs' own records.
+func (st *mState) stepsMeanwhile(n int, f mFault, send func(what string, t mTxn)) {
+	if entry := st.held.writes[st.held.w-1].key; entry < mLog || entry >= mIn {
+		return
+	}
+	st.steps(n, f, func(what string, t mTxn) {
+		if strings.HasPrefix(what, "record: ") && t.job != st.held.job {
+			send(what, t)
+		}
+	})
+}
+
 // execute makes a transaction's changes if its conditions hold, and says what rule that breaks.
 func (st *mState) execute(t *mTxn, by int) (ok bool, wrong string) {
 	for _, c := range t.conds[:t.n] {
@@ -366,6 +390,8 @@
 			return true, fmt.Sprintf("job %d is open after it ended", j)
 		case before[j].task > 0 && k.task > 0 && before[j].task != k.task && k.open:
 			return true, fmt.Sprintf("job %d is placed with attempt %d while it is with %d", j, k.task, before[j].task)
+		case int(t.job) != j+1 && before[j].open && k.open && before[j].task != k.task:
+			return true, fmt.Sprintf("job %d goes from attempt %d to %d with a change that is not about it", j, before[j].task, k.task)
 		case int(t.job) == j+1 && k.task != t.task:
 			return true, fmt.Sprintf("job %d is stored with attempt %d and read with %d", j, t.task, k.task)
 		}
@@ -431,6 +457,9 @@
 			next := *st
 			next.waits = 0
 			add(next, fmt.Sprint(n, " starts anew"))
+			st.stepsMeanwhile(n, f, func(what string, t mTxn) {
+				run(*st, &t, n, fmt.Sprint(n, ": ", what))
+			})
 			continue // else it waits for its answer
 		}
 		if st.store[0].val.is == uint8(n)+1 {
@@ -523,8 +552,8 @@
 
 // No step of the small machine loses a job, opens one again that has ended, places a task
 // that is placed, or stores what is read otherwise: in all states that are reached in few
-// steps, and on long walks. Each of five rules that is left out is found, two by walks, and
-// three by histories that take too many turns to be met by chance.
+// steps, and on long walks. Each of six rules that is left out is found, two by walks, and
+// four by histories that take too many turns to be met by chance.
 func TestSmallMachine(t *testing.T) {
 	most, walks := 40_000, uint64(2_000)
 	if *deep {
@@ -565,6 +594,10 @@
 		// A holder that hears of nothing any more ends a job that another node accepted as well.
 		"an end is forgotten by one who may have missed who tells of the job": {mFault{noBehind: true}, false, []string{"1 stands still", "0: accept 0", "1: accept 0", "1: take", "1: fold accepted 0", "1: cancel 0",
 			"1: accept 2", "1: end 0", "1: remove record 0", "1: accept 1", "1: entry: task 1 of 1", "1: entry: task 0 of 1"}},
+		// A holder says again in an entry where a task is, and while that is on its way stores in the
+		// job's own record that the task has left.
+		"an entry says of a job again what its own record has made old": {mFault{noRecords: true}, true, []string{"0: take", "0: accept 0", "0: accept 1", "0: fold accepted 0", "0: entry: task 1 of 0", "0: entry: task 1 of 1",
+			"0 sends entry: task 0 of 1", "0: record: task 0 of 0", "the late one is executed"}},
 	} {
 		if wrong, _ := play(c.f, c.steps...); wrong == "" {
 			t.Errorf("%s: not found", name)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -65,6 +65,7 @@
 	finished  map[string]int       // tasks that completed, by job
 	complete  map[string]bool      // those tasks
 	over      map[string]time.Time // when the last task of a job completed
+	newest    map[string]uint64    // the latest attempt that was started, by task
 	Started   int
 	Stopped   int // running tasks that were told to stop
 	Expired   int // tasks that ended with their worker's lease
@@ -108,7 +109,7 @@
 
 // NewFleet makes a fleet that lives until ctx ends.
 func NewFleet(ctx context.Context) *Fleet {
-	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, at: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}, finished: map[string]int{}, complete: map[string]bool{}, over: map[string]time.Time{}}
+	return &Fleet{ctx: ctx, machines: map[string]*Machine{}, at: map[string]*Machine{}, asked: map[string][]string{}, jobs: map[string]*protocol.JobSpec{}, cancelled: map[string]time.Time{}, mistaken: map[string]bool{}, errors: map[string]int{}, began: map[string]bool{}, stalled: map[string]bool{}, finished: map[string]int{}, complete: map[string]bool{}, over: map[string]time.Time{}, newest: map[string]uint64{}}
 }
 
 // Submitted tells the workers of a job, as users do.
@@ -741,12 +742,16 @@
 			case p != nil && p.attempt == c.Attempt || job == nil:
 			case m.f.ToldLate && !m.f.cancelled[id].IsZero():
 				m.f.broken("started_cancelled %s on %s", c.Task, m.info.ID)
+			case c.Attempt < m.f.newest[c.Task]:
+				// It was proven gone before the later attempt was decided.
+				m.f.broken("started_older %s attempt %d on %s after attempt %d", c.Task, c.Attempt, m.info.ID, m.f.newest[c.Task])
 			case p != nil && p.state != protocol.TaskExited:
 				m.f.broken("in_use %s on %s", c.Task, m.info.ID)
 			case !m.fits(job):
 				m.tasks[c.Task] = &proc{job: job, num: num, attempt: c.Attempt, state: protocol.TaskExited, cause: protocol.CauseNoRoom, since: time.Now()}
 				m.changed()
 			default:
+				m.f.newest[c.Task] = c.Attempt
 				m.tasks[c.Task] = &proc{job: job, num: num, attempt: c.Attempt, state: protocol.TaskFetching, since: time.Now()}
 				m.changed()
 			}
