Shifts: also to where the image is there soon

Change: a place with a fetch of at most 10 s will do, after those with the image; what free and outranked places take is counted by machine instead of a walk over all that is taken.

--- a/internal/coordination/decide/room.go
+++ b/internal/coordination/decide/room.go
@@ -248,8 +248,12 @@
 		if free.Times(j.Need)-before >= r {
 			break
 		}
-		if x.shifts && !places.take(x.Job, m) {
-			continue
+		if x.shifts {
+			fetchS, found := places.take(x.Job, m)
+			if !found {
+				continue
+			}
+			x.loss += fetchS
 		}
 		if taken[x.Job.Team] += x.Job.Need.GPUs; x.lends && taken[x.Job.Team] > borrowed[x.Job.Team]+Slack {
 			continue
--- a/internal/coordination/decide/shift.go
+++ b/internal/coordination/decide/shift.go
@@ -17,11 +17,16 @@
 	return j.Need.GPUs > 0 && m.idlers > 0 && (v.Wanted == nil || v.Wanted[m.Type])
 }
 
+// mostShiftFetch is how many seconds a task may have to fetch its image when it is stopped to
+// run elsewhere: for so long nobody runs it.
+const mostShiftFetch = 10
+
 // elsewhere are places on a share's machines that tasks are imagined to be shifted to.
 type elsewhere struct {
 	v     View
 	taken []shifted
-	none  map[shiftKey]bool // what found no place
+	load  map[*Machine]Amounts // what the tasks in taken need, by machine
+	none  map[shiftKey]bool    // what found no place
 	lower map[*Machine][4]Amounts
 }
 
@@ -36,56 +41,72 @@
 }
 
 func (v *View) elsewhere(share int) *elsewhere {
-	e := &elsewhere{v: *v, none: map[shiftKey]bool{}}
+	e := &elsewhere{v: *v, load: map[*Machine]Amounts{}, none: map[shiftKey]bool{}}
 	e.v.Share, e.v.noSlot, e.v.noRoom = share, nil, nil
 	return e
 }
 
-// take finds a place for a task of a machine: in the same zone, where it keeps GPUs from
-// nobody and where its image is, so that it runs again within a moment; if there is none,
-// one where less urgent work would be stopped for it.
-func (e *elsewhere) take(j *Job, from *Machine) bool {
+// take finds a place for a task of a machine, in the same zone and where it keeps GPUs from
+// nobody: one where its image is, so that it runs again within a moment, or else one where it
+// is there soon. Of both, places that are free come before those where less urgent work would
+// be stopped for it. It returns how long the fetch takes.
+func (e *elsewhere) take(j *Job, from *Machine) (fetchS float64, found bool) {
 	key := shiftKey{needsOf(j), from.Zone, j.Spec.Image}
 	if e.none[key] {
-		return false
+		return 0, false
 	}
-	s := &e.v.Index.shares[e.v.Share]
 	var groups []*group
-	for _, g := range s.groups {
+	for _, g := range e.v.Index.shares[e.v.Share].groups {
 		if g.tree.Len() > 0 && g.offer.Zone == from.Zone && Allowed(j.Spec, g.offer) && e.v.idles(j, g.offer.Type) == 0 {
 			groups = append(groups, g)
 		}
 	}
-	for _, c := range e.v.cheapest(j, groups, len(e.taken)+1) {
-		if c.cost > 0 {
-			break
+	free := e.v.cheapest(j, groups, len(e.taken)+1)
+	for _, atMost := range []float64{0, mostShiftFetch} {
+		if m := e.takeFree(j, free, atMost); m != nil {
+			return m.Cost(j.Spec), true
+		}
+		if m := e.takeOutranked(j, from.Zone, atMost); m != nil {
+			return m.Cost(j.Spec), true
+		}
+	}
+	e.none[key] = true
+	return 0, false
+}
+
+// takeFree takes a free place with a fetch of at most so many seconds, if there is one.
+func (e *elsewhere) takeFree(j *Job, free []candidate, atMost float64) *Machine {
+	for _, c := range free {
+		if c.cost > atMost {
+			return nil // they come by cost
 		}
 		if e.put(j, c.m, c.m.Free()) {
-			return true
+			return c.m
 		}
 	}
+	return nil
+}
+
+// takeOutranked takes a place in a zone where less urgent work would be stopped, with a fetch
+// of at most so many seconds, if there is one.
+func (e *elsewhere) takeOutranked(j *Job, zone string, atMost float64) *Machine {
 	for _, m := range e.v.Index.Machines(e.v.Share) {
-		if m.lowest > j.Rank && m.stopping == 0 && m.Zone == from.Zone && m.Has(j.Spec.Image) && e.v.idles(j, m.Type) == 0 && Allowed(j.Spec, m.offer()) && e.v.usable(m) &&
+		if m.lowest > j.Rank && m.stopping == 0 && m.Zone == zone && m.Cost(j.Spec) <= atMost && e.v.idles(j, m.Type) == 0 && Allowed(j.Spec, m.offer()) && e.v.usable(m) &&
 			e.put(j, m, m.Free().Add(e.freeable(m)[j.Rank], 1)) {
-			return true
+			return m
 		}
 	}
-	e.none[key] = true
-	return false
+	return nil
 }
 
 // put takes a place on a machine that would have so much free, if it has one left.
 func (e *elsewhere) put(j *Job, m *Machine, free Amounts) bool {
-	for _, t := range e.taken {
-		if t.to == m {
-			free = free.Add(t.need, -1)
-		}
-	}
-	if free.Times(j.Need) > 0 {
-		e.taken = append(e.taken, shifted{m, j.Need})
-		return true
+	if free.Add(e.load[m], -1).Times(j.Need) == 0 {
+		return false
 	}
-	return false
+	e.load[m] = e.load[m].Add(j.Need, 1)
+	e.taken = append(e.taken, shifted{m, j.Need})
+	return true
 }
 
 // freeable is, by rank, what less urgent tasks take on a machine that could be stopped.
@@ -116,10 +137,14 @@
 
 // giveBack forgets what was taken after the first so many.
 func (e *elsewhere) giveBack(first int) {
-	if len(e.taken) > first {
-		e.taken = e.taken[:first]
-		clear(e.none)
+	if len(e.taken) == first {
+		return
 	}
+	for _, t := range e.taken[first:] {
+		e.load[t.to] = e.load[t.to].Add(t.need, -1)
+	}
+	e.taken = e.taken[:first]
+	clear(e.none)
 }
 
 // takeAll finds places for all tasks of a machine that are as urgent as a rank or more, and
@@ -130,7 +155,11 @@
 		if h.Unwanted || h.Job.Rank > rank && h.Settled && !h.together() {
 			continue
 		}
-		if !h.Settled || h.Job.Need.GPUs > 0 || !e.take(h.Job, m) {
+		if !h.Settled || h.Job.Need.GPUs > 0 {
+			e.giveBack(begun)
+			return false
+		}
+		if _, found := e.take(h.Job, m); !found {
 			e.giveBack(begun)
 			return false
 		}
