Reservations: nobody is kept off for longer than 75 s, and ready places come first

And tasks that are overdue count as ending now: with as many of them as a gang lacks, nothing that was free was kept for it. Change: since when a job would fit but for reservations is noted, and after 75 s they do not hold for it; of places at the same time those that are ready come first. TestNobodyIsKeptOffForever, a row of TestWhatIsReserved.

--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -201,6 +201,8 @@
 	ReserveAfter  time.Time // when machines may be reserved for it again
 	ExpectedStart time.Time // when the last of the reserved places should be free
 
+	KeptOff time.Time // since when it would fit but for what is reserved for gangs; zero: it does not
+
 	Zones map[string]int // of a job bound to zones: its tasks by zone
 }
 
@@ -416,6 +418,8 @@
 	noRoom map[roomKey]uint64
 	kept   bool // a machine was passed over since it is kept for a gang
 
+	reservedSlots int // that a job was kept from by reservations, in the last look for candidates
+
 	shiftables map[int]map[*Machine]bool // by rank, see shiftable
 }
 
--- a/internal/coordination/decide/place.go
+++ b/internal/coordination/decide/place.go
@@ -20,6 +20,7 @@
 	Why    Kind       // why not all that wait are placed; None if they are
 
 	Reserve *Reservation // for a gang that does not fit yet
+	KeptOff bool         // it would fit but for what is reserved for gangs
 }
 
 // candidate is a machine that a job fits on so many times.
@@ -75,9 +76,9 @@
 	}
 	switch {
 	case j.Spec.Shape == protocol.Gang && len(picked) < j.Tasks:
-		return Placing{Why: GangIncomplete, Reserve: v.Reserve(j)}
+		return Placing{Why: GangIncomplete, Reserve: v.Reserve(j), KeptOff: v.fitsButForReservations(j, len(picked))}
 	case len(picked) == 0:
-		return Placing{Why: NoFreeMachine}
+		return Placing{Why: NoFreeMachine, KeptOff: v.fitsButForReservations(j, 0)}
 	}
 	p := Placing{FetchS: picked[len(picked)-1].Cost}
 	service := j.Spec.Shape == protocol.Service // what ends gives GPUs back
@@ -130,6 +131,7 @@
 func (v *View) candidates(j *Job, r int) ([]candidate, map[string]int) {
 	s := &v.Index.shares[v.Share]
 	zones := map[string]int{}
+	v.reservedSlots = 0
 	if s.roomy == 0 {
 		return nil, zones
 	}
@@ -210,6 +212,9 @@
 	add := func(m *Machine, order, cost float64) bool {
 		if m.KeptFrom(j, v.Now) {
 			v.kept = true
+			if m.Reserved && v.usable(m) {
+				v.reservedSlots += m.Free().Times(j.Need)
+			}
 		} else if v.usable(m) {
 			if k := min(m.Free().Times(j.Need), slots); k > 0 {
 				out = append(out, candidate{m: m, fit: k, cost: cost, order: order})
--- a/internal/coordination/decide/reserve.go
+++ b/internal/coordination/decide/reserve.go
@@ -25,6 +25,10 @@
 	// ReservationPause is how long others may use what a reservation that came to nothing
 	// had kept, before the gang may have another.
 	ReservationPause = 30 * time.Second
+	// longestKeptOff is how long a job waits beside machines that it would fit on, for others'
+	// reservations alone. After that they do not hold for it: nobody should wait for 90 s
+	// while a machine has room, and several gangs may reserve the same one in turn.
+	longestKeptOff = 75 * time.Second
 )
 
 // Reservation is what is reserved for a gang that can't start yet.
@@ -53,7 +57,7 @@
 // priority off it.
 func (m *Machine) reservedFrom(j *Job, now time.Time) bool {
 	gang := m.Earmark
-	if gang.Cancelled || gang.Share != m.Share || j.precedes(gang) {
+	if gang.Cancelled || gang.Share != m.Share || j.precedes(gang) || j.passesReservations(now) {
 		return false
 	}
 	canBeStopped := j.Rank > gang.Rank && !j.together()
@@ -67,6 +71,21 @@
 	return ends.After(gang.ExpectedStart)
 }
 
+// passesReservations says whether reservations have kept a job off machines for as long as they
+// may.
+func (j *Job) passesReservations(now time.Time) bool {
+	return !j.KeptOff.IsZero() && now.Sub(j.KeptOff) >= longestKeptOff
+}
+
+// fitsButForReservations says whether what was just looked at has room for a job that found
+// too few slots, if nothing were reserved.
+func (v *View) fitsButForReservations(j *Job, found int) bool {
+	if j.Spec.Shape == protocol.Gang {
+		return found+v.reservedSlots >= j.Tasks
+	}
+	return v.reservedSlots > 0
+}
+
 // precedes says whether a job comes before another: the more urgent one, or of equals the
 // older one.
 func (j *Job) precedes(other *Job) bool {
@@ -112,6 +131,12 @@
 	return r
 }
 
+// earliestFirst orders places by when they should be free, at the same time the ready ones
+// first: what is overdue counts as ending now, and may go on for long.
+func earliestFirst(a, b place) int {
+	return cmp.Or(a.at.Compare(b.at), countReady([]place{b})-countReady([]place{a}))
+}
+
 // sooner says whether a gang should start earlier on some places than on others, or at the
 // same time with more of them ready.
 func sooner(a, b []place) bool {
@@ -154,7 +179,7 @@
 		out[zone] = append(out[zone], v.placesOn(m, j)...)
 	}
 	for zone, places := range out {
-		slices.SortStableFunc(places, func(a, b place) int { return a.at.Compare(b.at) })
+		slices.SortStableFunc(places, earliestFirst)
 		for _, lacks := range lacking[zone] {
 			places = places[min(max(lacks, 0), len(places)):]
 		}
--- a/internal/coordination/decide/reserve_test.go
+++ b/internal/coordination/decide/reserve_test.go
@@ -60,6 +60,11 @@
 	for _, j := range s.waits {
 		p := look.Place(j)
 		s.reserve(j, p.Reserve, now)
+		if !p.KeptOff {
+			j.KeptOff = time.Time{}
+		} else if j.KeptOff.IsZero() {
+			j.KeptOff = now
+		}
 		if len(p.On) == 0 {
 			left = append(left, j)
 			continue
@@ -164,6 +169,35 @@
 	}
 }
 
+// Reservations keep a job off machines that it would fit on for so long together and no longer,
+// also if it is one gang after the other that has them.
+func TestNobodyIsKeptOffForever(t *testing.T) {
+	s := newGangShare(3)
+	runs := func(j *Job) time.Duration {
+		if j.ID == "job-overdue" {
+			return time.Hour
+		}
+		return 30 * time.Second
+	}
+	s.waits = []*Job{gangOf("job-overdue", 2, 0, 30*time.Second)}
+	s.step(0, runs)
+	small := gangOf("job-small", 1, 10*time.Second, 10*time.Minute)
+	s.waits = []*Job{gangOf("job-large", 2, time.Second, 30*time.Second), gangOf("job-next", 2, 2*time.Second, 30*time.Second), small}
+	kept := time.Duration(0)
+	for at := 10 * time.Second; at < 5*time.Minute && s.started[small] == 0; at += time.Second {
+		s.step(at, runs)
+		if !small.KeptOff.IsZero() {
+			kept += time.Second
+		}
+	}
+	if kept < longestKeptOff/2 {
+		t.Fatalf("it was kept off for %v only", kept)
+	}
+	if began := s.started[small]; began == 0 || began > 10*time.Second+longestKeptOff+2*time.Second {
+		t.Errorf("it began after %v", began)
+	}
+}
+
 // What a reservation keeps off a machine, and what it lets through.
 func TestBackfill(t *testing.T) {
 	large := gangOf("job-large", 4, 10*time.Second, time.Minute)
@@ -242,6 +276,7 @@
 		in       time.Duration
 	}{
 		{"the zone that is ready first", []*Machine{free("m1", "a"), running("m2", "a", 90*time.Second), free("m3", "b"), running("m4", "b", 30*time.Second)}, nil, "m3 ", 30 * time.Second},
+		{"what is free, also if others are overdue", []*Machine{running("m1", "a", -time.Minute), running("m2", "a", -time.Minute), free("m3", "a")}, nil, "m3 ", 0},
 		{"less urgent work may be stopped", []*Machine{low, running("m2", "a", time.Minute)}, nil, "m8 ", time.Minute},
 		{"not where a service stays", []*Machine{service, free("m1", "a")}, nil, "", 0},
 		{"too late", []*Machine{free("m1", "a"), running("m2", "a", 4*time.Minute)}, nil, "", 0},
--- a/internal/coordination/node/facts.go
+++ b/internal/coordination/node/facts.go
@@ -115,7 +115,7 @@
 	f.Cancelled, f.Abandon, f.Busy, f.Closed = j.cancelled, j.abandon, j.busy, n.closed(j, now)
 	f.Mistake, f.Tries, f.LastError, f.Heavy = j.trouble.mistake, j.trouble.tries, j.trouble.last, j.heavy
 	f.NotBefore, f.RoomTill, f.Preempted, f.NoVictims = j.notBefore, j.roomTill, j.preempted, j.noVictims
-	f.ReservedSince, f.ReserveAfter, f.ExpectedStart = j.reservedSince, j.reserveAfter, j.expectedStart
+	f.ReservedSince, f.ReserveAfter, f.ExpectedStart, f.KeptOff = j.reservedSince, j.reserveAfter, j.expectedStart, j.keptOff
 	return f
 }
 
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -110,6 +110,8 @@
 	reserveAfter  time.Time
 	expectedStart time.Time
 
+	keptOff time.Time // since when it would fit but for others' reservations
+
 	dirtyAt   time.Time    // since when something of it waits to be stored
 	trouble   trouble      // its tasks' errors
 	notBefore time.Time    // start nothing before, after errors
--- a/internal/coordination/node/schedule.go
+++ b/internal/coordination/node/schedule.go
@@ -145,6 +145,12 @@
 		n.replan = true
 	}
 	n.keepReserved(j, p.Reserve, now)
+	switch {
+	case !p.KeptOff:
+		j.keptOff = time.Time{}
+	case j.keptOff.IsZero():
+		j.keptOff = now
+	}
 	if len(p.On) == 0 {
 		return
 	}
