--- a/internal/coordination/node/schedule.go
+++ b/internal/coordination/node/schedule.go
@@ -378,31 +378,4 @@
 	n.ask(s, best, min(most, 50))
 }
 
-// moves is the leader's plan for now.
-func (n *Node) moves(now time.Time) (mv protocol.Moves) {
-	claims := make([][]*decide.Job, len(n.shares)) // jobs that wait in each share
-	guests := make([][]*decide.Job, len(n.shares))
-	any := false
-	for i := range n.shares {
-		for _, j := range n.shares[i].jobs {
-			switch {
-			case n.wants(j, now) == 0:
-				continue
-			case n.guest(j):
-				guests[i] = append(guests[i], n.boundFacts(j, now))
-			default:
-				claims[i] = append(claims[i], n.boundFacts(j, now))
-			}
-			any = true
-		}
-	}
-	if !any {
-		return mv
-	}
-	for _, m := range n.view(n.shares[0], now).Moves(claims, guests, mostMoves) {
-		mv.Moves = append(mv.Moves, protocol.Move{Machine: m.Machine.Name, Share: m.Share, Spare: m.Spare, Rank: m.Rank})
-	}
-	return mv
-}
-
 func compareNames(a, b string) int { return cmp.Compare(a, b) }
