--- a/internal/coordination/node/moves.go
+++ b/internal/coordination/node/moves.go
@@ -171,7 +171,7 @@
 			n.storeHandOver(h, token)
 			return
 		}
-		n.log.Info("machines moved", "machines", len(h.machines), "from", from, "to", to, "ok", false)
+		n.log.Info("machines not moved: no token", "machines", len(h.machines), "from", from, "to", to, "conflicts", r.Failed, "why", r.Err)
 		n.endHandOver(h)
 	})
 }
@@ -236,7 +236,7 @@
 	}
 	n.submit(op, func(r storage.Result) {
 		n.endHandOver(h)
-		n.log.Info("machines moved", "machines", len(goes), "from", h.from, "to", h.to, "ok", r.OK)
+		n.log.Info("machines moved", "machines", len(goes), "from", h.from, "to", h.to, "ok", r.OK, "conflicts", r.Failed)
 	})
 }
 
