Log of a share: what does not fit an entry does not stop it

Cause: the next entry has to say again what nothing later says of the one that it takes the place of. One range of tasks falls apart as others of them end, so that it may need more room than it had; jobs are then folded into records of their own, but none that is over, as it is about to end. And a job whose news did not fit beside what is said again was never stored.

Change: jobs that are over are stored in their own records if nothing else can be folded; what fits no entry is stored alone.

--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -657,8 +657,14 @@
 	return b
 }
 
-// save stores all that is new of a job in one conditional change.
+// save stores all that is new of a job in one conditional change, its end if it is over.
 func (n *Node) save(j *job, to *storage.Committer, of spending) {
+	n.saveAs(j, j.left() == 0, to, of)
+}
+
+// saveAs stores all that is new of a job in one conditional change: that it has ended, or its
+// record.
+func (n *Node) saveAs(j *job, ends bool, to *storage.Committer, of spending) {
 	if j.cancelled {
 		n.revert(j) // nothing of it may start any more
 	}
@@ -670,20 +676,19 @@
 			touched[i/protocol.ChunkTasks] = true
 		}
 	}
-	left := j.left()
 	// The machines need no condition of their own: only the holder moves or
 	// returns those of its share, and it does neither while a task is proposed.
 	op := &storage.Op{For: uint8(of), Conds: []storage.Cond{n.cond(protocol.HolderKey(j.share)), n.cond(protocol.JobKey(j.id))}}
 	if n.packedEver() {
 		op.Conds = append(op.Conds, n.nextEntry(j.share), storage.Cond{Key: protocol.FinalKey(j.id)})
 	}
-	if left == 0 && j.step != nil {
+	if ends && j.step != nil {
 		if !n.endStep(j, op) {
 			j.taskChunk = touched
 			n.dirty[j] = true
 			return
 		}
-	} else if left == 0 {
+	} else if ends {
 		op.Writes = finalWrites(j.id, j.endsAs(), len(j.tasks), j.claim)
 	} else {
 		if len(touched) == 0 {
--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -446,6 +446,8 @@
 		if !w.Add(d) {
 			if d.End != "" {
 				finals = finals[:len(finals)-1]
+			} else if len(a.jobs) == 0 {
+				n.saveWhatFitsNoEntry(c)
 			}
 			break
 		}
@@ -483,6 +485,14 @@
 	return true
 }
 
+// saveWhatFitsNoEntry stores a job in its own record: what is new of it does not fit beside what
+// an entry has to say again, and that does not become less with time.
+func (n *Node) saveWhatFitsNoEntry(c turn) {
+	delete(n.dirty, c.job)
+	c.job.dirtyAt = time.Time{}
+	n.save(c.job, n.press, c.of)
+}
+
 // news is what of a job is not stored yet.
 func (n *Node) news(j *job) packed.Draft {
 	d := n.draft(j)
@@ -566,15 +576,34 @@
 		if left <= room/2 && jobs <= mostJobs/2 && fits {
 			break
 		}
-		if j := n.jobs[c.Job]; !j.busy && n.fold(j, old.Seq) {
+		// One that is over is not worth a record of its own.
+		if j := n.jobs[c.Job]; !j.busy && j.left() > 0 {
+			n.fold(j, old.Seq)
 			left -= c.Size
 			jobs--
 			folded = true
 		}
 	}
+	if !folded && (!fits || w.Size() > room) {
+		folded = n.foldEnded(carried, old.Seq)
+	}
 	return carried, fits && !folded
 }
 
+// foldEnded stores jobs that are over, but not known to be to the store, in records of their
+// own: without them the next entry can be written, and they end with one after it. It takes more
+// than one change each, and is the last resort: if nothing else is left to be folded, no entry
+// could be written any more, and so no job of the share could end. It says whether it stores any.
+func (n *Node) foldEnded(carried []packed.Carried, seq uint64) (any bool) {
+	for _, c := range carried {
+		if j := n.jobs[c.Job]; !j.busy && j.step == nil {
+			n.fold(j, seq)
+			any = true
+		}
+	}
+	return any
+}
+
 // toldOf says whether a record of its own, or an inbox, tells of a job that has ended by an
 // entry. If what is stored is not known up to that entry, something may that this node has
 // not heard of.
@@ -586,12 +615,8 @@
 	}
 }
 
-// fold stores a job in a record of its own, with all that an entry says of it (0: any). One
-// that is over is not worth it. It says whether it does.
-func (n *Node) fold(j *job, seq uint64) bool {
-	if j.left() == 0 {
-		return false
-	}
+// fold stores a job in a record of its own, with all that an entry says of it (0: any).
+func (n *Node) fold(j *job, seq uint64) {
 	for i := range j.tasks {
 		if j.tasks[i].logged == seq || seq == 0 && j.tasks[i].overlaid {
 			j.taskChunk[i/protocol.ChunkTasks] = true
@@ -599,8 +624,7 @@
 	}
 	delete(n.dirty, j)
 	j.dirtyAt = time.Time{}
-	n.save(j, n.press, forFolds)
-	return true
+	n.saveAs(j, false, n.press, forFolds)
 }
 
 // appended learns how an entry of a share's log ended.
@@ -988,7 +1012,7 @@
 				continue
 			}
 			left = true
-			if c < mostTidied && !j.busy {
+			if c < mostTidied && !j.busy && j.left() > 0 {
 				c++
 				j.taskChunk[0] = true
 				n.fold(j, 0)
