Moves: machines are drained for shares where tasks wait

Cause: only empty machines go to other shares.

Change: if nothing empty is left, the plan also names machines on which all tasks end by themselves within a minute and that nobody in their share waits for; nothing new is placed there, nothing is stopped, and they go once they are empty.

TestMachinesAreDrained, TestDrainedMachineKeepsItsTasks. TestMovesKeepTheRules checks drained machines by their own rule; TestGuestsGetWhatNobodyNeeds prints the new field too.

--- a/internal/coordination/decide/moves.go
+++ b/internal/coordination/decide/moves.go
@@ -14,6 +14,7 @@
 	Share   int
 	Spare   bool // only if its own share does not expect to need it
 	Rank    int  // of the job that it is for: work of that urgency or more keeps it
+	Drain   bool // nothing is stopped on it: it goes once its tasks have ended
 }
 
 // mostOutranked is how many machines with work on them one plan takes from shares.
@@ -27,7 +28,7 @@
 // on which all is less urgent than the job that waits. Work of guest teams is no reason to
 // keep a machine from work with a guarantee, and gets only machines that nobody needs.
 func (v *View) Moves(claims, guests [][]*Job, most int) []Move {
-	p := &movePlan{v: v, used: make([]Amounts, len(v.Teams)), most: most, places: map[int]*elsewhere{}}
+	p := &movePlan{v: v, used: make([]Amounts, len(v.Teams)), most: most, places: map[int]*elsewhere{}, unmet: map[int][]*Job{}}
 	for i := range claims {
 		for _, m := range v.Index.Machines(i) {
 			// Only machines that are up: the address is stored with the first report.
@@ -73,6 +74,7 @@
 				if l := p.take(j, i, own[i], full[i]); l.tasks > 0 {
 					l.spare = spare
 					lacks = append(lacks, l)
+					p.unmet[i] = append(p.unmet[i], j)
 				}
 			}
 		}
@@ -140,6 +142,7 @@
 	most      int
 	outranked int
 	places    map[int]*elsewhere // of each share: where tasks of machines that go would run
+	unmet     map[int][]*Job     // of each share: what lacks places
 }
 
 func (p *movePlan) bin(m *Machine, unclaimed bool) *movable {
@@ -348,10 +351,65 @@
 		}
 		placed[b.m.Zone] += k
 		r -= k
-		b.gone, b.share, b.free = true, l.share, b.m.Size.Add(j.Need, -float64(k))
-		p.out = append(p.out, Move{Machine: b.m, Share: l.share, Spare: l.spare, Rank: j.Rank})
+		p.plan(b, l, k, false)
 	}
-	return true
+	return p.drain(l, r, placed) || fit > 0
+}
+
+// plan notes that a machine goes to where something is lacking, for so many of the tasks.
+func (p *movePlan) plan(b *movable, l lack, tasks int, drain bool) {
+	b.gone, b.share, b.free = true, l.share, b.m.Size.Add(l.job.Need, -float64(tasks))
+	p.out = append(p.out, Move{Machine: b.m, Share: l.share, Spare: l.spare, Rank: l.job.Rank, Drain: drain})
+}
+
+// mostDrainTime is within which time all tasks of a machine should end for it to be drained.
+const mostDrainTime = 60 * time.Second
+
+// drain plans machines on which nobody in their share waits for room, and whose tasks end by
+// themselves soon, for what nothing empty is left for: nothing new is placed on them, and they
+// go once they are empty. (On a simulated quiet day a share had 2,000 CPUs free for three
+// minutes, on machines that new tasks kept from being empty, while 13,000 tasks waited in the
+// others.) It says whether there are any.
+func (p *movePlan) drain(l lack, r int, placed map[string]int) (any bool) {
+	j := l.job
+	if l.spare || j.Spec.Shape == protocol.Gang {
+		return false
+	}
+	for _, b := range p.bins {
+		if r <= 0 || len(p.out) >= p.most {
+			break
+		}
+		if b.share == l.share || b.used || b.gone || b.m.Block&(Returning|Moving) != 0 || !p.may(j, b, l.zone, placed) || p.awaited(b) || !p.v.DrainsSoon(b.m) {
+			continue
+		}
+		k := min(r, b.m.Size.Times(j.Need), p.zoneLeft(j, b.m.Zone, placed))
+		if k <= 0 {
+			continue
+		}
+		placed[b.m.Zone] += k
+		r -= k
+		p.plan(b, l, k, true)
+		any = true
+	}
+	return any
+}
+
+// awaited says whether something that lacks places in a machine's own share could use it.
+func (p *movePlan) awaited(b *movable) bool {
+	return slices.ContainsFunc(p.unmet[b.share], func(j *Job) bool {
+		return p.may(j, b, "", nil) && b.m.Size.Times(j.Need) > 0
+	})
+}
+
+// DrainsSoon says whether a machine's tasks should all end by themselves soon.
+func (v *View) DrainsSoon(m *Machine) bool {
+	for _, h := range m.Held {
+		at, ends := v.expectedEnd(m, h)
+		if !ends || h.Job.Spec.Shape != protocol.Array || at.Sub(v.Now) > mostDrainTime {
+			return false
+		}
+	}
+	return len(m.Held) > 0
 }
 
 // emptyingLoss is how many seconds of work are lost when all tasks of a machine are
--- a/internal/coordination/decide/moves_test.go
+++ b/internal/coordination/decide/moves_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -118,6 +119,38 @@
 	}
 }
 
+// In a share where nothing waits, machines with tasks that end by themselves soon are drained for
+// a share where tasks wait, once there are no empty ones; what its own share waits for, services
+// and tasks with long to go stay, and so does everything for a gang.
+func TestMachinesAreDrained(t *testing.T) {
+	low := small("job-low", protocol.Array, 24, protocol.Low)
+	long := small("job-long", protocol.Array, 24, protocol.Low)
+	long.Spec.EstimateS = 10 + mostDrainTime.Seconds() + 1 // its tasks began 10 s ago
+	pages := small("job-pages", protocol.Service, 24, protocol.Production)
+	away := func() []*Machine {
+		return []*Machine{of(c24, "m5", 0), holding(of(c24, "m6", 3, "i"), low, 3), holding(of(c24, "m7", 3, "i"), long, 3), holding(of(c24, "m8", 3, "i"), pages, 3)}
+	}
+	gangs := gang("job-g", 2)
+	gangs.Rank, gangs.Spec.GPUs, gangs.Need.GPUs = protocol.Low, 0, 0
+	for _, c := range []struct {
+		name string
+		job  *Job
+		own  []*Job
+		want string
+	}{
+		{"few tasks", small("job-1", protocol.Array, 24, protocol.Low), nil, "m5>0 "},
+		{"many tasks", small("job-1", protocol.Array, 400, protocol.Low), nil, "m5>0 m6>0 "},
+		{"tasks wait there too", small("job-1", protocol.Array, 400, protocol.Low), []*Job{small("job-2", protocol.Array, 400, protocol.Low)}, ""},
+		{"a gang", gangs, nil, ""},
+	} {
+		v := inShares([]*Machine{holding(of(c24, "m1", 24), low, 24)}, away())
+		v.Teams[0].Guarantee.CPUs = 1000
+		if got := moved(v.Moves([][]*Job{{c.job}, c.own}, make([][]*Job, 2), 60)); got != c.want {
+			t.Errorf("%s: moved %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
 // A machine that was emptied for an urgent job of another share goes there, though the work
 // that was stopped waits again in its own share; as urgent work keeps it.
 func TestEmptiedMachineGoesToTheUrgentJob(t *testing.T) {
@@ -183,6 +216,14 @@
 			if !useful {
 				t.Fatalf("%s goes to %d, where no job could use it", x.Machine.Name, x.Share)
 			}
+			if x.Drain {
+				if x.Spare || !v.DrainsSoon(x.Machine) || slices.ContainsFunc(claims[x.Machine.Share], func(j *Job) bool {
+					return j.Rank <= x.Rank && v.Wants(j) > x.Machine.Size.Times(j.Need)*len(v.Index.Machines(x.Machine.Share)) && Allowed(j.Spec, x.Machine.offer()) && !j.bound() && x.Machine.Size.Times(j.Need) > 0
+				}) {
+					t.Fatalf("%s is drained, spare %v", x.Machine.Name, x.Spare)
+				}
+				continue
+			}
 			for _, h := range x.Machine.Held {
 				if guest := v.Teams[h.Job.Team].Guest(); x.Spare || !guest && h.Job.Rank <= x.Rank && !v.Shifts(x.Machine, x.Rank) {
 					t.Fatalf("%s goes with work of rank %d on it, for rank %d, spare %v", x.Machine.Name, h.Job.Rank, x.Rank, x.Spare)
--- a/internal/coordination/node/guests_test.go
+++ b/internal/coordination/node/guests_test.go
@@ -38,7 +38,7 @@
 	guest := job("job-1", "green", 100, protocol.Placement{Task: 0, Attempt: 1, Machine: "host-b"}, protocol.Placement{Task: 1, Attempt: 1, Machine: "host-b"})
 
 	// What a guest waits for goes only as spare, and its holder keeps what it needs.
-	if mv := b.moves(now); fmt.Sprint(mv.Moves) != "[{host-a 2 true 2}]" {
+	if mv := b.moves(now); fmt.Sprint(mv.Moves) != "[{host-a 2 true 2 false}]" {
 		t.Fatalf("planned %v for a guest", mv.Moves)
 	}
 	spare.needed = true
@@ -49,7 +49,7 @@
 	// For work with a guarantee the guest's machine is emptied and then goes.
 	job("job-2", "red", 8)
 	mv := b.moves(now)
-	if fmt.Sprint(mv.Moves) != "[{host-a 0 false 2} {host-b 0 false 2}]" {
+	if fmt.Sprint(mv.Moves) != "[{host-a 0 false 2 false} {host-b 0 false 2 false}]" {
 		t.Fatalf("planned %v for a guarantee", mv.Moves)
 	}
 	b.onMoves(mv)
--- a/internal/coordination/node/moves.go
+++ b/internal/coordination/node/moves.go
@@ -55,7 +55,7 @@
 		return mv
 	}
 	for _, m := range n.view(n.shares[0], now).Moves(claims, guests, mostMoves) {
-		mv.Moves = append(mv.Moves, protocol.Move{Machine: m.Machine.Name, Share: m.Share, Spare: m.Spare, Rank: m.Rank})
+		mv.Moves = append(mv.Moves, protocol.Move{Machine: m.Machine.Name, Share: m.Share, Spare: m.Spare, Rank: m.Rank, Drain: m.Drain})
 	}
 	return mv
 }
@@ -120,14 +120,8 @@
 			continue
 		}
 		if len(m.on) > 0 {
-			if guests := n.onlyGuests(m) && !n.claimed(m.rec.Share, now); !x.Spare && (guests || n.outranked(m, x.Rank) || n.shifts(m, x.Rank, now)) && !n.stopping(m) {
-				n.log.Info("work stopped for another share", "machine", m.name, "tasks", len(m.on), "share", x.Share, "guests", guests)
-				m.avoidTill = now.Add(reserveTime)
-				n.touch(m)
-				for k := range m.on {
-					n.stopTask(k.job, k.task)
-				}
-				n.stopNow(m)
+			if !x.Spare {
+				n.emptyForMove(m, x, now)
 			}
 			continue
 		}
@@ -144,6 +138,34 @@
 	}
 }
 
+// emptyForMove stops placing on a machine that is to go to another share, so that it can be
+// handed over by a later plan. Guests' work, less urgent work and work that can run elsewhere is
+// stopped, unless it is to end by itself.
+func (n *Node) emptyForMove(m *machine, x protocol.Move, now time.Time) {
+	if x.Drain {
+		if n.view(n.shares[m.rec.Share], now).DrainsSoon(n.factsOf(m)) {
+			m.avoidTill = later(m.avoidTill, now.Add(drainPause))
+			n.touch(m)
+		}
+		return
+	}
+	guests := n.onlyGuests(m) && !n.claimed(m.rec.Share, now)
+	if !guests && !n.outranked(m, x.Rank) && !n.shifts(m, x.Rank, now) || n.stopping(m) {
+		return
+	}
+	n.log.Info("work stopped for another share", "machine", m.name, "tasks", len(m.on), "share", x.Share, "guests", guests)
+	m.avoidTill = now.Add(reserveTime)
+	n.touch(m)
+	for k := range m.on {
+		n.stopTask(k.job, k.task)
+	}
+	n.stopNow(m)
+}
+
+// drainPause is for how long a plan keeps new tasks off a machine whose own end by themselves:
+// until the next plans, which name it again if it is still wanted.
+const drainPause = 4 * time.Second
+
 // handOver is machines of a share that go to another one, or get a higher token in their own.
 type handOver struct {
 	from, to int
--- a/internal/coordination/node/moves_test.go
+++ b/internal/coordination/node/moves_test.go
@@ -123,3 +123,26 @@
 		}
 	}
 }
+
+// A machine that is to be drained gets nothing new, and nothing is stopped there; one with a
+// service, which does not end, stays in use.
+func TestDrainedMachineKeepsItsTasks(t *testing.T) {
+	for _, shape := range []string{protocol.Array, protocol.Service} {
+		b := newBench(t)
+		now := time.Now()
+		spec := &protocol.JobSpec{ID: "job-1", Team: "red", Class: "c", Shape: shape, Priority: "standard", Tasks: 1, CPUs: 4, GPUs: 1, EstimateS: 30}
+		b.put(protocol.JobKey(spec.ID), protocol.JobRecord{Spec: spec, Next: 2, Chunk: protocol.Chunk{Placed: []protocol.Placement{{Task: 0, Attempt: 1, Machine: "host-1"}}}})
+		m, j := b.machines["host-1"], b.jobs[spec.ID]
+		m.fenced, m.heard, j.tasks[0].since = true, now, now
+		if !b.usable(m, now) {
+			t.Fatal("the machine is not in use")
+		}
+		b.onMoves(protocol.Moves{Moves: []protocol.Move{{Machine: "host-1", Share: 1, Rank: protocol.Low, Drain: true}}})
+		if j.tasks[0].stop || m.moving {
+			t.Errorf("%s: stopped %v, moved %v", shape, j.tasks[0].stop, m.moving)
+		}
+		if b.usable(m, time.Now()) != (shape == protocol.Service) {
+			t.Errorf("%s: usable is %v", shape, b.usable(m, time.Now()))
+		}
+	}
+}
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -286,6 +286,7 @@
 	Share   int    `json:"to"`
 	Spare   bool   `json:"s,omitempty"`
 	Rank    int    `json:"r,omitempty"` // of the job that it is for: only less urgent work makes way
+	Drain   bool   `json:"d,omitempty"` // nothing is stopped on it: it goes once its tasks have ended
 }
 
 // Check says what of a chunk can't be true.
