What can't be read is no proof: meetings played with bad input

Every meeting can be played with bad input beside it: stored values that can't be decoded for a while, hints cut off, damaged or old, reports of machines and tasks that do not exist or that contradict what is known. Found, each with job-ending entries that could not be read for seconds:

Now only halts are ordered while more may be stored than is known; tasks of a record or inbox that can't be read are left alone. - A job's end was left out of the log, or stored without it, where an inbox that tells of the job could not be read: read again, the job was accepted anew. What can't be read may tell of it. - The same entry read once more made a ring forget the ends that it tells. - An entry of the own inbox was written while one could not be read.

--- a/internal/coordination/node/corrupt.go
+++ b/internal/coordination/node/corrupt.go
@@ -40,6 +40,14 @@
 	return false
 }
 
+// mayBeStored says whether a task that this node does not know may be stored in a value that it
+// can't read.
+func (n *Node) mayBeStored(id string, task int) bool {
+	_, head := n.corrupt[protocol.JobKey(id)]
+	_, chunk := n.corrupt[protocol.ChunkKey(id, task/protocol.ChunkTasks)]
+	return head || chunk || n.inboxBroken()
+}
+
 // corruptShare says so of what a share is taken by.
 func (n *Node) corruptShare(s *share) bool {
 	_, holder := n.corrupt[protocol.HolderKey(s.index)]
--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -140,6 +140,12 @@
 	return false
 }
 
+// entriesReadable says whether all entries of a share's log are known. If not, more may be stored
+// than is known: that a task has left, or that a job has ended.
+func (n *Node) entriesReadable(s *share) bool {
+	return !n.packedEver() || s.log.Whole() && !n.logBroken(s.index)
+}
+
 // inboxBroken says so of any inbox.
 func (n *Node) inboxBroken() bool {
 	for key := range n.packing.broken {
@@ -279,6 +285,10 @@
 	return false
 }
 
+// mayBeInInbox says whether an inbox tells that a job was accepted, or may tell so in an entry
+// that is not understood.
+func (n *Node) mayBeInInbox(id string) bool { return n.inboxBroken() || n.inAnyInbox(id) }
+
 // setAccepted takes in a job from an inbox. Two nodes may have accepted it at once.
 func (n *Node) setAccepted(a protocol.Accepted) {
 	if n.endedByLog(a.Spec) {
@@ -330,7 +340,7 @@
 // mustLog says whether what is new of a job has to be told in its share's log: that it has
 // ended, while an inbox tells that it was accepted.
 func (n *Node) mustLog(j *job) bool {
-	if j.based && !n.inAnyInbox(j.id) {
+	if j.based && !n.mayBeInInbox(j.id) {
 		return false
 	}
 	return j.left() == 0 && j.step == nil
@@ -340,8 +350,8 @@
 // record, as long as changes are ample, and several in an entry of the log, with whatever
 // else is new.
 func (n *Node) storeShare(s *share, turns []turn, most int, now time.Time) {
-	if n.packedEver() && (!s.log.Whole() || n.logBroken(s.index)) {
-		return // more may be stored than is known
+	if !n.entriesReadable(s) {
+		return
 	}
 	level := func(c turn) *storage.Committer {
 		if c.urgency <= urgentStart {
@@ -605,13 +615,14 @@
 }
 
 // toldOf says whether a record of its own, or an inbox, tells of a job that has ended by an
-// entry. If what is stored is not known up to that entry, something may that this node has
-// not heard of.
+// entry. If what is stored is not known up to that entry, or can't be read, something may that
+// this node has not heard of.
 func (n *Node) toldOf(s *share, e *protocol.Entry) func(id string) bool {
-	behind := n.ver[protocol.LogKey(s.index, int(e.Seq%uint64(ringSlots)))] > n.caught
+	unknown := n.ver[protocol.LogKey(s.index, int(e.Seq%uint64(ringSlots)))] > n.caught
 	return func(id string) bool {
 		_, head := n.packing.heads[id]
-		return behind || head || n.inAnyInbox(id)
+		_, unreadable := n.corrupt[protocol.JobKey(id)]
+		return unknown || head || unreadable || n.mayBeInInbox(id)
 	}
 }
 
@@ -708,7 +719,7 @@
 	if p.busy || len(p.waiting) == 0 {
 		return
 	}
-	if !n.packs() {
+	if !n.packs() || n.inboxBroken() {
 		for _, x := range p.waiting {
 			x.reply <- busy
 		}
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -626,7 +626,7 @@
 	}
 	items, rev, err := f.w.state.List(ctx, prefix)
 	f.w.size.reads(f.node, len(items))
-	return items, rev, err
+	return f.w.readable(items, false), rev, err
 }
 
 func (f *faultyState) Txn(ctx context.Context, conds []storage.Cond, writes []storage.Write) (bool, uint64, []string, error) {
@@ -732,7 +732,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return items, rev, err
+	return f.w.readable(items, true), rev, err
 }
 
 // user submits a job, polls it and perhaps cancels it.
--- a/internal/coordination/node/standby.go
+++ b/internal/coordination/node/standby.go
@@ -279,8 +279,8 @@
 
 // mayDecide holds a share's first decision up until all that must hold does.
 func (n *Node) mayDecide(s *share, now time.Time) bool {
-	if n.packedEver() && (!s.log.Whole() || n.logBroken(s.index)) {
-		return false // more may be stored than is known
+	if !n.entriesReadable(s) {
+		return false
 	}
 	if s.taking.decided {
 		return true
--- a/internal/coordination/node/starts.go
+++ b/internal/coordination/node/starts.go
@@ -36,7 +36,7 @@
 		m.reported.Add(next).Sub(now) < worthwhile || !n.mine(n.shares[m.rec.Share]) || !n.mayAnswer(now) || n.zoneCut(m.rec.Zone, now) {
 		return true
 	}
-	if n.allowed(start.Start, 1) == 0 {
+	if !n.entriesReadable(n.shares[m.rec.Share]) || n.allowed(start.Start, 1) == 0 {
 		return false
 	}
 	n.startDirectly(m, now)
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -211,7 +211,7 @@
 		return
 	}
 	m.reported = now
-	if !m.fenced || m.inDoubt(r) {
+	if !m.fenced || m.inDoubt(r) || !n.entriesReadable(n.shares[m.rec.Share]) {
 		reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: n.halts(r, now)}}
 		return
 	}
@@ -300,6 +300,9 @@
 		if j != nil && num < len(j.tasks) {
 			t = &j.tasks[num]
 		}
+		if t == nil && n.mayBeStored(id, num) {
+			continue
+		}
 		if t == nil || t.phase != placed || t.machine != m || t.attempt != tr.Attempt {
 			// Not recorded here: over, or left behind by an earlier holder.
 			if tr.State == protocol.TaskExited {
@@ -546,7 +549,11 @@
 		p.reply <- answer{status: 503}
 		return
 	}
-	p.reply <- answer{status: 200, body: protocol.Orders{Token: n.token(m), Commands: n.orders(m, p.report, now)}}
+	cmds := n.halts(p.report, now)
+	if n.entriesReadable(n.shares[m.rec.Share]) {
+		cmds = n.orders(m, p.report, now)
+	}
+	p.reply <- answer{status: 200, body: protocol.Orders{Token: n.token(m), Commands: cmds}}
 }
 
 // unpark turns a waiting report away: this node may not act for it any more.
--- a/internal/coordination/packed/packed.go
+++ b/internal/coordination/packed/packed.go
@@ -94,12 +94,7 @@
 	}
 	before = r.slots[slot]
 	r.slots[slot] = e
-	mentions(e, func(job string, ended bool) {
-		r.jobs[job]++
-		if ended {
-			r.ends[job] = max(r.ends[job], e.Seq)
-		}
-	})
+	// What the slot said before goes first: it may be the same entry, read once more.
 	mentions(before, func(job string, ended bool) {
 		if r.jobs[job]--; r.jobs[job] == 0 {
 			delete(r.jobs, job)
@@ -108,6 +103,12 @@
 			delete(r.ends, job)
 		}
 	})
+	mentions(e, func(job string, ended bool) {
+		r.jobs[job]++
+		if ended {
+			r.ends[job] = max(r.ends[job], e.Seq)
+		}
+	})
 	if e != nil {
 		r.last = max(r.last, e.Seq)
 	}
--- a/internal/coordination/packed/packed_test.go
+++ b/internal/coordination/packed/packed_test.go
@@ -97,6 +97,22 @@
 	}
 }
 
+// An entry that is read once more, as after a value that could not be read, tells what it told.
+func TestSameEntryReadAgain(t *testing.T) {
+	r := NewRing(4)
+	e := &protocol.Entry{Seq: 1, Parts: []protocol.Part{{Job: "job-1", End: "done"}}}
+	for range 3 {
+		r.Put(1, e)
+		if _, seq, over := r.Ended("job-1"); !over || seq != 1 || !r.Mentions("job-1") {
+			t.Fatalf("ended %v in %d, mentioned %v", over, seq, r.Mentions("job-1"))
+		}
+	}
+	r.Put(1, &protocol.Entry{Seq: 5})
+	if _, _, over := r.Ended("job-1"); over || r.Mentions("job-1") {
+		t.Error("what took its place tells of the job")
+	}
+}
+
 // Whatever order slots are read in, a ring knows what is missing, and ends at the same.
 func TestRingsAreReadInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
