--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -35,6 +35,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(r *trial) (broken bool, err error){
+	"restart":   restartAll,
 	"site-loss": siteLoss,
 }
 
