--- a/review/lab/gateway.go
+++ b/review/lab/gateway.go
@@ -43,6 +43,8 @@
 // xelaOps are the limits of the site file viveroscloud-xela-ops.
 var xelaOps = limits{nodes: 3, rps: 120, writes: 40, valueKB: 8, txnOps: 12, reportS: 2, leaseS: 10, cancelS: 40, cores: 0.06, memoryMB: 125, fdLimit: 1200, machines: 8}
 
+// xelaHunt are the limits of the site file viveroscloud-xela-hunt.
+var xelaHunt = limits{nodes: 3, rps: 400, writes: 150, valueKB: 8, txnOps: 12, reportS: 5, leaseS: 26.5, cancelS: 56.5, cores: 0.18, memoryMB: 356, fdLimit: 3695, machines: 8}
 
 // newGateway writes the files of a gateway between the sites quito and xela.
 func newGateway(r *trial, l limits) (*gateway, error) {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -35,8 +35,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(r *trial) (broken bool, err error){
-	"restart":   restartAll,
-	"site-loss": siteLoss,
+	"restart":     restartAll,
+	"site-loss":   siteLoss,
+	"daemon-hang": daemonHang,
 }
 
 // run plays a case, with its record in folder, and returns the exit code.
