Review case 3: replicas stay on machines that are gone for more than 90 s

From an entry of the open issues: the cloud takes a third of the cheap machines, a controller crashes, and no replica of a service runs for over 90 s beside a machine with room.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -37,6 +37,7 @@
 var cases = map[string]func(r *trial) (broken bool, err error){
 	"restart":     restartAll,
 	"site-loss":   siteLoss,
+	"spot-wave":   spotWave,
 	"daemon-hang": daemonHang,
 }
 
