Gateway metrics: work completed and given up, what waits for the store

Added: changes and reads completed and given up, records being changed, registers that wait to be stored and for how long, and at a site the changes, bytes and refusals of its log beside what it may use.

--- a/cmd/dapplestage/gateway.go
+++ b/cmd/dapplestage/gateway.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -114,6 +115,7 @@
 	startNumber   uint32       // increases with each start of the member
 	siteCaller    gateway.Site // calls the site's controllers; nil at a gateway
 	leaseListener net.Listener // serves the lease to the site's controllers; nil at a gateway
+	metrics       []prometheus.Collector
 	close         func()
 }
 
@@ -165,7 +167,9 @@
 			return transport.Serve(ctx, state.leaseListener, daemon.LeaseHandler(time.Duration(settings.ControllersS*float64(time.Second))))
 		})
 	}
-	serveInBackground(func() error { return transport.Serve(ctx, api, daemon.API(keyMetrics(keyring, m.peers)...)) })
+	serveInBackground(func() error {
+		return transport.Serve(ctx, api, daemon.API(append(keyMetrics(keyring, m.peers), state.metrics...)...))
+	})
 	log.Info("serving", "api", settings.API, "members", len(settings.Members), "site", settings.IsSite(), "registers", len(state.items), "start", state.startNumber, "version", version)
 	return daemon.Run()
 }
@@ -224,13 +228,18 @@
 		return nil, err
 	}
 	state := &memberState{leaseListener: leaseListener, siteCaller: gateway.NewControllers(settings.Site.Controllers, log), close: func() {}}
-	state.store, state.items, state.startNumber, err = openSiteLog(ctx, settings, siteSettings, log)
-	return state, err
+	segmentLog, items, startNumber, err := openSiteLog(ctx, settings, siteSettings, log)
+	if err != nil {
+		return nil, err
+	}
+	state.store, state.items, state.startNumber = gateway.SegmentStore{Log: segmentLog}, items, startNumber
+	state.metrics = segmentMetrics(segmentLog)
+	return state, nil
 }
 
 // openSiteLog takes over the site's log in its state service. While the service is not
 // reachable or refuses requests, it retries each second.
-func openSiteLog(ctx context.Context, settings *wire.Settings, siteSettings *protocol.Settings, log *slog.Logger) (gateway.Store, []wire.Item, uint32, error) {
+func openSiteLog(ctx context.Context, settings *wire.Settings, siteSettings *protocol.Settings, log *slog.Logger) (*segments.Log, []wire.Item, uint32, error) {
 	params := siteSettings.Params
 	store := storage.NewStore(siteSettings.External.State, params.State, 2*params.Nodes)
 	limits := segments.Limits{ValueKB: params.State.ValueKB, TxnOps: params.State.TxnOps, ChangesPerS: settings.Site.Part * params.State.WriteRPS}
@@ -241,7 +250,7 @@
 			if err != nil {
 				return nil, nil, 0, err
 			}
-			return gateway.SegmentStore{Log: segmentLog}, items, startNumber, nil
+			return segmentLog, items, startNumber, nil
 		}
 		if !errors.Is(err, storage.ErrUnknown) && !errors.Is(err, storage.ErrRefused) {
 			return nil, nil, 0, err
@@ -255,6 +264,24 @@
 	}
 }
 
+// segmentMetrics returns the metrics of what a site's log uses of the state service.
+func segmentMetrics(segmentLog *segments.Log) []prometheus.Collector {
+	usage := segmentLog.Usage()
+	counter := func(name, help string, labels prometheus.Labels, value *atomic.Int64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help, ConstLabels: labels}, func() float64 { return float64(value.Load()) })
+	}
+	const changes, changesHelp = "dapplestage_gateway_store_changes_total", "Changes made to the site's state service."
+	const bytes, bytesHelp = "dapplestage_gateway_store_bytes_total", "Encoded size of the registers written to the site's state service: new ones, and ones written again by compaction."
+	return []prometheus.Collector{
+		counter(changes, changesHelp, prometheus.Labels{"kind": "put"}, &usage.Puts),
+		counter(changes, changesHelp, prometheus.Labels{"kind": "delete"}, &usage.Deletes),
+		counter(bytes, bytesHelp, prometheus.Labels{"kind": "new"}, &usage.NewBytes),
+		counter(bytes, bytesHelp, prometheus.Labels{"kind": "moved"}, &usage.MovedBytes),
+		counter("dapplestage_gateway_store_refused_total", "Transactions that the state service refused or did not answer.", nil, &usage.Refused),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dapplestage_gateway_store_changes_limit", Help: "Changes a second that this member may make to the site's state service."}, segmentLog.ChangesPerSecond),
+	}
+}
+
 // keyMetrics returns the metrics of the member's certificate and connections.
 func keyMetrics(keyring *keys.Keyring, peers []*rpc.Peer) []prometheus.Collector {
 	return []prometheus.Collector{
--- a/internal/coordination/gateway/api.go
+++ b/internal/coordination/gateway/api.go
@@ -261,23 +261,29 @@
 
 // Describe implements prometheus.Collector.
 func (c *coreCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descOpenJobs, descMemberSilence, descHandoffs, descEvents, descStoreOK} {
+	for _, d := range []*prometheus.Desc{descOpenJobs, descMemberSilence, descHandoffs, descEvents, descStoreOK, descWork, descRounds, descStoreWaiting, descStoreWait} {
 		ch <- d
 	}
 }
 
 // Collect implements prometheus.Collector.
 func (c *coreCollector) Collect(ch chan<- prometheus.Metric) {
-	status, ok := runOnCore(c.d, c.d.ctx, func() Status {
+	type view struct {
+		status   Status
+		workload workloadView
+	}
+	current, ok := runOnCore(c.d, c.d.ctx, func() view {
 		status := c.d.core.status()
 		if c.d.storeErr == nil {
 			status.Store = "ok"
 		}
-		return status
+		return view{status, c.d.core.workloadView()}
 	})
 	if !ok {
 		return
 	}
+	status := current.status
+	current.workload.collect(ch)
 	for _, member := range status.Members {
 		if member.Site {
 			ch <- prometheus.MustNewConstMetric(descOpenJobs, prometheus.GaugeValue, float64(member.OwnedJobs), member.Name)
--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -160,6 +160,7 @@
 	lastHintSent   time.Duration
 	reconcileFrom  string // job at which the next reconciliation pass starts
 	counts         Counts
+	workload       workload
 }
 
 // Counts are the event counters in the metrics and the status: jobs accepted, finished and
@@ -304,6 +305,7 @@
 		clear(c.dirtyRegisters)
 		c.barrierPending, c.siteStateDirty = false, false
 		c.effects.Store = append(c.effects.Store, batch)
+		c.workload.handedToStore(&batch, c.now)
 	}
 	c.releaseReplies()
 }
@@ -363,6 +365,7 @@
 func (c *Core) BatchStored(now time.Duration, seq uint64) Effects {
 	return c.step(now, func() {
 		c.storedSeq = max(c.storedSeq, seq)
+		c.workload.stored(seq)
 		c.releaseReplies()
 	})
 }
--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -293,6 +293,7 @@
 		return
 	}
 	delete(batch.byID, it.ID)
+	c.workload.reads.completed++
 	if len(batch.byID) == 0 {
 		delete(c.readBatches, it.Ballot.Number)
 	}
@@ -328,6 +329,7 @@
 		}
 		delete(c.readBatches, nonce)
 		for _, id := range sortedKeys(batch.byID) {
+			c.workload.reads.givenUp++
 			for _, req := range batch.byID[id].requests {
 				req.onResult(nil, false, false)
 			}
--- a/internal/coordination/gateway/round.go
+++ b/internal/coordination/gateway/round.go
@@ -216,6 +216,9 @@
 func (c *Core) finishRound(r *round, rec wire.Record, exists bool) {
 	finished := r.applied
 	r.applied = nil
+	for _, pending := range finished {
+		c.workload.changes.of(pending.op.background).completed++
+	}
 	if len(r.queued) == 0 {
 		delete(c.rounds, r.id)
 	} else {
@@ -266,7 +269,10 @@
 			for _, pending := range changes {
 				if c.now < pending.deadline {
 					live = append(live, pending)
-				} else if pending.onResult != nil {
+					continue
+				}
+				c.workload.changes.of(pending.op.background).givenUp++
+				if pending.onResult != nil {
 					pending.onResult(wire.Record{}, false, resultUnknown)
 				}
 			}
--- /dev/null
+++ b/internal/coordination/gateway/workload.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// What a member has to do, what it completes and what it gives up unfinished, for the
+// metrics.
+
+// workCount counts pieces of work by their end.
+type workCount struct {
+	completed uint64
+	givenUp   uint64 // ended by a timeout; it may still take effect
+}
+
+// changeCounts counts proposed changes: those that a user waits for, and all others.
+type changeCounts struct{ user, background workCount }
+
+// of returns the counter of changes of a kind.
+func (n *changeCounts) of(background bool) *workCount {
+	if background {
+		return &n.background
+	}
+	return &n.user
+}
+
+// unstoredBatch is a batch that is not durable yet.
+type unstoredBatch struct {
+	seq       uint64
+	registers int
+	since     time.Duration
+}
+
+// workload is a member's work so far and the work that waits for its store.
+type workload struct {
+	changes  changeCounts
+	reads    workCount
+	unstored []unstoredBatch // in order
+}
+
+// handedToStore records a batch that has to be stored.
+func (w *workload) handedToStore(batch *Batch, now time.Duration) {
+	w.unstored = append(w.unstored, unstoredBatch{batch.Seq, len(batch.Items), now})
+}
+
+// stored records that all batches up to seq are durable.
+func (w *workload) stored(seq uint64) {
+	n := 0
+	for n < len(w.unstored) && w.unstored[n].seq <= seq {
+		n++
+	}
+	w.unstored = w.unstored[n:]
+}
+
+// waiting returns how many registers wait to become durable, and for how long the oldest
+// batch has waited.
+func (w *workload) waiting(now time.Duration) (registers int, longest time.Duration) {
+	for _, batch := range w.unstored {
+		registers += batch.registers
+	}
+	if len(w.unstored) > 0 {
+		longest = now - w.unstored[0].since
+	}
+	return registers, longest
+}
+
+// Metrics of a member's workload.
+var (
+	descWork         = prometheus.NewDesc("dapplestage_gateway_work_total", "Changes of records and reads from a majority, by kind and by whether they were completed or given up.", []string{"kind", "result"}, nil)
+	descRounds       = prometheus.NewDesc("dapplestage_gateway_changes_under_way", "Records that this member is changing now.", nil, nil)
+	descStoreWaiting = prometheus.NewDesc("dapplestage_gateway_store_waiting_registers", "Registers that are changed and not stored yet.", nil, nil)
+	descStoreWait    = prometheus.NewDesc("dapplestage_gateway_store_waiting_seconds", "For how long the oldest change has waited to be stored.", nil, nil)
+)
+
+// workloadView is what the metrics show of a member's workload.
+type workloadView struct {
+	changes          changeCounts
+	reads            workCount
+	changesInFlight  int
+	waitingRegisters int
+	longestWait      time.Duration
+}
+
+// workloadView returns the present workload.
+func (c *Core) workloadView() workloadView {
+	view := workloadView{changes: c.workload.changes, reads: c.workload.reads, changesInFlight: len(c.rounds)}
+	view.waitingRegisters, view.longestWait = c.workload.waiting(c.now)
+	return view
+}
+
+// collect sends the metrics of the workload.
+func (v *workloadView) collect(ch chan<- prometheus.Metric) {
+	for kind, count := range map[string]workCount{"user_change": v.changes.user, "background_change": v.changes.background, "read": v.reads} {
+		ch <- prometheus.MustNewConstMetric(descWork, prometheus.CounterValue, float64(count.completed), kind, "completed")
+		ch <- prometheus.MustNewConstMetric(descWork, prometheus.CounterValue, float64(count.givenUp), kind, "given_up")
+	}
+	ch <- prometheus.MustNewConstMetric(descRounds, prometheus.GaugeValue, float64(v.changesInFlight))
+	ch <- prometheus.MustNewConstMetric(descStoreWaiting, prometheus.GaugeValue, float64(v.waitingRegisters))
+	ch <- prometheus.MustNewConstMetric(descStoreWait, prometheus.GaugeValue, v.longestWait.Seconds())
+}
--- a/internal/storage/segments/segments.go
+++ b/internal/storage/segments/segments.go
@@ -19,6 +19,7 @@
 	"log/slog"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -68,7 +69,27 @@
 	live          map[string]live
 	keysBySegment map[uint64][]string // keys of each segment, whether their latest entry is in it or not
 	liveBytes     int                 // encoded size of the live entries
-	changesMade   int64               // writes made to the state service so far
+	usage         Usage
+}
+
+// Usage counts what a log has used of the state service. It may be read while the log is
+// written.
+type Usage struct {
+	Puts, Deletes atomic.Int64 // changes: segments written and deleted
+	NewBytes      atomic.Int64 // encoded size of the entries that callers wrote
+	MovedBytes    atomic.Int64 // encoded size of the live entries that compaction wrote again
+	Refused       atomic.Int64 // requests that were refused or not answered, and are repeated
+}
+
+// add counts the changes of a transaction that was executed.
+func (u *Usage) add(writes []storage.Write) {
+	for i := range writes {
+		if writes[i].Delete != "" {
+			u.Deletes.Add(1)
+		} else {
+			u.Puts.Add(1)
+		}
+	}
 }
 
 // live is the latest value of a key.
@@ -311,6 +332,7 @@
 	for n < len(entries) && b.add(entries[n]) {
 		n++
 	}
+	newBytes := b.totalBytes
 	if n == len(entries) {
 		b.compact()
 	}
@@ -321,6 +343,8 @@
 	if err := l.commitBatch(ctx, segs, b.deletions); err != nil {
 		return 0, err
 	}
+	l.usage.NewBytes.Add(int64(newBytes))
+	l.usage.MovedBytes.Add(int64(b.totalBytes - newBytes))
 	l.applyWritten(segs, b.deletions)
 	return n, nil
 }
@@ -392,7 +416,7 @@
 		ok, _, failed, err := l.store.Txn(ctx, conds, writes)
 		switch {
 		case err == nil && ok:
-			l.changesMade += int64(len(writes))
+			l.usage.add(writes)
 			return nil
 		case err == nil:
 			for _, k := range failed {
@@ -408,7 +432,7 @@
 			it, err := l.store.Get(ctx, writes[0].Put)
 			if err == nil && it.Value != nil {
 				if sameJSON(it.Value, writes[0].Value) {
-					l.changesMade += int64(len(writes))
+					l.usage.add(writes)
 					return nil
 				}
 				return fmt.Errorf("gateway log: %s was written by somebody else", writes[0].Put)
@@ -416,6 +440,7 @@
 		case errors.Is(err, storage.ErrMalformed):
 			return fmt.Errorf("gateway log: %w", err)
 		default:
+			l.usage.Refused.Add(1)
 			if try%20 == 0 {
 				l.log.Warn("gateway log waits for the state service", "why", err)
 			}
@@ -445,5 +470,11 @@
 // Stats returns the number of segments and of live entries, and how many changes of the state
 // service the log has made.
 func (l *Log) Stats() (segs, entries int, changes int64) {
-	return len(l.keysBySegment), len(l.live), l.changesMade
+	return len(l.keysBySegment), len(l.live), l.usage.Puts.Load() + l.usage.Deletes.Load()
 }
+
+// Usage returns the counters of what the log has used of the state service.
+func (l *Log) Usage() *Usage { return &l.usage }
+
+// ChangesPerSecond returns how many changes a second the log may make.
+func (l *Log) ChangesPerSecond() float64 { return float64(l.limiter.Limit()) }
