Gateway: a notice of a record that the site knows as agreed is acknowledged

What callers saw: a site's services stopped and its jobs waited for good, while members stored promises for one cancelled job twice a second; polls were answered with "queued" to the end.

Cause: a member that had accepted a cancellation, but missed that a majority had, denies the site its lease until the site acknowledges it. The site had the record as agreed from its own store after a restart, but answers a notice that is not marked as agreed with a round that learns the record; the round finds that nothing has to change, and neither the site nor the sender did anything with the result. Two such members of four kept the site from a majority for its lease.

Fix: the site acts on its own agreed record of the same ballot, as it does on a notice that is marked as agreed, and acknowledges that. It proposes nothing.

TestNoticeOfAgreedRecordIsAcknowledged failed before the fix: a round was started and no call was made to the controllers.

--- a/internal/coordination/gateway/siteagent.go
+++ b/internal/coordination/gateway/siteagent.go
@@ -173,6 +173,12 @@
 		}
 		return
 	}
+	if own := core.registers[it.ID]; own != nil && own.hasRecord && own.committed && own.accepted == it.Accepted {
+		// The sender has missed that a majority accepted the record.
+		s.applyRecord(it.ID, &own.record)
+		s.acknowledge(from, it.ID, &own.record)
+		return
+	}
 	if len(core.rounds) < core.cfg.MaxInFlight {
 		core.propose(it.ID, op{kind: opLearn}, backgroundTimeout, nil)
 	}
