Gateway: reads and leases no longer wait behind the registers to be stored

Cause: a member had one queue for its store. A read, the vote for a lease, a promise and an acceptance each waited for all registers that had changed before, of any job, and these were stored in one write of any size, compaction included, before the first reply was sent. At 10 changes a second 400 registers take over 10 s: reads end after 2.5 s, a lease after 8 s.

Fix: a reply waits for what it tells. A promise or an acceptance waits for its own register; registers are stored in bounded batches, one at a time, and changes of one register that wait are joined. A read is answered from the durable record and a lease is granted after a proof of ownership, a transaction without changes beside the writes. The proof is asked for after the reply was made, as the barrier was, so a replaced process still answers nothing; that a lease waits for the proof also where nothing is being stored is new.

The queue between the core and the store holds at most one batch, so the goroutine of the core never waits for it. The simulation's messages are split as the daemon's are.

--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -29,6 +29,9 @@
 	// MaxInFlight limits the submissions that a member handles concurrently.
 	MaxInFlight int
 	Route       RouteConfig
+	// BatchBytes is about how much is stored at once; 0: any amount. Replies that wait for a
+	// batch wait no longer than it takes to store that much.
+	BatchBytes int
 	// Faults disables safety checks, so that tests can show that each of them is needed.
 	Faults Faults
 }
@@ -101,19 +104,20 @@
 	revoked         map[string]uint32 // for records not accepted here: the epoch below which the site reports its claims as revoked
 }
 
-// Effects is what the caller must carry out. Batches are stored in order, and BatchStored
-// is called when one is durable. Everything else may be done in any order, be lost or be
-// repeated.
+// Effects is what the caller must carry out. BatchStored is called when the batch is
+// durable, OwnershipProved when it is proved that the store still belongs to this process.
+// There is no further batch, and no further request for a proof, before that. Everything
+// else may be done in any order, be lost or be repeated.
 type Effects struct {
-	Send    map[int][]wire.Item // items to send, by member
-	Hint    *wire.Hint          // if not nil, sent to all other members
-	Store   []Batch             // batches to store, in order
-	Answers []Answer            // answers to users
-	Calls   []Call              // calls to the site's controllers
+	Send           map[int][]wire.Item // items to send, by member
+	Hint           *wire.Hint          // if not nil, sent to all other members
+	Store          []Batch             // at most one batch to store
+	ProveOwnership uint64              // number of the request for a proof; 0: none
+	Answers        []Answer            // answers to users
+	Calls          []Call              // calls to the site's controllers
 }
 
-// Batch is a set of items that become durable together. A batch without items is a barrier:
-// its completion proves that the store still belongs to this process.
+// Batch is a set of items to be stored. If storing it fails, any of them may be durable.
 type Batch struct {
 	Seq   uint64
 	Items []wire.Item
@@ -147,20 +151,15 @@
 
 	site *siteAgent // nil at a gateway
 
-	effects        Effects
-	localItems     []wire.Item         // items from this member to itself
-	dirtyRegisters map[string]struct{} // registers changed since the last batch, by job id
-	barrierPending bool                // a reply needs proof that the store still belongs to this process
-	// siteStateDirty is set when the site's drain state has to be stored.
-	siteStateDirty bool
-	lastBatchSeq   uint64      // number of the last batch handed to the caller
-	storedSeq      uint64      // number of the last batch known to be durable
-	heldReplies    []heldReply // replies that wait for a batch to become durable
-	lastReconcile  time.Duration
-	lastHintSent   time.Duration
-	reconcileFrom  string // job at which the next reconciliation pass starts
-	counts         Counts
-	workload       workload
+	effects       Effects
+	localItems    []wire.Item // items from this member to itself
+	storeQueue    *storeQueue
+	proofs        ownershipProofs
+	lastReconcile time.Duration
+	lastHintSent  time.Duration
+	reconcileFrom string // job at which the next reconciliation pass starts
+	counts        Counts
+	workload      workload
 }
 
 // Counts are the event counters in the metrics and the status: jobs accepted, finished and
@@ -172,13 +171,6 @@
 	Accepted, Finished, Cancelled, Forced, Moved, Nacks, Denied, Refused, Stale uint64
 }
 
-// heldReply is an item that is sent once the batch with number seq is durable.
-type heldReply struct {
-	seq  uint64
-	to   int
-	item wire.Item
-}
-
 // receivedHint is a site's last load report and the time at which it arrived.
 type receivedHint struct {
 	receivedAt time.Duration
@@ -191,7 +183,7 @@
 	c := &Core{cfg: cfg, incarnation: incarnation, rng: rand.New(rand.NewPCG(seed, uint64(incarnation))), log: log, now: now, startedAt: now,
 		registers: map[string]*register{}, openJobs: map[string]*register{}, rounds: map[string]*round{}, readBatches: map[uint64]*readBatch{},
 		progress: map[string]progress{}, routeLimits: make([]routeLimit, len(cfg.Members)), ownedJobs: make([]int, len(cfg.Members)),
-		dirtyRegisters: map[string]struct{}{}, lastHeard: make([]time.Duration, len(cfg.Members)), hints: make([]receivedHint, len(cfg.Members)),
+		storeQueue: newStoreQueue(), lastHeard: make([]time.Duration, len(cfg.Members)), hints: make([]receivedHint, len(cfg.Members)),
 		grants: make([]*leaseGrant, len(cfg.Members))}
 	c.effects.Send = map[int][]wire.Item{}
 	for i, m := range cfg.Members {
@@ -275,7 +267,6 @@
 	c.now = max(c.now, now)
 	f()
 	for {
-		c.flushBatch()
 		if len(c.localItems) == 0 {
 			break
 		}
@@ -285,29 +276,20 @@
 			c.handleItem(c.cfg.Self, &items[i])
 		}
 	}
+	c.requestStorage()
 	effects := c.effects
 	c.effects = Effects{Send: map[int][]wire.Item{}}
 	return effects
 }
 
-// flushBatch hands the changes to be stored to the caller as one batch, and sends the
-// replies that wait for no batch.
-func (c *Core) flushBatch() {
-	if len(c.dirtyRegisters) > 0 || c.barrierPending || c.siteStateDirty {
-		c.lastBatchSeq++
-		batch := Batch{Seq: c.lastBatchSeq}
-		for _, id := range sortedKeys(c.dirtyRegisters) {
-			batch.Items = append(batch.Items, c.registers[id].storedItem(id))
-		}
-		if c.siteStateDirty {
-			batch.Items = append(batch.Items, wire.Item{Kind: wire.SiteState, Durable: c.site.drained})
-		}
-		clear(c.dirtyRegisters)
-		c.barrierPending, c.siteStateDirty = false, false
+// requestStorage asks the caller to store the next batch and to prove the ownership of the
+// store, if something waits for that.
+func (c *Core) requestStorage() {
+	siteState := func() wire.Item { return wire.Item{Kind: wire.SiteState, Durable: c.site.drained} }
+	if batch, ok := c.storeQueue.nextBatch(c.registers, c.cfg.BatchBytes, siteState); ok {
 		c.effects.Store = append(c.effects.Store, batch)
-		c.workload.handedToStore(&batch, c.now)
 	}
-	c.releaseReplies()
+	c.effects.ProveOwnership = c.proofs.next()
 }
 
 // storedItem returns the register in the form in which it is stored.
@@ -315,19 +297,6 @@
 	return wire.Item{Kind: wire.RegisterState, ID: id, Ballot: r.promised, Accepted: r.accepted, HasRecord: r.hasRecord, Committed: r.committed, AckedSites: r.ackedSites, Record: r.record}
 }
 
-// releaseReplies sends the replies whose batch is durable.
-func (c *Core) releaseReplies() {
-	n := 0
-	for _, held := range c.heldReplies {
-		if held.seq > c.storedSeq {
-			break
-		}
-		n++
-		c.send(held.to, held.item)
-	}
-	c.heldReplies = c.heldReplies[n:]
-}
-
 // send sends an item without waiting for the store. An item to this member itself is
 // handled later in the same step.
 func (c *Core) send(to int, it wire.Item) {
@@ -338,14 +307,25 @@
 	c.effects.Send[to] = append(c.effects.Send[to], it)
 }
 
-// sendWhenDurable sends an item once all changes made so far are durable: no other member
-// may be told anything that a crash could undo.
+// sendWhenDurable sends an item about a job once the changes made so far to its register are
+// durable: no other member may be told anything that a crash could undo.
 func (c *Core) sendWhenDurable(to int, it wire.Item) {
-	seq := c.lastBatchSeq
-	if len(c.dirtyRegisters) > 0 || c.barrierPending || c.siteStateDirty {
-		seq++
+	if !c.storeQueue.hold(it.ID, to, it) {
+		c.send(to, it)
+	}
+}
+
+// sendWhenOwned sends an item once it is proved that the store still belongs to this
+// process: a process that was replaced must not speak for the member.
+func (c *Core) sendWhenOwned(to int, it wire.Item) {
+	c.proofs.waiting = append(c.proofs.waiting, reply{to, it})
+}
+
+// sendAll sends replies.
+func (c *Core) sendAll(replies []reply) {
+	for i := range replies {
+		c.send(replies[i].to, replies[i].item)
 	}
-	c.heldReplies = append(c.heldReplies, heldReply{seq, to, it})
 }
 
 // Receive handles a message from another member.
@@ -361,13 +341,15 @@
 	})
 }
 
-// BatchStored reports to the core that all batches up to seq are durable.
+// BatchStored reports to the core that the batch with a number is durable.
 func (c *Core) BatchStored(now time.Duration, seq uint64) Effects {
-	return c.step(now, func() {
-		c.storedSeq = max(c.storedSeq, seq)
-		c.workload.stored(seq)
-		c.releaseReplies()
-	})
+	return c.step(now, func() { c.sendAll(c.storeQueue.stored(seq, c.now)) })
+}
+
+// OwnershipProved reports to the core that the store still belonged to this process after
+// the proof with a number was requested.
+func (c *Core) OwnershipProved(now time.Duration, seq uint64) Effects {
+	return c.step(now, func() { c.sendAll(c.proofs.proved(seq)) })
 }
 
 // Tick performs all actions that are due by time.
@@ -438,8 +420,8 @@
 		return
 	}
 	if r.promised != it.Ballot {
+		c.storeQueue.change(it.ID, r, c.now)
 		r.promised = it.Ballot
-		c.dirtyRegisters[it.ID] = struct{}{}
 	}
 	c.sendWhenDurable(from, wire.Item{Kind: wire.Promise, ID: it.ID, Ballot: it.Ballot, Accepted: r.accepted, HasRecord: r.hasRecord, Committed: r.committed, Record: r.record})
 }
@@ -496,8 +478,8 @@
 		c.send(site, wire.Item{Kind: wire.Notice, ID: it.ID, Accepted: it.Ballot, HasRecord: true, Record: it.Record})
 		return
 	}
-	r.promised = it.Ballot
 	c.setRecord(it.ID, r, it.Ballot, &it.Record, false)
+	r.promised = it.Ballot
 	c.sendWhenDurable(from, wire.Item{Kind: wire.Accepted, ID: it.ID, Ballot: it.Ballot})
 }
 
@@ -521,10 +503,10 @@
 
 // setCommitted marks a register's record as accepted by a majority.
 func (c *Core) setCommitted(id string, r *register) {
-	r.committed = true
 	if r.record.Outcome != wire.Open {
-		c.dirtyRegisters[id] = struct{}{} // stored, so that it need not be learned again after a restart
+		c.storeQueue.change(id, r, c.now) // stored, so that it need not be learned again after a restart
 	}
+	r.committed = true
 	if c.site != nil {
 		c.site.applyRecord(id, &r.record)
 	}
@@ -553,9 +535,9 @@
 	}
 	c.countOwned(r, -1)
 	defer c.countOwned(r, 1)
+	c.storeQueue.change(id, r, c.now)
 	r.accepted, r.hasRecord, r.record, r.acceptedAt = accepted, true, *rec, c.now
 	r.committed = false
-	c.dirtyRegisters[id] = struct{}{}
 	c.updateOpen(id, r)
 	if committed {
 		c.setCommitted(id, r)
@@ -634,6 +616,8 @@
 	for id, acked := range grant.notices {
 		switch {
 		case acked:
+		case !c.registers[id].committed && !c.storeQueue.isDurable(id):
+			// Nobody may be told this record yet.
 		case grant.blocksLease[id]:
 			blocking = append(blocking, id)
 		case c.registers[id].committed:
@@ -647,9 +631,9 @@
 			break
 		}
 		r := c.registers[id]
-		c.sendWhenDurable(from, wire.Item{Kind: wire.Notice, ID: id, Accepted: r.accepted, HasRecord: true, Committed: r.committed, Record: r.record})
+		c.send(from, wire.Item{Kind: wire.Notice, ID: id, Accepted: r.accepted, HasRecord: true, Committed: r.committed, Record: r.record})
 	}
-	c.sendWhenDurable(from, wire.Item{Kind: kind, Ballot: it.Ballot})
+	c.sendWhenOwned(from, wire.Item{Kind: kind, Ballot: it.Ballot})
 }
 
 // onAck handles a site's acknowledgement that its claims on a job below an epoch are
@@ -679,8 +663,8 @@
 		return
 	}
 	if grant.blocksLease[it.ID] {
+		c.storeQueue.change(it.ID, r, c.now)
 		r.ackedSites |= memberBit(from)
-		c.dirtyRegisters[it.ID] = struct{}{}
 	}
 	c.untrackNotice(grant, it.ID)
 }
--- a/internal/coordination/gateway/daemon.go
+++ b/internal/coordination/gateway/daemon.go
@@ -5,18 +5,23 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	wire "dapplestage.example/dapplestage/internal/protocol/gateway"
 )
 
-// Store persists a member's registers. Write returns nil when all of the items are durable;
-// if it fails, none or all of them may be. Without items it returns nil once it is proved
-// that the store still belongs to this process. Only one goroutine calls it at a time. An
-// error that wraps ErrFatal ends the daemon; after any other error the call is repeated
-// with the same items.
+// Store persists a member's registers. An error that wraps ErrFatal ends the daemon; after
+// any other error the call is repeated.
 type Store interface {
+	// Write returns nil when all of the items are durable; if it fails, any of them may be.
+	// Only one goroutine calls it at a time.
 	Write(ctx context.Context, items []wire.Item) error
+	// ProveOwnership returns nil if the store still belonged to this process after the call.
+	// It may be called during a Write, and does not wait for it.
+	ProveOwnership(ctx context.Context) error
+	// BatchBytes returns how much one Write should store; 0: any amount.
+	BatchBytes() int
 }
 
 // ErrFatal marks errors after which a member must not continue.
@@ -44,7 +49,8 @@
 	store             Store
 	send              func(to int, e *wire.Envelope)
 	site              Site
-	batches           chan Batch
+	batches           chan Batch  // at most one
+	proofRequests     chan uint64 // at most one: numbers of requests to prove the ownership of the store
 	calls             chan Call
 	pendingAnswers    map[uint64]chan<- Answer // where the answers to user requests go, by token
 	lastToken         uint64
@@ -56,8 +62,9 @@
 // start of the member; items is the stored state; send must not block; site is nil for a
 // gateway.
 func NewDaemon(ctx context.Context, cfg Config, incarnation uint32, items []wire.Item, store Store, send func(to int, e *wire.Envelope), site Site, seed uint64, log *slog.Logger) *Daemon {
+	cfg.BatchBytes = store.BatchBytes()
 	d := &Daemon{cfg: cfg, log: log, mailbox: make(chan func(), 4096), startedAt: time.Now(), store: store, send: send, site: site,
-		batches: make(chan Batch, 4096), calls: make(chan Call, 4*maxCallsInFlight), pendingAnswers: map[uint64]chan<- Answer{}}
+		batches: make(chan Batch, 1), proofRequests: make(chan uint64, 1), calls: make(chan Call, 4*maxCallsInFlight), pendingAnswers: map[uint64]chan<- Answer{}}
 	d.ctx, d.stop = context.WithCancelCause(ctx)
 	d.core = New(cfg, incarnation, items, seed, log, 0)
 	return d
@@ -80,11 +87,9 @@
 // Run serves until the context of the daemon ends, and returns the cause unless it was
 // cancelled.
 func (d *Daemon) Run() error {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.storeBatches()
-	}()
+	var storage sync.WaitGroup
+	storage.Go(d.storeBatches)
+	storage.Go(d.proveOwnership)
 	if d.site != nil {
 		go d.sendCalls()
 		go d.pollHints()
@@ -100,7 +105,7 @@
 			d.applyEffects(d.core.Tick(d.now()))
 		}
 	}
-	<-done
+	storage.Wait()
 	if err := context.Cause(d.ctx); !errors.Is(err, context.Canceled) {
 		return err
 	}
@@ -110,11 +115,10 @@
 // applyEffects carries out the effects of a step.
 func (d *Daemon) applyEffects(effects Effects) {
 	for _, b := range effects.Store {
-		select {
-		case d.batches <- b:
-		case <-d.ctx.Done():
-			return
-		}
+		d.batches <- b // has room: the core waits for the completion of the one before
+	}
+	if effects.ProveOwnership != 0 {
+		d.proofRequests <- effects.ProveOwnership // has room, as above
 	}
 	for to := range d.cfg.Members {
 		if items := effects.Send[to]; to != d.cfg.Self && (len(items) > 0 || effects.Hint != nil) {
@@ -144,52 +148,45 @@
 // maxItemsPerMessage limits the items of one message.
 const maxItemsPerMessage = 1000
 
-// storeBatches stores batches in order, all that are queued in one write (group commit).
+// storeBatches stores one batch after the other. Until one is durable, this member promises
+// and accepts nothing in it, since replies wait until their state is stored.
 func (d *Daemon) storeBatches() {
 	for {
-		var batch Batch
 		select {
 		case <-d.ctx.Done():
 			return
-		case batch = <-d.batches:
-		}
-		latest := map[string]int{}
-		items := append([]wire.Item(nil), batch.Items...)
-		for i := range items {
-			latest[items[i].ID] = i
-		}
-		for draining := true; draining; {
-			select {
-			case next := <-d.batches:
-				batch.Seq = next.Seq
-				for _, it := range next.Items {
-					if i, ok := latest[it.ID]; ok {
-						items[i] = it
-					} else {
-						latest[it.ID] = len(items)
-						items = append(items, it)
-					}
-				}
-			default:
-				draining = false
+		case batch := <-d.batches:
+			if !d.retryStore(func() error { return d.store.Write(d.ctx, batch.Items) }) {
+				return
 			}
+			d.enqueue(func() { d.applyEffects(d.core.BatchStored(d.now(), batch.Seq)) })
 		}
-		if !d.storeItems(items) {
+	}
+}
+
+// proveOwnership proves that the store belongs to this process, as often as the core asks.
+func (d *Daemon) proveOwnership() {
+	for {
+		select {
+		case <-d.ctx.Done():
 			return
+		case seq := <-d.proofRequests:
+			if !d.retryStore(func() error { return d.store.ProveOwnership(d.ctx) }) {
+				return
+			}
+			d.enqueue(func() { d.applyEffects(d.core.OwnershipProved(d.now(), seq)) })
 		}
-		d.enqueue(func() { d.applyEffects(d.core.BatchStored(d.now(), batch.Seq)) })
 	}
 }
 
-// storeItems retries until the items are durable. Meanwhile this member promises and
-// accepts nothing new, since replies wait until their state is stored.
-func (d *Daemon) storeItems(items []wire.Item) bool {
+// retryStore calls the store until the call succeeds. It returns false if the daemon ends.
+func (d *Daemon) retryStore(call func() error) bool {
 	for attempt := 0; ; attempt++ {
-		err := d.store.Write(d.ctx, items)
+		err := call()
 		switch {
 		case err == nil:
 			if attempt > 0 {
-				d.log.Info("store written again", "items", len(items), "tries", attempt+1)
+				d.log.Info("store written again", "tries", attempt+1)
 			}
 			d.enqueue(func() { d.storeErr = nil })
 			return true
@@ -201,7 +198,7 @@
 			return false
 		}
 		if attempt%10 == 0 {
-			d.log.Error("store can't be written: this member answers nothing new", "why", err, "items", len(items))
+			d.log.Error("store can't be written: this member answers nothing new", "why", err)
 		}
 		d.enqueue(func() {
 			if d.storeErr == nil {
@@ -313,10 +310,10 @@
 func (d *Daemon) setDrained(ctx context.Context, on bool) error {
 	ctx, cancel := context.WithTimeout(ctx, userTimeout)
 	defer cancel()
-	seq, ok := runOnCore(d, ctx, func() uint64 { d.applyEffects(d.core.SetDrained(d.now(), on)); return d.core.lastBatchSeq })
+	_, ok := runOnCore(d, ctx, func() struct{} { d.applyEffects(d.core.SetDrained(d.now(), on)); return struct{}{} })
 	for ok {
-		storedSeq, alive := runOnCore(d, ctx, func() uint64 { return d.core.storedSeq })
-		if storedSeq >= seq {
+		stored, alive := runOnCore(d, ctx, func() bool { return d.core.storeQueue.siteStateStored() })
+		if stored {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/coordination/gateway/daemon_test.go
+++ b/internal/coordination/gateway/daemon_test.go
@@ -33,6 +33,16 @@
 	return nil
 }
 
+// ProveOwnership implements Store.
+func (s *memStore) ProveOwnership(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writeErr
+}
+
+// BatchBytes implements Store.
+func (s *memStore) BatchBytes() int { return 0 }
+
 func (s *memStore) setWriteErr(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -265,15 +265,16 @@
 	c.queuedReads = c.queuedReads[n:]
 }
 
-// onRead answers with the record that this member has accepted, without its spec.
+// onRead answers with the record that this member has accepted durably, without its spec.
 func (c *Core) onRead(from int, it *wire.Item) {
 	reply := wire.Item{Kind: wire.ReadReply, ID: it.ID, Ballot: it.Ballot}
-	if reg := c.registers[it.ID]; reg != nil && reg.hasRecord {
-		reply.Accepted, reply.HasRecord, reply.Committed, reply.Record = reg.accepted, true, reg.committed, reg.record
-		reply.Record.Spec = nil
+	if reg := c.registers[it.ID]; reg != nil {
+		if state := c.storeQueue.durableState(it.ID, reg); state.hasRecord {
+			reply.Accepted, reply.HasRecord, reply.Committed, reply.Record = state.accepted, true, state.committed, state.record
+			reply.Record.Spec = nil
+		}
 	}
-	c.barrierPending = true
-	c.sendWhenDurable(from, reply)
+	c.sendWhenOwned(from, reply)
 }
 
 // onReadReply counts a reply to a read and completes the reads of the job once a majority has
--- a/internal/coordination/gateway/sim_test.go
+++ b/internal/coordination/gateway/sim_test.go
@@ -69,6 +69,11 @@
 	faults         Faults
 	faultsStopped  bool
 	storeTime      time.Duration // duration of a write to a site's store; 0: milliseconds
+	storeRate      float64       // bytes a second that a site's store takes; 0: any
+	batchBytes     int           // Config.BatchBytes of the sites
+	route          RouteConfig
+	capacity       int // tasks that run at a site at once
+	jobsByID       map[string]*simJob
 	// beforeEffects, if set, is called before the effects of a member are carried out. It
 	// returns 0 for all of them, 1 for none, 2 for only what is to be stored.
 	beforeEffects func(m *simMember, e *Effects) int
@@ -106,7 +111,8 @@
 	minRevision       uint64
 	revoked           map[string]bool
 	running           bool
-	disconnectedUntil time.Duration // daemon and controllers can't reach one another until then
+	disconnectedUntil time.Duration   // daemon and controllers can't reach one another until then
+	stoppedByLease    []time.Duration // when tasks were stopped because the lease was over
 }
 
 // simSiteJob is a job at a site.
@@ -130,7 +136,13 @@
 }
 
 func newSim(seed uint64, faults Faults, members []Member) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 99)), cutUntil: map[[2]int]time.Duration{}, pendingAnswers: map[uint64]func(Answer){}, faults: faults}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 99)), route: DefaultRoute(), capacity: 8, jobsByID: map[string]*simJob{}, cutUntil: map[[2]int]time.Duration{}, pendingAnswers: map[uint64]func(Answer){}, faults: faults}
+	s.addMembers(members)
+	return s
+}
+
+// addMembers adds the members of a run, and starts them.
+func (s *sim) addMembers(members []Member) {
 	for i, m := range members {
 		member := &simMember{sim: s, index: i, disk: map[string]wire.Item{}, clockRate: 1 + s.rng.Float64()*0.0005, clockOffset: time.Duration(s.rng.Int64N(int64(time.Hour)))}
 		s.members = append(s.members, member)
@@ -145,7 +157,6 @@
 	for _, m := range s.members {
 		m.start(members)
 	}
-	return s
 }
 
 func (s *sim) schedule(delay time.Duration, f func()) {
@@ -195,7 +206,10 @@
 	if os.Getenv("SIM_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stdout, nil)).With("member", m.index)
 	}
-	cfg := Config{Members: members, Self: m.index, LeaseTime: simLease, StopTime: StopBound(simControllers, simWorkers), MaxInFlight: 500, Route: DefaultRoute(), Faults: m.sim.faults}
+	cfg := Config{Members: members, Self: m.index, LeaseTime: simLease, StopTime: StopBound(simControllers, simWorkers), MaxInFlight: 500, Route: m.sim.route, Faults: m.sim.faults}
+	if m.sim.sites[m.index] != nil {
+		cfg.BatchBytes = m.sim.batchBytes
+	}
 	m.core = New(cfg, m.incarnation, items, uint64(m.incarnation)*31+uint64(m.index), log, m.clock())
 	if m.sim.sites[m.index] != nil {
 		m.applyEffects(m.core.SetDrained(m.clock(), m.drained))
@@ -240,7 +254,7 @@
 		case 1:
 			return
 		case 2:
-			effects = Effects{Store: effects.Store}
+			effects = Effects{Store: effects.Store, ProveOwnership: effects.ProveOwnership}
 		}
 	}
 	for to := range s.members {
@@ -248,10 +262,17 @@
 		if to == m.index || len(items) == 0 && effects.Hint == nil {
 			continue
 		}
+		for len(items) > maxItemsPerMessage {
+			s.deliver(m.index, to, wire.Encode(&wire.Envelope{Items: items[:maxItemsPerMessage]}))
+			items = items[maxItemsPerMessage:]
+		}
 		s.deliver(m.index, to, wire.Encode(&wire.Envelope{Items: items, Hint: effects.Hint}))
 	}
 	m.batches = append(m.batches, effects.Store...)
 	m.storeBatches()
+	if effects.ProveOwnership != 0 {
+		m.proveOwnership(effects.ProveOwnership)
+	}
 	for _, answer := range effects.Answers {
 		if onAnswer := s.pendingAnswers[answer.Token]; onAnswer != nil {
 			delete(s.pendingAnswers, answer.Token)
@@ -263,6 +284,32 @@
 	}
 }
 
+// proveOwnership answers a request for a proof that the store belongs to the process.
+func (m *simMember) proveOwnership(seq uint64) {
+	gen := m.generation
+	m.sim.schedule(max(0, m.storeStalledUntil-m.sim.now)+m.sim.randDuration(2*time.Millisecond, 30*time.Millisecond), func() {
+		if m.generation == gen {
+			m.whenRunning(func() { m.applyEffects(m.core.OwnershipProved(m.clock(), seq)) })
+		}
+	})
+}
+
+// bytesOf returns the size of batches in a site's store; what is stored twice in them counts
+// once.
+func bytesOf(batches []Batch) int {
+	bytes := map[string]int{}
+	for _, batch := range batches {
+		for i := range batch.Items {
+			bytes[batch.Items[i].ID] = storedBytes(&register{record: batch.Items[i].Record})
+		}
+	}
+	total := 0
+	for _, n := range bytes {
+		total += n
+	}
+	return total
+}
+
 // storeBatches stores all queued batches, one write at a time.
 func (m *simMember) storeBatches() {
 	s := m.sim
@@ -274,6 +321,9 @@
 	if s.storeTime > 0 && s.sites[m.index] != nil {
 		duration = s.randDuration(s.storeTime/2, s.storeTime)
 	}
+	if s.storeRate > 0 && s.sites[m.index] != nil {
+		duration += time.Duration(float64(time.Second) * float64(bytesOf(m.batches)) / s.storeRate)
+	}
 	batch, gen := m.batches, m.generation
 	m.batches = nil
 	s.schedule(max(0, m.storeStalledUntil-s.now)+duration, func() {
@@ -341,7 +391,8 @@
 			waiting++
 		}
 	}
-	return &wire.Hint{GPUs: 8, FreeGPUs: float64(8 - running), Waiting: waiting,
+	gpus := site.sim.capacity
+	return &wire.Hint{GPUs: float64(gpus), FreeGPUs: float64(gpus - running), Waiting: waiting,
 		Types: []wire.TypeHint{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 192, Zones: []string{"a"}}},
 		Teams: []wire.TeamHint{{Name: "red", GPUsMax: 100}}}
 }
@@ -474,7 +525,7 @@
 		j := site.jobs[id]
 		mayRun := site.running && s.now < site.leaseExpiry && site.replicaRevision >= site.minRevision && !site.revoked[id] && !j.stopRequested
 		switch {
-		case !j.started && mayRun && running < 8:
+		case !j.started && mayRun && running < s.capacity:
 			j.started, j.stopsAt = true, 0
 			running++
 			s.logf("site %d starts %s claim %d", site.index, id, j.epoch)
@@ -487,6 +538,9 @@
 			// The worker may get no answer and continue until its own lease expires.
 			j.stopsAt = s.now + s.randDuration(0, simWorkers)
 			s.logf("site %d stops %s", site.index, id)
+			if s.now >= site.leaseExpiry {
+				site.stoppedByLease = append(site.stoppedByLease, s.now)
+			}
 		case j.started && j.stopsAt != 0 && s.now >= j.stopsAt:
 			j.started, j.stopsAt = false, 0
 			if j.stopRequested {
@@ -509,12 +563,13 @@
 }
 
 func (s *sim) findJob(id string) *simJob {
+	if j := s.jobsByID[id]; j != nil {
+		return j
+	}
 	for _, j := range s.jobs {
-		if j.id == id {
-			return j
-		}
+		s.jobsByID[j.id] = j
 	}
-	return nil
+	return s.jobsByID[id]
 }
 
 // userRequest sends a user request to one member; the answer may be lost.
--- a/internal/coordination/gateway/siteagent.go
+++ b/internal/coordination/gateway/siteagent.go
@@ -527,7 +527,7 @@
 		return
 	}
 	s.drained = on
-	core.siteStateDirty = true
+	core.storeQueue.siteStateQueued = true
 	if hint := core.hints[core.cfg.Self].hint; hint != nil {
 		hint.Drained = on
 	}
--- a/internal/coordination/gateway/stores.go
+++ b/internal/coordination/gateway/stores.go
@@ -51,12 +51,17 @@
 // JournalStore stores a gateway's registers in a journal on disk.
 type JournalStore struct{ Journal *journal.Journal }
 
-// Write implements Store. The file belongs to one process, so a write without items needs
-// no proof.
+// Write implements Store.
 func (s JournalStore) Write(_ context.Context, items []wire.Item) error {
 	return s.Journal.Write(encodeEntries(items))
 }
 
+// ProveOwnership implements Store. The file belongs to the process that has it open.
+func (s JournalStore) ProveOwnership(context.Context) error { return nil }
+
+// BatchBytes implements Store. A flush of the disk takes about as long for any amount.
+func (s JournalStore) BatchBytes() int { return 0 }
+
 // OpenJournal opens a gateway's journal and returns the stored items and the number of this
 // start.
 func OpenJournal(path, member string) (*journal.Journal, []wire.Item, uint32, error) {
@@ -77,7 +82,19 @@
 
 // Write implements Store.
 func (s SegmentStore) Write(ctx context.Context, items []wire.Item) error {
-	err := s.Log.Write(ctx, encodeEntries(items))
+	return fatalIfReplaced(s.Log.Write(ctx, encodeEntries(items)))
+}
+
+// ProveOwnership implements Store.
+func (s SegmentStore) ProveOwnership(ctx context.Context) error {
+	return fatalIfReplaced(s.Log.ProveOwnership(ctx))
+}
+
+// BatchBytes implements Store.
+func (s SegmentStore) BatchBytes() int { return s.Log.BatchBytes() }
+
+// fatalIfReplaced marks the error of a process that was replaced as fatal.
+func fatalIfReplaced(err error) error {
 	if errors.Is(err, segments.ErrReplaced) {
 		return fmt.Errorf("%w: %w", ErrFatal, err)
 	}
--- a/internal/coordination/gateway/workload.go
+++ b/internal/coordination/gateway/workload.go
@@ -26,44 +26,10 @@
 	return &n.user
 }
 
-// unstoredBatch is a batch that is not durable yet.
-type unstoredBatch struct {
-	seq       uint64
-	registers int
-	since     time.Duration
-}
-
-// workload is a member's work so far and the work that waits for its store.
+// workload is what a member has done so far.
 type workload struct {
-	changes  changeCounts
-	reads    workCount
-	unstored []unstoredBatch // in order
-}
-
-// handedToStore records a batch that has to be stored.
-func (w *workload) handedToStore(batch *Batch, now time.Duration) {
-	w.unstored = append(w.unstored, unstoredBatch{batch.Seq, len(batch.Items), now})
-}
-
-// stored records that all batches up to seq are durable.
-func (w *workload) stored(seq uint64) {
-	n := 0
-	for n < len(w.unstored) && w.unstored[n].seq <= seq {
-		n++
-	}
-	w.unstored = w.unstored[n:]
-}
-
-// waiting returns how many registers wait to become durable, and for how long the oldest
-// batch has waited.
-func (w *workload) waiting(now time.Duration) (registers int, longest time.Duration) {
-	for _, batch := range w.unstored {
-		registers += batch.registers
-	}
-	if len(w.unstored) > 0 {
-		longest = now - w.unstored[0].since
-	}
-	return registers, longest
+	changes changeCounts
+	reads   workCount
 }
 
 // Metrics of a member's workload.
@@ -85,9 +51,8 @@
 
 // workloadView returns the present workload.
 func (c *Core) workloadView() workloadView {
-	view := workloadView{changes: c.workload.changes, reads: c.workload.reads, changesInFlight: len(c.rounds)}
-	view.waitingRegisters, view.longestWait = c.workload.waiting(c.now)
-	return view
+	return workloadView{changes: c.workload.changes, reads: c.workload.reads, changesInFlight: len(c.rounds),
+		waitingRegisters: len(c.storeQueue.registers), longestWait: c.storeQueue.longestWait(c.now)}
 }
 
 // collect sends the metrics of the workload.
--- a/internal/storage/segments/segments.go
+++ b/internal/storage/segments/segments.go
@@ -200,18 +200,7 @@
 // process still holds the fence.
 func (l *Log) Write(ctx context.Context, entries []Entry) error {
 	if len(entries) == 0 {
-		for {
-			ok, _, _, err := l.store.Txn(ctx, []storage.Cond{{Key: fenceKey, Revision: l.fenceRevision}}, nil)
-			switch {
-			case err == nil && ok:
-				return nil
-			case err == nil:
-				return ErrReplaced
-			}
-			if err := waitToRetry(ctx); err != nil {
-				return err
-			}
-		}
+		return l.ProveOwnership(ctx)
 	}
 	for len(entries) > 0 {
 		n, err := l.writeBatch(ctx, entries)
@@ -236,6 +225,36 @@
 	return nil
 }
 
+// ProveOwnership proves that this process holds the fence. It returns ErrReplaced if another
+// one has acquired it. While the state service does not answer, it retries until ctx ends.
+// It changes nothing, so it does not wait for the rate of changes, and may be called during a
+// Write.
+func (l *Log) ProveOwnership(ctx context.Context) error {
+	for {
+		ok, _, _, err := l.store.Txn(ctx, []storage.Cond{{Key: fenceKey, Revision: l.fenceRevision}}, nil)
+		switch {
+		case err == nil && ok:
+			return nil
+		case err == nil:
+			return ErrReplaced
+		}
+		if err := waitToRetry(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// batchTime is how long a write of BatchBytes should take at the log's rate of changes.
+const batchTime = 250 * time.Millisecond
+
+// BatchBytes returns the size of entries, as encoded in segments, that the log writes within
+// about batchTime, in one transaction that leaves room for compaction.
+func (l *Log) BatchBytes() int {
+	inTime := int(l.limits.ChangesPerS * batchTime.Seconds())
+	inTransaction := min(l.limits.TxnOps/2, maxTxnBytes/l.segmentCapacity()-1)
+	return l.segmentCapacity() * max(1, min(inTime, inTransaction))
+}
+
 // maxTxnBytes keeps a transaction below the state service's limit of 64 KiB.
 const maxTxnBytes = 48 << 10
 
