Gateway: an agreed record is learned by a read, not by a round

Cause: that a majority accepted an open record is not stored, so after its start each member learned the record of every open job by a round of its own. A round stores a promise with the whole record at every member, and often the record once more; three members did so for the same jobs under higher and higher ballots, refused one another's, gave up after 4 s and began anew. The same after a lost commit and after a notice.

Fix: the member reads the record from a majority, which changes nothing and costs one request for many jobs. The reply of a majority with one ballot, or one that knows the agreement, decides it. A member that lacks the record asks once more, with the submission; a member of an earlier version replies without, and then, as when no majority agrees, a round decides as before.

--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -148,6 +148,7 @@
 	queuedReads         []*readRequest        // reads to be sent with the next batch
 	lastReadBatch       time.Duration
 	submissionsInFlight int
+	learning            map[string]struct{} // jobs whose agreed record is being read
 
 	site *siteAgent // nil at a gateway
 
@@ -183,7 +184,7 @@
 	c := &Core{cfg: cfg, incarnation: incarnation, rng: rand.New(rand.NewPCG(seed, uint64(incarnation))), log: log, now: now, startedAt: now,
 		registers: map[string]*register{}, openJobs: map[string]*register{}, rounds: map[string]*round{}, readBatches: map[uint64]*readBatch{},
 		progress: map[string]progress{}, routeLimits: make([]routeLimit, len(cfg.Members)), ownedJobs: make([]int, len(cfg.Members)),
-		storeQueue: newStoreQueue(), lastHeard: make([]time.Duration, len(cfg.Members)), hints: make([]receivedHint, len(cfg.Members)),
+		storeQueue: newStoreQueue(), learning: map[string]struct{}{}, lastHeard: make([]time.Duration, len(cfg.Members)), hints: make([]receivedHint, len(cfg.Members)),
 		grants: make([]*leaseGrant, len(cfg.Members))}
 	c.effects.Send = map[int][]wire.Item{}
 	for i, m := range cfg.Members {
@@ -202,6 +203,7 @@
 		r := c.registerOf(it.ID)
 		r.promised, r.accepted, r.hasRecord, r.committed, r.ackedSites, r.record = it.Ballot, it.Accepted, it.HasRecord, it.Committed, it.AckedSites, it.Record
 		c.maxBallotNumber = max(c.maxBallotNumber, r.promised.Number, r.accepted.Number)
+		r.acceptedAt = now - silenceTimeout - time.Duration(len(cfg.Members))*reconcileTurn // no commit is under way that could be awaited
 		if r.hasRecord && r.record.Outcome != wire.Open {
 			c.finalCount++
 		}
@@ -484,16 +486,14 @@
 }
 
 // onCommit handles the news that a majority accepted the record proposed under a ballot. A
-// member that did not accept that record starts a round to learn it.
+// member that did not accept that record learns it.
 func (c *Core) onCommit(from int, it *wire.Item) {
 	r := c.registers[it.ID]
 	if r == nil || !r.hasRecord || r.accepted.Less(it.Ballot) {
 		if r != nil && r.hasRecord && r.record.Outcome != wire.Open {
 			return // a final record is never replaced
 		}
-		if len(c.rounds) < c.cfg.MaxInFlight {
-			c.propose(it.ID, op{kind: opLearn}, backgroundTimeout, nil)
-		}
+		c.learn(it.ID)
 		return
 	}
 	if r.accepted == it.Ballot && !r.committed {
@@ -746,12 +746,12 @@
 // delay has passed. It reports whether it started a round.
 func (c *Core) reconcileJob(id string, r *register, delay time.Duration, probed []bool) (started bool) {
 	if !r.committed {
-		if c.now-r.acceptedAt <= silenceTimeout+delay {
+		if c.now-r.acceptedAt <= silenceTimeout+delay || len(c.learning) >= maxLearning {
 			return false
 		}
 		c.scheduleNextReconcile(r, delay)
-		c.propose(id, op{kind: opLearn, background: true}, backgroundTimeout, nil)
-		return true
+		c.learn(id)
+		return false
 	}
 	if r.record.Owner == 0 {
 		return false
@@ -801,7 +801,7 @@
 	if !stopped {
 		claim.forcedFrom = memberNumber(from)
 	}
-	c.propose(id, claim, backgroundTimeout, func(rec wire.Record, exists bool, result opResult) {
+	c.propose(id, claim, backgroundChange, func(rec wire.Record, exists bool, result opResult) {
 		if result != resultChanged {
 			return
 		}
--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -119,21 +119,21 @@
 // readExisting reads the record of a job from a majority and passes it to onRecord. Without
 // a majority, or if there is no such job, it answers the request itself.
 func (c *Core) readExisting(req *Request, onRecord func(rec *wire.Record)) {
-	c.readFromMajority(req.ID, func(rec *wire.Record, exists, ok bool) {
+	c.readFromMajority(&readRequest{id: req.ID, onResult: func(result readResult) {
 		switch {
-		case !ok:
+		case !result.ok:
 			c.answerRetryLater(req, 1, noMajority)
-		case !exists:
+		case !result.exists:
 			c.answerWithError(req, http.StatusNotFound, "no such job")
 		default:
-			onRecord(rec)
+			onRecord(&result.record)
 		}
-	})
+	}})
 }
 
 // cancelJob proposes the cancellation of a job and answers with the result.
 func (c *Core) cancelJob(req *Request) {
-	c.propose(req.ID, op{kind: opCancel}, userTimeout, func(rec wire.Record, exists bool, result opResult) {
+	c.propose(req.ID, op{kind: opCancel}, userChange, func(rec wire.Record, exists bool, result opResult) {
 		switch {
 		case result == resultUnknown:
 			c.answerRetryLater(req, 1, noMajority)
@@ -158,13 +158,13 @@
 	c.submissionsInFlight++
 	if route != routeFound {
 		// A repeated submission of an accepted job is answered with the status of that job.
-		c.readFromMajority(req.ID, func(rec *wire.Record, exists, ok bool) {
+		c.readFromMajority(&readRequest{id: req.ID, onResult: func(result readResult) {
 			c.submissionsInFlight--
 			switch {
-			case !ok:
+			case !result.ok:
 				c.answerRetryLater(req, 1, noMajority)
-			case exists:
-				c.answerWithJob(req, http.StatusOK, rec)
+			case result.exists:
+				c.answerWithJob(req, http.StatusOK, &result.record)
 			case route == routeNeverFits:
 				c.answerWithError(req, http.StatusUnprocessableEntity, "it can run at no site: unknown team, above the team's limit, or a task fits no allowed machine type")
 			case route == routeSitesFull:
@@ -172,12 +172,12 @@
 			default:
 				c.answerRetryLater(req, 2+c.rng.IntN(4), "no site is known to be able to take it")
 			}
-		})
+		}})
 		return
 	}
 	create := op{kind: opCreate, spec: req.Body, site: site, tasks: uint32(req.Spec.Tasks), createdMS: req.NowMS}
 	c.countRouted(site)
-	c.propose(req.ID, create, userTimeout, func(rec wire.Record, exists bool, result opResult) {
+	c.propose(req.ID, create, userChange, func(rec wire.Record, exists bool, result opResult) {
 		c.submissionsInFlight--
 		switch result {
 		case resultUnknown:
@@ -204,11 +204,20 @@
 // majority, at least one member knows a record that a majority has accepted, and every
 // later record is made from that one.
 
-// readRequest is a read of one job for one user request.
+// readRequest is a read of one job. onResult is called once.
 type readRequest struct {
 	id       string
-	deadline time.Duration
-	onResult func(rec *wire.Record, exists, ok bool)
+	withSpec bool // the submission is needed too
+	onResult func(readResult)
+}
+
+// readResult is what a majority has shown of a job.
+type readResult struct {
+	ok       bool // a majority replied in time
+	exists   bool
+	record   wire.Record // the one with the highest ballot
+	accepted wire.Ballot // ballot of the record
+	agreed   bool        // the record is known to be accepted by a majority
 }
 
 // readBatch is a set of reads that were sent together.
@@ -222,20 +231,23 @@
 	votes    uint32    // bit mask of the members that replied
 	highest  wire.Item // reply with the highest accepted ballot
 	matching int       // replies with the same ballot as highest
+	withSpec bool
 	requests []*readRequest
 }
 
 // readBatchInterval is the shortest time between batches of reads.
 const readBatchInterval = 20 * time.Millisecond
 
-// readFromMajority reads the record of a job from a majority. It calls onResult once; ok is
-// false if no majority answered in time or too many reads wait.
-func (c *Core) readFromMajority(id string, onResult func(rec *wire.Record, exists, ok bool)) {
-	if len(c.queuedReads) > 20000 {
-		onResult(nil, false, false)
+// maxQueuedReads limits the reads that wait to be sent.
+const maxQueuedReads = 20000
+
+// readFromMajority reads the record of a job from a majority.
+func (c *Core) readFromMajority(req *readRequest) {
+	if len(c.queuedReads) > maxQueuedReads {
+		req.onResult(readResult{})
 		return
 	}
-	c.queuedReads = append(c.queuedReads, &readRequest{id, c.now + userTimeout, onResult})
+	c.queuedReads = append(c.queuedReads, req)
 	c.sendReads(true)
 }
 
@@ -251,27 +263,39 @@
 	batch := &readBatch{byID: map[string]*readState{}, deadline: c.now + userTimeout}
 	c.readBatches[c.readSeq] = batch
 	n := min(len(c.queuedReads), 500)
+	var ids []string
 	for _, req := range c.queuedReads[:n] {
 		state := batch.byID[req.id]
 		if state == nil {
 			state = &readState{}
 			batch.byID[req.id] = state
-			for m := range c.cfg.Members {
-				c.send(m, wire.Item{Kind: wire.Read, ID: req.id, Ballot: wire.Ballot{Number: c.readSeq, Proposer: c.incarnation}})
-			}
+			ids = append(ids, req.id)
 		}
+		state.withSpec = state.withSpec || req.withSpec
 		state.requests = append(state.requests, req)
 	}
 	c.queuedReads = c.queuedReads[n:]
+	for _, id := range ids {
+		it := wire.Item{Kind: wire.Read, ID: id, Ballot: wire.Ballot{Number: c.readSeq, Proposer: c.incarnation}}
+		if batch.byID[id].withSpec {
+			it.Code = wire.WithSpec
+		}
+		for m := range c.cfg.Members {
+			c.send(m, it)
+		}
+	}
 }
 
-// onRead answers with the record that this member has accepted durably, without its spec.
+// onRead answers with the record that this member has accepted durably, without its
+// submission unless that is asked for.
 func (c *Core) onRead(from int, it *wire.Item) {
 	reply := wire.Item{Kind: wire.ReadReply, ID: it.ID, Ballot: it.Ballot}
 	if reg := c.registers[it.ID]; reg != nil {
 		if state := c.storeQueue.durableState(it.ID, reg); state.hasRecord {
 			reply.Accepted, reply.HasRecord, reply.Committed, reply.Record = state.accepted, true, state.committed, state.record
-			reply.Record.Spec = nil
+			if it.Code != wire.WithSpec {
+				reply.Record.Spec = nil
+			}
 		}
 	}
 	c.sendWhenOwned(from, reply)
@@ -298,30 +322,35 @@
 	if len(batch.byID) == 0 {
 		delete(c.readBatches, it.Ballot.Number)
 	}
-	rec := state.highest.Record
-	if state.highest.HasRecord && rec.Outcome != wire.Open && !state.highest.Committed && state.matching < c.majority() {
-		// The outcome may not be accepted by a majority: a round completes it or finds the record
-		// that is.
-		requests := state.requests
-		c.propose(it.ID, op{kind: opLearn}, userTimeout, func(rec wire.Record, exists bool, result opResult) {
-			for _, req := range requests {
-				req.onResult(&rec, exists, result != resultUnknown)
-			}
-		})
+	result := readResult{ok: true, exists: state.highest.HasRecord, record: state.highest.Record, accepted: state.highest.Accepted,
+		agreed: state.highest.HasRecord && (state.highest.Committed || state.matching >= c.majority())}
+	isFinal := result.exists && result.record.Outcome != wire.Open
+	if isFinal && !result.agreed {
+		c.completeOutcome(it.ID, state.requests)
 		return
 	}
-	if state.highest.HasRecord && rec.Outcome != wire.Open {
-		// The outcome is accepted by a majority and never changes: from now on it is answered
-		// without a read.
-		if reg := c.registerOf(it.ID); !reg.hasRecord || reg.accepted.Less(state.highest.Accepted) {
-			c.setRecord(it.ID, reg, state.highest.Accepted, &rec, true)
+	if isFinal {
+		// The outcome never changes: from now on it is answered without a read.
+		if reg := c.registerOf(it.ID); !reg.hasRecord || reg.accepted.Less(result.accepted) {
+			c.setRecord(it.ID, reg, result.accepted, &result.record, true)
 		}
 	}
 	for _, req := range state.requests {
-		req.onResult(&rec, state.highest.HasRecord, true)
+		req.onResult(result)
 	}
 }
 
+// completeOutcome completes reads that have shown an outcome which may not be accepted by a
+// majority: a round completes it or finds the record that is.
+func (c *Core) completeOutcome(id string, requests []*readRequest) {
+	c.propose(id, op{kind: opLearn}, userChange, func(rec wire.Record, exists bool, result opResult) {
+		own := c.registerOf(id)
+		for _, req := range requests {
+			req.onResult(readResult{ok: result != resultUnknown, exists: exists, record: rec, accepted: own.accepted, agreed: own.committed})
+		}
+	})
+}
+
 // expireReads ends the reads that no majority has answered in time.
 func (c *Core) expireReads() {
 	for nonce, batch := range c.readBatches {
@@ -332,7 +361,7 @@
 		for _, id := range sortedKeys(batch.byID) {
 			c.workload.reads.givenUp++
 			for _, req := range batch.byID[id].requests {
-				req.onResult(nil, false, false)
+				req.onResult(readResult{})
 			}
 		}
 	}
--- a/internal/coordination/gateway/load_test.go
+++ b/internal/coordination/gateway/load_test.go
@@ -338,3 +338,50 @@
 	}
 	l.checkInvariants()
 }
+
+// Guards against members that answer nothing for good after all processes were restarted:
+// each learned every open job anew with changes of all stores, behind which reads and votes
+// waited until their time was over.
+func TestAllRestartedWithManyOpenJobs(t *testing.T) {
+	for _, pause := range []time.Duration{200 * time.Millisecond, 8 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			forLoads(t, func(t *testing.T, jobs int, seed uint64) {
+				l := newLoadSim(t, seed)
+				l.submitMany(jobs, 2*loadRegisterTime)
+				for i, m := range l.members {
+					m.stop()
+					if site := l.sites[i]; site != nil {
+						site.running = false
+					}
+				}
+				l.run(l.now + pause)
+				for i, m := range l.members {
+					m.start(twoSites)
+					if site := l.sites[i]; site != nil {
+						site.running = true
+					}
+				}
+				restarted := l.now
+				l.resetGaps()
+				took, ok := l.runUntil(10*time.Second+time.Duration(jobs)*loadRegisterTime, func() bool { return l.undecided(0, 1, 2) == 0 })
+				if !ok {
+					t.Errorf("%d records are not known to be agreed %v after the restart", l.undecided(0, 1, 2), took)
+				}
+				t.Logf("all records are known to be agreed after %v", took)
+				l.run(max(l.now, restarted+30*time.Second))
+				for i := range l.members {
+					l.checkSubmission(i, fmt.Sprintf("job-9%05d", i))
+				}
+				l.checkPolls("after the restart", 0, 1, 2)
+				if pause < simControllers/2 {
+					for site := 1; site <= 2; site++ {
+						if stops := l.taskStops(site, restarted); stops > 0 {
+							t.Errorf("%d services of site %d are stopped", stops, site)
+						}
+					}
+				}
+				l.checkInvariants()
+			})
+		})
+	}
+}
--- a/internal/coordination/gateway/round.go
+++ b/internal/coordination/gateway/round.go
@@ -22,9 +22,27 @@
 	phaseAccepting                   // collects acceptances
 )
 
+// changeClass tells whether a user waits for a change.
+type changeClass uint8
+
+// Classes of changes.
+const (
+	userChange changeClass = iota
+	backgroundChange
+)
+
+// timeout returns how long a change of the class may take.
+func (class changeClass) timeout() time.Duration {
+	if class == userChange {
+		return userTimeout
+	}
+	return backgroundTimeout
+}
+
 // pendingChange is a change that was proposed and has no result yet.
 type pendingChange struct {
 	op       op
+	class    changeClass
 	deadline time.Duration // when the caller is told that the result is unknown
 	onResult func(rec wire.Record, exists bool, result opResult)
 	result   opResult
@@ -50,8 +68,8 @@
 
 // propose proposes a change to the record of a job. onResult, if not nil, is called once
 // with the result.
-func (c *Core) propose(id string, change op, timeout time.Duration, onResult func(wire.Record, bool, opResult)) {
-	pending := &pendingChange{op: change, deadline: c.now + timeout, onResult: onResult}
+func (c *Core) propose(id string, change op, class changeClass, onResult func(wire.Record, bool, opResult)) {
+	pending := &pendingChange{op: change, class: class, deadline: c.now + class.timeout(), onResult: onResult}
 	r := c.rounds[id]
 	if r == nil {
 		r = &round{id: id}
@@ -217,7 +235,7 @@
 	finished := r.applied
 	r.applied = nil
 	for _, pending := range finished {
-		c.workload.changes.of(pending.op.background).completed++
+		c.workload.changes[pending.class].completed++
 	}
 	if len(r.queued) == 0 {
 		delete(c.rounds, r.id)
@@ -271,7 +289,7 @@
 					live = append(live, pending)
 					continue
 				}
-				c.workload.changes.of(pending.op.background).givenUp++
+				c.workload.changes[pending.class].givenUp++
 				if pending.onResult != nil {
 					pending.onResult(wire.Record{}, false, resultUnknown)
 				}
--- a/internal/coordination/gateway/siteagent.go
+++ b/internal/coordination/gateway/siteagent.go
@@ -179,9 +179,7 @@
 		s.acknowledge(from, it.ID, &own.record)
 		return
 	}
-	if len(core.rounds) < core.cfg.MaxInFlight {
-		core.propose(it.ID, op{kind: opLearn}, backgroundTimeout, nil)
-	}
+	core.learn(it.ID)
 }
 
 // newAck returns an acknowledgement, valid for this start of the daemon, that the site's
@@ -417,7 +415,7 @@
 		// If the other claim never finds a majority, this site still owns the job and releases
 		// it.
 		a.changePending = true
-		core.propose(id, op{kind: opLearn}, backgroundTimeout, func(rec wire.Record, exists bool, result opResult) {
+		core.propose(id, op{kind: opLearn}, backgroundChange, func(rec wire.Record, exists bool, result opResult) {
 			a.changePending = false
 			if result == resultUnknown || s.assignments[id] != a {
 				return
@@ -438,7 +436,7 @@
 		}
 	case r.Code == wire.ClaimEnded || r.Code == wire.Conflict:
 		a.changePending = true
-		core.propose(id, op{kind: opRelease, site: core.cfg.Self, epoch: a.epoch, excludeSite: a.excludeSite}, backgroundTimeout, func(rec wire.Record, exists bool, result opResult) {
+		core.propose(id, op{kind: opRelease, site: core.cfg.Self, epoch: a.epoch, excludeSite: a.excludeSite}, backgroundChange, func(rec wire.Record, exists bool, result opResult) {
 			a.changePending = false
 			if result == resultUnknown || s.assignments[id] != a {
 				return
@@ -472,7 +470,7 @@
 func (s *siteAgent) proposeFinished(id string, a *assignment, r *Result) {
 	core := s.core
 	a.changePending = true
-	core.propose(id, op{kind: opFinish, site: core.cfg.Self, tasks: r.Done}, backgroundTimeout, func(rec wire.Record, exists bool, result opResult) {
+	core.propose(id, op{kind: opFinish, site: core.cfg.Self, tasks: r.Done}, backgroundChange, func(rec wire.Record, exists bool, result opResult) {
 		a.changePending = false
 		if result == resultUnknown || s.assignments[id] != a {
 			return
--- a/internal/coordination/gateway/workload.go
+++ b/internal/coordination/gateway/workload.go
@@ -15,20 +15,9 @@
 	givenUp   uint64 // ended by a timeout; it may still take effect
 }
 
-// changeCounts counts proposed changes: those that a user waits for, and all others.
-type changeCounts struct{ user, background workCount }
-
-// of returns the counter of changes of a kind.
-func (n *changeCounts) of(background bool) *workCount {
-	if background {
-		return &n.background
-	}
-	return &n.user
-}
-
 // workload is what a member has done so far.
 type workload struct {
-	changes changeCounts
+	changes [2]workCount // by class
 	reads   workCount
 }
 
@@ -42,7 +31,7 @@
 
 // workloadView is what the metrics show of a member's workload.
 type workloadView struct {
-	changes          changeCounts
+	changes          [2]workCount // by class
 	reads            workCount
 	changesInFlight  int
 	waitingRegisters int
@@ -57,7 +46,7 @@
 
 // collect sends the metrics of the workload.
 func (v *workloadView) collect(ch chan<- prometheus.Metric) {
-	for kind, count := range map[string]workCount{"user_change": v.changes.user, "background_change": v.changes.background, "read": v.reads} {
+	for kind, count := range map[string]workCount{"user_change": v.changes[userChange], "background_change": v.changes[backgroundChange], "read": v.reads} {
 		ch <- prometheus.MustNewConstMetric(descWork, prometheus.CounterValue, float64(count.completed), kind, "completed")
 		ch <- prometheus.MustNewConstMetric(descWork, prometheus.CounterValue, float64(count.givenUp), kind, "given_up")
 	}
--- a/internal/protocol/gateway/gateway.go
+++ b/internal/protocol/gateway/gateway.go
@@ -63,6 +63,10 @@
 	LeaseActive               // the site that would lose the job may still run it under its lease
 )
 
+// WithSpec is the Item.Code of a Read that asks for the submission too. Members that
+// do not know it reply without.
+const WithSpec uint8 = 1
+
 // Codes of a Result, in Item.Code.
 const (
 	Unavailable uint8 = iota // nothing is known to have happened; retry the call
