Gateway: a member begins no more changes than the stores complete in time

What callers saw: with no fault at all, 1,000 submissions 8 ms apart ended the gateway: 291 to 345 were accepted, then none to the end and no poll answered (fewer sent more slowly were all accepted). After a lost site the handover of its jobs never ended with 400 open jobs, and submissions were refused after 2.5 s each.

Cause: nothing bounded the changes that a member began. Beyond what the stores take, each was given up by its time limit (2.5 s for users, 4 s otherwise) after the stores had worked for it, and begun anew under a higher ballot by the user, by the next reconciliation, or by another member that had waited its turn; the work given up delayed the rest. So the state went on once the cause was over: the more was begun, the less was completed.

Evidence: metrics without a fault, 1,000 submissions: no user's change completed after 12 s, 4,767 changes given up at one site in 33 s.

Fix: a limit of changes in progress that follows how long they take. Users' changes that can't be begun soon are refused at once, others wait for their turn; a change that a majority may be accepting is completed though its user was answered; a repeated submission of a known job costs a read; a member leaves a job alone that another has begun to hand over.

--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -71,7 +71,7 @@
 	maxGrantSkew      = 500 * time.Millisecond // greatest time between the members' last grants of one lease
 	hintInterval      = time.Second
 	maxNotices        = 128 // per answer to a lease renewal
-	maxReconciles     = 64  // reclaims and learning rounds started in one pass
+	maxReconciles     = 64  // reclaims started in one pass, or waiting
 )
 
 // register is this member's acceptor state for one job.
@@ -82,6 +82,7 @@
 	ackedSites         uint32        // bit mask of the sites that acknowledged record durably
 	acceptedAt         time.Duration // when record was last accepted
 	nextReconcile      time.Duration // earliest time at which this member reconciles the job again
+	promisedToOther    time.Duration // when another member last proposed a change
 	record             wire.Record
 }
 
@@ -135,10 +136,11 @@
 	openJobs            map[string]*register // registers of jobs without an outcome
 	finalCount          int                  // number of registers with an outcome
 	startedAt           time.Duration
-	grants              []*leaseGrant         // by member; nil for gateways
-	lastHeard           []time.Duration       // time of the last message, by member
-	hints               []receivedHint        // last load report, by member
-	rounds              map[string]*round     // rounds in progress, by job id
+	grants              []*leaseGrant     // by member; nil for gateways
+	lastHeard           []time.Duration   // time of the last message, by member
+	hints               []receivedHint    // last load report, by member
+	rounds              map[string]*round // rounds in progress and waiting, by job id
+	limiter             *roundLimiter
 	progress            map[string]progress   // task counts of open jobs, for display
 	routeLimits         []routeLimit          // rate limits of routing, by member
 	ownedJobs           []int                 // number of open jobs, by owning site
@@ -184,7 +186,7 @@
 	c := &Core{cfg: cfg, incarnation: incarnation, rng: rand.New(rand.NewPCG(seed, uint64(incarnation))), log: log, now: now, startedAt: now,
 		registers: map[string]*register{}, openJobs: map[string]*register{}, rounds: map[string]*round{}, readBatches: map[uint64]*readBatch{},
 		progress: map[string]progress{}, routeLimits: make([]routeLimit, len(cfg.Members)), ownedJobs: make([]int, len(cfg.Members)),
-		storeQueue: newStoreQueue(), learning: map[string]struct{}{}, lastHeard: make([]time.Duration, len(cfg.Members)), hints: make([]receivedHint, len(cfg.Members)),
+		limiter: newRoundLimiter(cfg.MaxInFlight), storeQueue: newStoreQueue(), learning: map[string]struct{}{}, lastHeard: make([]time.Duration, len(cfg.Members)), hints: make([]receivedHint, len(cfg.Members)),
 		grants: make([]*leaseGrant, len(cfg.Members))}
 	c.effects.Send = map[int][]wire.Item{}
 	for i, m := range cfg.Members {
@@ -421,6 +423,9 @@
 		c.send(from, wire.Item{Kind: wire.Nack, ID: it.ID, Ballot: it.Ballot, Code: wire.LeaseActive})
 		return
 	}
+	if from != c.cfg.Self {
+		r.promisedToOther = c.now
+	}
 	if r.promised != it.Ballot {
 		c.storeQueue.change(it.ID, r, c.now)
 		r.promised = it.Ballot
@@ -717,7 +722,7 @@
 			}
 			continue
 		}
-		if started >= maxReconciles || len(c.rounds) >= c.cfg.MaxInFlight {
+		if started >= maxReconciles || c.limiter.waitingRounds(backgroundChange) >= maxReconciles {
 			c.reconcileFrom = id
 			return
 		}
@@ -756,6 +761,9 @@
 	if r.record.Owner == 0 {
 		return false
 	}
+	if r.promisedToOther > 0 && c.now-r.promisedToOther < backgroundTimeout {
+		return false // another member is changing it
+	}
 	site := int(r.record.Owner) - 1
 	switch {
 	case r.record.Stopped && c.now-r.acceptedAt > delay:
--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -133,6 +133,10 @@
 
 // cancelJob proposes the cancellation of a job and answers with the result.
 func (c *Core) cancelJob(req *Request) {
+	if c.rounds[req.ID] == nil && c.limiter.refusesUsers() {
+		c.answerRetryLater(req, 1+c.rng.IntN(2), "too many changes under way")
+		return
+	}
 	c.propose(req.ID, op{kind: opCancel}, userChange, func(rec wire.Record, exists bool, result opResult) {
 		switch {
 		case result == resultUnknown:
@@ -148,9 +152,28 @@
 	})
 }
 
-// submitJob chooses a site for a new job, proposes its record and answers with the result.
+// submitJob answers a submission. If the job seems to be known, a read decides whether it is
+// accepted already, at no cost to the stores.
 func (c *Core) submitJob(req *Request) {
-	if c.submissionsInFlight >= c.cfg.MaxInFlight {
+	if r := c.registers[req.ID]; r == nil || !r.hasRecord {
+		c.submitNewJob(req)
+		return
+	}
+	c.readFromMajority(&readRequest{id: req.ID, onResult: func(result readResult) {
+		switch {
+		case !result.ok:
+			c.answerRetryLater(req, 1, noMajority)
+		case result.agreed:
+			c.answerWithJob(req, http.StatusOK, &result.record)
+		default:
+			c.submitNewJob(req)
+		}
+	}})
+}
+
+// submitNewJob chooses a site for a new job, proposes its record and answers with the result.
+func (c *Core) submitNewJob(req *Request) {
+	if c.submissionsInFlight >= c.cfg.MaxInFlight || c.rounds[req.ID] == nil && c.limiter.refusesUsers() {
 		c.answerRetryLater(req, 1+c.rng.IntN(3), "too many submissions under way")
 		return
 	}
--- a/internal/coordination/gateway/load_test.go
+++ b/internal/coordination/gateway/load_test.go
@@ -385,3 +385,44 @@
 		})
 	}
 }
+
+// Guards against a gateway that accepts nothing any more once more is submitted than its
+// stores take: submissions were given up by their users' timeouts after the stores had
+// worked for them, and sent again.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			l := newLoadSim(t, seed)
+			l.submit(0, "job-800000")
+			l.submit(1, "job-800001")
+			l.submit(2, "job-800002")
+			l.run(l.now + 10*time.Second)
+			l.resetGaps()
+			begun, before := l.now, l.accepted
+			const jobs = 1000
+			for i := range jobs {
+				l.submit(i%3, fmt.Sprintf("job-%06d", i))
+				l.run(l.now + 8*time.Millisecond)
+			}
+			// The stores take two changes of each job, the first one without the submission.
+			limit := 2 * time.Duration(jobs) * loadRegisterTime
+			if took, ok := l.runUntil(begun+limit-l.now, func() bool { return l.accepted == before+jobs }); !ok {
+				t.Errorf("only %d of %d jobs are accepted %v after the last one was sent", l.accepted-before, jobs, took)
+			}
+			l.checkPolls("during the overload", 0, 1, 2)
+			perInterval := map[int]int{}
+			for _, at := range l.acceptedAt[before:] {
+				perInterval[int((at-begun)/(5*time.Second))]++
+			}
+			last := int((l.acceptedAt[len(l.acceptedAt)-1] - begun) / (5 * time.Second))
+			for i := range last {
+				if perInterval[i] < perInterval[0]/2 {
+					t.Errorf("%d jobs are accepted in 5 s from %d s on, %d in the first 5 s", perInterval[i], 5*i, perInterval[0])
+				}
+			}
+			t.Logf("accepted in steps of 5 s: %v", perInterval)
+			l.checkInvariants()
+		})
+	}
+}
--- a/internal/coordination/gateway/round.go
+++ b/internal/coordination/gateway/round.go
@@ -17,7 +17,8 @@
 
 // Phases of a round.
 const (
-	phaseBackoff   roundPhase = iota // waits before the next attempt
+	phaseWaiting   roundPhase = iota // waits until this member may run another round
+	phaseBackoff                     // waits before the next attempt
 	phasePreparing                   // collects promises
 	phaseAccepting                   // collects acceptances
 )
@@ -51,7 +52,10 @@
 // round is the state of the round for one job.
 type round struct {
 	id              string
+	class           changeClass // of the change that it was begun for
 	phase           roundPhase
+	ended           bool
+	startedAt       time.Duration
 	ballot          wire.Ballot
 	votes           uint32           // bit mask of the members that promised or accepted
 	highest         wire.Item        // promise with the highest accepted ballot
@@ -71,14 +75,16 @@
 func (c *Core) propose(id string, change op, class changeClass, onResult func(wire.Record, bool, opResult)) {
 	pending := &pendingChange{op: change, class: class, deadline: c.now + class.timeout(), onResult: onResult}
 	r := c.rounds[id]
-	if r == nil {
-		r = &round{id: id}
-		c.rounds[id] = r
+	if r != nil {
 		r.queued = append(r.queued, pending)
-		c.startRound(r)
+		if class == userChange {
+			c.raiseToUser(r)
+		}
 		return
 	}
-	r.queued = append(r.queued, pending)
+	r = &round{id: id, class: class, queued: []*pendingChange{pending}}
+	c.rounds[id] = r
+	c.beginRound(r)
 }
 
 // startRound starts an attempt under a ballot above all ballots seen so far.
@@ -110,7 +116,7 @@
 
 // onVote handles the answer of a member to a request of a round.
 func (c *Core) onVote(r *round, from int, it *wire.Item) {
-	if it.Ballot != r.ballot || r.phase == phaseBackoff {
+	if it.Ballot != r.ballot || r.phase == phaseBackoff || r.phase == phaseWaiting {
 		return
 	}
 	switch {
@@ -237,10 +243,13 @@
 	for _, pending := range finished {
 		c.workload.changes[pending.class].completed++
 	}
+	if r.attempts == 0 {
+		c.limiter.completed(c.now-r.startedAt, c.now)
+	}
 	if len(r.queued) == 0 {
-		delete(c.rounds, r.id)
+		c.endRound(r)
 	} else {
-		r.attempts = 0
+		r.attempts, r.startedAt = 0, c.now
 		c.startRound(r)
 	}
 	for _, pending := range finished {
@@ -282,34 +291,57 @@
 func (c *Core) tickRounds() {
 	for _, id := range sortedKeys(c.rounds) {
 		r := c.rounds[id]
-		expire := func(changes []*pendingChange) []*pendingChange {
-			var live []*pendingChange
-			for _, pending := range changes {
-				if c.now < pending.deadline {
-					live = append(live, pending)
-					continue
-				}
-				c.workload.changes[pending.class].givenUp++
-				if pending.onResult != nil {
-					pending.onResult(wire.Record{}, false, resultUnknown)
-				}
-			}
-			return live
+		if r == nil || !c.expireChanges(r) {
+			continue
 		}
-		r.queued, r.applied = expire(r.queued), expire(r.applied)
 		switch {
-		case len(r.queued) == 0 && len(r.applied) == 0:
-			delete(c.rounds, id)
-		case r.phase == phaseBackoff && c.now >= r.retryAt:
-			c.startRound(r)
-		case r.phase != phaseBackoff && c.now-r.lastSent >= resendInterval:
-			if r.nackedBy != 0 {
-				c.backOff(r)
-			} else {
-				c.sendRound(r)
+		case r.phase == phaseWaiting:
+		case r.phase == phaseBackoff:
+			if c.now >= r.retryAt {
+				c.startRound(r)
+			}
+		case r.nackedBy != 0 && c.now-r.lastSent >= max(resendInterval, c.limiter.latency):
+			c.backOff(r)
+		case r.nackedBy == 0 && c.now-r.lastSent >= resendInterval:
+			c.sendRound(r)
+		}
+	}
+}
+
+// expireChanges ends the changes of a round whose deadline has passed. It returns false if
+// none is left; then the round has ended too.
+func (c *Core) expireChanges(r *round) bool {
+	timedOut := false
+	expire := func(changes []*pendingChange) []*pendingChange {
+		var live []*pendingChange
+		for _, pending := range changes {
+			waits := r.phase == phaseWaiting && pending.class == backgroundChange
+			if waits || c.now < pending.deadline {
+				live = append(live, pending)
+				continue
+			}
+			timedOut = true
+			c.workload.changes[pending.class].givenUp++
+			if pending.onResult != nil {
+				pending.onResult(wire.Record{}, false, resultUnknown)
+			}
+			if r.phase == phaseAccepting && pending.class == userChange {
+				// The stores have most of it: that it is completed costs less than to begin anew
+				// when the user asks again.
+				live = append(live, &pendingChange{op: pending.op, class: backgroundChange, deadline: c.now + backgroundTimeout, result: pending.result})
 			}
 		}
+		return live
+	}
+	r.queued, r.applied = expire(r.queued), expire(r.applied)
+	if timedOut && r.attempts == 0 && r.phase != phaseWaiting {
+		c.limiter.decrease(c.now)
+	}
+	if len(r.queued) == 0 && len(r.applied) == 0 {
+		c.endRound(r)
+		return false
 	}
+	return true
 }
 
 // sortedKeys returns the keys of a map in order. It is used wherever the order of iteration
