Segments: compaction takes the emptiest segments, not the oldest

What callers saw: while the jobs of a lost site came over, submissions at the members that were left were refused after 2.5 s, and 1,000 jobs had not all come over after 100 s.

Cause: of the changes that a site's log may make, most went to compaction. It took the oldest segments, in which long-lived registers stand, and wrote these again and again; segments of the last seconds, in which nothing was live any more (a promise is replaced by the acceptance a moment later), stayed. A reply waits for the transaction, compaction included.

Fix: the segments with the fewest live bytes are written again and deleted. The order in which segments are read, the fence and the bound of the log's size are as before: a live entry that is moved goes to a new, later segment in the transaction that deletes its old one.

--- a/internal/storage/segments/segments.go
+++ b/internal/storage/segments/segments.go
@@ -6,17 +6,19 @@
 //
 // The log's size is bounded by its live registers, the latest ones of each key. While there
 // are more than twice as many segments as the live registers need, the live registers of the
-// oldest segments are written again with the next batch, and these segments are deleted in the
+// emptiest segments are written again with the next batch, and these segments are deleted in the
 // same transaction.
 package segments
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -65,9 +67,9 @@
 	limiter       *rate.Limiter
 	fenceRevision uint64 // revision of this process's write of the fence key
 	nextSegment   uint64 // number of the next segment to be written
-	oldestSegment uint64 // number of the oldest segment that exists
 	live          map[string]live
 	keysBySegment map[uint64][]string // keys of each segment, whether their latest entry is in it or not
+	liveBySegment map[uint64]int      // encoded size of the live entries of each segment
 	liveBytes     int                 // encoded size of the live entries
 	usage         Usage
 }
@@ -104,7 +106,7 @@
 	if limits.CompactAfter == 0 {
 		limits.CompactAfter = 8
 	}
-	l := &Log{store: store, log: log, limits: limits, nextSegment: 1, oldestSegment: 1, live: map[string]live{}, keysBySegment: map[uint64][]string{},
+	l := &Log{store: store, log: log, limits: limits, nextSegment: 1, live: map[string]live{}, keysBySegment: map[uint64][]string{}, liveBySegment: map[uint64]int{},
 		limiter: rate.NewLimiter(rate.Limit(max(0.5, limits.ChangesPerS)), max(limits.TxnOps, int(limits.ChangesPerS)))}
 	start, err := l.acquireFence(ctx, member)
 	if err != nil {
@@ -127,9 +129,6 @@
 		if err != nil {
 			return nil, nil, 0, fmt.Errorf("gateway log: %s: %w", it.Key, err)
 		}
-		if len(l.keysBySegment) == 0 {
-			l.oldestSegment = seg
-		}
 		l.nextSegment = seg + 1
 		l.keysBySegment[seg] = nil
 		for i := range record.Entries {
@@ -294,17 +293,38 @@
 // maxDeletedSegments limits how many segments one transaction deletes.
 const maxDeletedSegments = 4
 
-// compact adds the live entries of the oldest segments to the batch, and the deletion of these
-// segments, while the log has too many.
+// compact adds the live entries of the emptiest segments to the batch, and the deletion of
+// these segments, while the log has too many.
 func (b *batch) compact() {
 	l := b.log
-	for victim := l.oldestSegment; l.needsCompaction(len(b.deletions)) && len(b.deletions) < maxDeletedSegments && victim < l.nextSegment; victim++ {
-		if _, ok := l.keysBySegment[victim]; ok && !b.moveLiveEntries(victim) {
+	if !l.needsCompaction(0) {
+		return
+	}
+	for _, victim := range l.emptiestSegments(maxDeletedSegments) {
+		if !l.needsCompaction(len(b.deletions)) || !b.moveLiveEntries(victim) {
 			return
 		}
 	}
 }
 
+// emptiestSegments returns up to n segments with the fewest live bytes, the emptiest first.
+// What is live in them is all that their deletion costs beside itself.
+func (l *Log) emptiestSegments(n int) []uint64 {
+	emptier := func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(l.liveBySegment[a], l.liveBySegment[b]), cmp.Compare(a, b))
+	}
+	var emptiest []uint64
+	for segment := range l.keysBySegment {
+		if len(emptiest) == n && emptier(segment, emptiest[n-1]) > 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(emptiest, segment, emptier)
+		emptiest = slices.Insert(emptiest, at, segment)
+		emptiest = emptiest[:min(len(emptiest), n)]
+	}
+	return emptiest
+}
+
 // moveLiveEntries adds the live entries of a segment to the batch, and the segment's deletion.
 // It returns false, and does not delete the segment, if they do not all fit.
 func (b *batch) moveLiveEntries(victim uint64) bool {
@@ -399,14 +419,9 @@
 	}
 	for _, deleted := range deletions {
 		delete(l.keysBySegment, deleted)
+		delete(l.liveBySegment, deleted)
 	}
 	l.nextSegment += uint64(len(segs))
-	for l.oldestSegment < l.nextSegment {
-		if _, ok := l.keysBySegment[l.oldestSegment]; ok {
-			break
-		}
-		l.oldestSegment++
-	}
 }
 
 // needsCompaction reports whether the log, after the deletion of some segments, has more than
@@ -418,9 +433,13 @@
 // setLive records an entry of a segment as the live one of its key.
 func (l *Log) setLive(seg uint64, e *Entry) {
 	if old, ok := l.live[e.Key]; ok {
-		l.liveBytes -= encodedSize(&Entry{Key: e.Key, Value: old.value})
+		oldSize := encodedSize(&Entry{Key: e.Key, Value: old.value})
+		l.liveBytes -= oldSize
+		l.liveBySegment[old.segment] -= oldSize
 	}
-	l.liveBytes += encodedSize(e)
+	size := encodedSize(e)
+	l.liveBytes += size
+	l.liveBySegment[seg] += size
 	l.live[e.Key] = live{seg, e.Value}
 	l.keysBySegment[seg] = append(l.keysBySegment[seg], e.Key)
 }
--- a/internal/storage/segments/segments_test.go
+++ b/internal/storage/segments/segments_test.go
@@ -148,3 +148,49 @@
 		t.Errorf("%d segments for %d entries, which need %d", segs, entries, need)
 	}
 }
+
+// TestHandoverCostsFewChanges guards against a log that spends most of its changes on
+// compaction while many jobs are handed over: it wrote long-lived entries of the oldest
+// segments again and again, beside segments in which nothing was live any more. Each job's
+// register is written twice, a moment apart, as by a promise and an acceptance. A segment of
+// new entries may cost its own put, the deletion of another one, and as much for what is moved.
+func TestHandoverCostsFewChanges(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		ctx := t.Context()
+		l, _, _, err := Open(ctx, standin.NewState(), "quito", Limits{ValueKB: 8, TxnOps: 12, ChangesPerS: 1e6}, discardLog)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const jobs, batch = 1000, 16
+		write := func(numbers []int) {
+			var entries []Entry
+			for _, n := range numbers {
+				entries = append(entries, Entry{Key: fmt.Sprintf("job-%06d", n), Value: make([]byte, 800)})
+			}
+			if err := l.Write(ctx, entries); err != nil {
+				t.Fatal(err)
+			}
+		}
+		order := rng.Perm(jobs)
+		for i := 0; i < jobs; i += batch {
+			write(order[i:min(i+batch, jobs)])
+		}
+		_, _, before := l.Stats()
+		bytesBefore := l.Usage().NewBytes.Load()
+		for range 3 {
+			order = rng.Perm(jobs)
+			for i := 0; i < jobs; i += batch {
+				write(order[i:min(i+batch, jobs)])
+				write(order[i:min(i+batch, jobs)])
+			}
+		}
+		_, _, changes := l.Stats()
+		newSegments := float64(l.Usage().NewBytes.Load()-bytesBefore) / float64(l.segmentCapacity())
+		if perSegment := float64(changes-before) / newSegments; perSegment > 4 {
+			t.Errorf("seed %d: %.1f changes for a segment of new entries", seed, perSegment)
+		} else {
+			t.Logf("seed %d: %.1f changes for a segment of new entries", seed, perSegment)
+		}
+	}
+}
