Controllers: a replica that is a moment behind no longer stops services

What callers saw: services stopped at a site without a fault, and started again, while the jobs of a lost site came over, and in tests during a drain and a stall.

Cause: after each change that the site's daemon has its controllers store, it tells all of them the change's revision, and a controller whose replica is older stops every job of the gateway in its next answers to reports. Under many submissions and stops every such answer names a revision some milliseconds old, so the replicas are behind for a moment after each request for the lease, twice a second, and whatever reports in that moment is stopped. That guard is meant for stops; submissions raised the revision too.

Fix: only the revision of a stop is required, and until the replica has reached it the lease that the controller had before goes on, at most for its 3 s, without what the new one would add. Jobs listed as lost stay blocked until the replica has their stops, and an answer without lease ends it at once.

--- a/internal/coordination/gateway/load_test.go
+++ b/internal/coordination/gateway/load_test.go
@@ -166,11 +166,11 @@
 	return l.now - started, true
 }
 
-// taskStops returns how many tasks of a site were stopped since a time because the site had
-// no lease.
+// taskStops returns how many tasks of a site were stopped since a time, though neither their
+// user nor the members had asked for it.
 func (l *loadSim) taskStops(site int, since time.Duration) int {
 	n := 0
-	for _, at := range l.sites[site].stoppedByLease {
+	for _, at := range l.sites[site].stoppedUnasked {
 		if at >= since {
 			n++
 		}
--- a/internal/coordination/gateway/sim_test.go
+++ b/internal/coordination/gateway/sim_test.go
@@ -109,10 +109,11 @@
 	replicaRevision   uint64            // revision that the controllers' replica has reached
 	leaseExpiry       time.Duration
 	minRevision       uint64
+	heldUntil         time.Duration // end of the earlier lease, which applies while the replica is too old for the new one
 	revoked           map[string]bool
 	running           bool
 	disconnectedUntil time.Duration   // daemon and controllers can't reach one another until then
-	stoppedByLease    []time.Duration // when tasks were stopped because the lease was over
+	stoppedUnasked    []time.Duration // when tasks were stopped that nobody had asked to stop
 }
 
 // simSiteJob is a job at a site.
@@ -496,9 +497,15 @@
 				if !site.running {
 					return
 				}
+				site.heldUntil = site.usableUntil()
+				if lease.RemainingMS == 0 {
+					site.heldUntil = 0
+				}
 				site.leaseExpiry = max(site.leaseExpiry, sent+time.Duration(float64(lease.RemainingMS)*(1-maxClockDrift))*time.Millisecond)
 				site.minRevision = max(site.minRevision, lease.MinRevision)
-				site.revoked = map[string]bool{}
+				if site.replicaRevision >= site.minRevision {
+					site.revoked = map[string]bool{}
+				}
 				for _, id := range lease.LostJobs {
 					site.revoked[id] = true
 				}
@@ -507,6 +514,14 @@
 	})
 }
 
+// usableUntil returns the end of the lease that the controllers may use with their replica.
+func (site *simSite) usableUntil() time.Duration {
+	if site.replicaRevision >= site.minRevision {
+		return site.leaseExpiry
+	}
+	return site.heldUntil
+}
+
 // step advances the controllers and workers of a site.
 func (site *simSite) step() {
 	const interval = 100 * time.Millisecond
@@ -523,7 +538,7 @@
 	}
 	for _, id := range sortedKeys(site.jobs) {
 		j := site.jobs[id]
-		mayRun := site.running && s.now < site.leaseExpiry && site.replicaRevision >= site.minRevision && !site.revoked[id] && !j.stopRequested
+		mayRun := site.running && s.now < site.usableUntil() && !site.revoked[id] && !j.stopRequested
 		switch {
 		case !j.started && mayRun && running < s.capacity:
 			j.started, j.stopsAt = true, 0
@@ -538,8 +553,8 @@
 			// The worker may get no answer and continue until its own lease expires.
 			j.stopsAt = s.now + s.randDuration(0, simWorkers)
 			s.logf("site %d stops %s", site.index, id)
-			if s.now >= site.leaseExpiry {
-				site.stoppedByLease = append(site.stoppedByLease, s.now)
+			if !j.stopRequested && !site.revoked[id] {
+				site.stoppedUnasked = append(site.stoppedUnasked, s.now)
 			}
 		case j.started && j.stopsAt != 0 && s.now >= j.stopsAt:
 			j.started, j.stopsAt = false, 0
@@ -700,7 +715,7 @@
 	case 7:
 		if site := s.sites[m.index]; site != nil && site.running {
 			s.logf("controllers of site %d stop for %v", m.index, duration)
-			site.running, site.leaseExpiry = false, 0
+			site.running, site.leaseExpiry, site.heldUntil = false, 0, 0
 			s.schedule(duration, func() { site.running = true })
 		}
 	case 8:
--- a/internal/coordination/gateway/siteagent.go
+++ b/internal/coordination/gateway/siteagent.go
@@ -295,8 +295,8 @@
 	s.callsInFlight--
 	id := r.Call.ID
 	a := s.assignments[id]
-	if r.Revision > s.minRevision {
-		s.minRevision = r.Revision // a controller must have seen this change before it runs more gateway jobs
+	if r.Call.Kind == wire.Stop {
+		s.minRevision = max(s.minRevision, r.Revision) // a controller must have seen the stop before it runs gateway jobs
 	}
 	if a == nil {
 		return
--- a/internal/coordination/node/sitejobs.go
+++ b/internal/coordination/node/sitejobs.go
@@ -28,9 +28,20 @@
 type siteLease struct {
 	expiresAt   time.Time       // by this node's monotonic clock
 	minRevision uint64          // a replica older than this revision may lack stops of gateway jobs
+	heldUntil   time.Time       // end of the earlier lease, which applies while the replica is older
 	lostJobs    map[string]bool // jobs that the site has lost: they may not run here
 }
 
+// usableUntil returns when the lease ends for a node whose replica is complete up to a revision.
+// Until the replica has reached the revision that the lease requires, which takes a moment after
+// each stop, the earlier lease applies: what may run until its end is part of every bound.
+func (l *siteLease) usableUntil(completeRevision uint64) time.Time {
+	if completeRevision >= l.minRevision {
+		return l.expiresAt
+	}
+	return l.heldUntil
+}
+
 // SiteLeasePeriod is how often a controller requests the lease.
 const SiteLeasePeriod = 500 * time.Millisecond
 
@@ -68,15 +79,12 @@
 	} else {
 		left := min(time.Duration(lease.RemainingMS)*time.Millisecond, maxLeaseDuration)
 		updated := &siteLease{expiresAt: requestedAt.Add(time.Duration(float64(left) * (1 - maxClockDrift))), minRevision: lease.MinRevision, lostJobs: map[string]bool{}}
-		if n.siteLease != nil {
-			updated.minRevision = max(updated.minRevision, n.siteLease.minRevision)
-			if left > 0 {
-				updated.expiresAt = latest(updated.expiresAt, n.siteLease.expiresAt)
-			}
-		}
 		for _, id := range lease.LostJobs {
 			updated.lostJobs[id] = true
 		}
+		if n.siteLease != nil {
+			updated.continueLease(n.siteLease, left > 0, n.completeRevision)
+		}
 		n.siteLease = updated
 		n.markAllStale() // the lease decides which jobs may run
 	}
@@ -86,9 +94,25 @@
 	}
 }
 
+// continueLease takes over from the lease that this one replaces what still applies. stillValid is
+// false if the daemon has said that the site has no lease.
+func (l *siteLease) continueLease(earlier *siteLease, stillValid bool, completeRevision uint64) {
+	l.minRevision = max(l.minRevision, earlier.minRevision)
+	if stillValid {
+		l.heldUntil = earlier.usableUntil(completeRevision)
+		l.expiresAt = latest(l.expiresAt, earlier.expiresAt)
+	}
+	if completeRevision < l.minRevision {
+		// The replica may lack the stops of jobs that the daemon does not list any more.
+		for id := range earlier.lostJobs {
+			l.lostJobs[id] = true
+		}
+	}
+}
+
 // gatewayJobsBlocked reports whether no job of the gateway may run here.
 func (n *Node) gatewayJobsBlocked(now time.Time) bool {
-	return n.siteLease == nil || !now.Before(n.siteLease.expiresAt) || n.completeRevision < n.siteLease.minRevision
+	return n.siteLease == nil || !now.Before(n.siteLease.usableUntil(n.completeRevision))
 }
 
 // blockedBySiteLease reports whether a job may not run because it is the gateway's and the site
--- a/internal/coordination/node/sitejobs_test.go
+++ b/internal/coordination/node/sitejobs_test.go
@@ -96,6 +96,41 @@
 	}
 }
 
+// Guards against services that are stopped at a site without a fault while other jobs of the
+// site are submitted, cancelled or handed over: each of these made the replicas of the other
+// controllers too old for a moment. The earlier lease applies until its end, and no longer, and
+// only for jobs that the site has not lost.
+func TestReplicaBehindKeepsEarlierLease(t *testing.T) {
+	b := newTestNode(t)
+	j, lost := b.addGatewayJob("job-1"), b.addGatewayJob("job-2")
+	start := time.Now()
+	b.onLease(&wire.Lease{RemainingMS: 3000, LostJobs: []string{"job-2"}}, nil, start)
+	const behind = 1 << 40
+	b.onLease(&wire.Lease{RemainingMS: 3000, MinRevision: behind}, nil, start.Add(2*time.Second))
+	if b.blockedBySiteLease(j, start.Add(2900*time.Millisecond)) {
+		t.Error("a job is stopped before the end of the earlier lease")
+	}
+	if !b.blockedBySiteLease(lost, start.Add(2900*time.Millisecond)) {
+		t.Error("a lost job runs though the replica may lack its stop")
+	}
+	if !b.blockedBySiteLease(j, start.Add(3*time.Second)) {
+		t.Error("a job runs after the end of the earlier lease, though the replica is too old for the new one")
+	}
+	b.onLease(&wire.Lease{RemainingMS: 3000, MinRevision: behind}, nil, start.Add(2500*time.Millisecond))
+	if !b.blockedBySiteLease(j, start.Add(3*time.Second)) {
+		t.Error("a lease that the replica is too old for extends the earlier one")
+	}
+	b.completeRevision = behind
+	if b.blockedBySiteLease(j, start.Add(3*time.Second)) || b.blockedBySiteLease(j, start.Add(5*time.Second)) {
+		t.Error("a job is stopped though the replica has reached the required revision")
+	}
+	b.completeRevision = 0
+	b.onLease(&wire.Lease{MinRevision: behind}, nil, start.Add(2600*time.Millisecond))
+	if !b.blockedBySiteLease(j, start.Add(2700*time.Millisecond)) {
+		t.Error("a job runs though the daemon has said that the site has no lease")
+	}
+}
+
 // Gateway jobs are never started by a direct command, since it may be executed minutes late, when
 // the site has lost the job.
 func TestGatewayJobsAreNotStartedDirectly(t *testing.T) {
