--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/protocol"
@@ -376,7 +378,8 @@
 
 // expireReads ends the reads that no majority has answered in time.
 func (c *Core) expireReads() {
-	for nonce, batch := range c.readBatches {
+	for _, nonce := range slices.Sorted(maps.Keys(c.readBatches)) {
+		batch := c.readBatches[nonce]
 		if c.now < batch.deadline {
 			continue
 		}
