Segments: a write does not wait for compaction that can be left to the next

Cause: a write of a few registers returned, and with it the promises and acceptances in them were told, only after up to eight more transactions of compaction, each of which takes up to a second of the log's allowance.

Fix: compaction goes with the transaction of the entries, where it has room; what is left is done with the next writes, unless the log is a quarter beyond the size at which compaction begins.

--- a/internal/storage/segments/segments.go
+++ b/internal/storage/segments/segments.go
@@ -208,10 +208,11 @@
 		}
 		entries = entries[n:]
 	}
-	// Do the compaction that did not fit into the transactions of the entries.
+	// Compaction that did not fit into the transactions of the entries is left to the next
+	// writes, unless the log has grown far beyond its size.
 	for range 8 {
 		before := len(l.keysBySegment)
-		if !l.needsCompaction(0) {
+		if !l.isOverfull() {
 			break
 		}
 		if _, err := l.writeBatch(ctx, nil); err != nil {
@@ -430,6 +431,10 @@
 	return len(l.keysBySegment)-deleted > max(l.limits.CompactAfter, 2*(l.liveBytes/l.segmentCapacity()+1))
 }
 
+// isOverfull reports whether the log has grown so far that compaction can't wait for the next
+// writes: a quarter beyond the size from which on it needs compaction.
+func (l *Log) isOverfull() bool { return l.needsCompaction(len(l.keysBySegment) / 5) }
+
 // setLive records an entry of a segment as the live one of its key.
 func (l *Log) setLive(seg uint64, e *Entry) {
 	if old, ok := l.live[e.Key]; ok {
--- a/internal/storage/segments/segments_test.go
+++ b/internal/storage/segments/segments_test.go
@@ -194,3 +194,48 @@
 		}
 	}
 }
+
+// countingState counts the transactions with changes.
+type countingState struct {
+	*standin.State
+	transactions int
+}
+
+func (s *countingState) Txn(ctx context.Context, conds []storage.Cond, writes []storage.Write) (bool, uint64, []string, error) {
+	if len(writes) > 0 {
+		s.transactions++
+	}
+	return s.State.Txn(ctx, conds, writes)
+}
+
+// TestWriteDoesNotWaitForCompaction guards against promises and acceptances that were told
+// seconds late: a write of a few entries, which one transaction takes, returned only after up to
+// eight more transactions of compaction. Each write replaces entries of all ages.
+func TestWriteDoesNotWaitForCompaction(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		ctx := t.Context()
+		state := &countingState{State: standin.NewState()}
+		l, _, _, err := Open(ctx, state, "quito", Limits{ValueKB: 8, TxnOps: 12, ChangesPerS: 1e6}, discardLog)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const jobs, perWrite = 1000, 14
+		for i := range 600 {
+			var entries []Entry
+			for range perWrite {
+				entries = append(entries, Entry{Key: fmt.Sprintf("job-%06d", rng.IntN(jobs)), Value: make([]byte, 200+rng.IntN(700))})
+			}
+			before := state.transactions
+			if err := l.Write(ctx, entries); err != nil {
+				t.Fatal(err)
+			}
+			if n := state.transactions - before; n > 1 {
+				t.Fatalf("seed %d: write %d returns after %d transactions", seed, i, n)
+			}
+		}
+		if needed := l.liveBytes/l.segmentCapacity() + 1; len(l.keysBySegment) > 3*needed {
+			t.Errorf("seed %d: %d segments for entries that need %d", seed, len(l.keysBySegment), needed)
+		}
+	}
+}
