Gateway: users' changes need not wait for one of the handovers to end

Cause: changes that no user waits for could take the whole limit of changes in progress while no user's waited. The next user's change then waited for one of them to end, some 2 s when the stores are busy, before its own began.

Evidence: TestBackgroundLeavesRoomForUsers failed before the fix.

--- a/internal/coordination/gateway/limiter.go
+++ b/internal/coordination/gateway/limiter.go
@@ -10,7 +10,7 @@
 // be begun soon are refused at once; changes that no user waits for wait.
 
 const (
-	minRounds     = 8  // rounds that a member may always run
+	minRounds     = 4  // rounds that a member may always run
 	initialRounds = 16 // limit at the start of a member
 	// slowRound is how long a round may take. Users wait for up to half a limit of rounds
 	// before theirs, so that they are answered within userTimeout.
@@ -20,9 +20,11 @@
 	roundGrowth = 4
 	// roundBackoff is what is left of the limit when rounds become slow.
 	roundBackoff = 0.7
-	// backgroundShare is the part of the limit that is left to changes for which no user
-	// waits, while there are any. The rest is left to users.
-	backgroundShare = 0.25
+	// backgroundMinimum is the part of the limit that is left to changes for which no user
+	// waits, while there are any; backgroundMaximum is the most that they get, so that a user
+	// need not wait for one of them to end.
+	backgroundMinimum = 0.25
+	backgroundMaximum = 0.75
 )
 
 // roundLimiter limits the rounds in progress.
@@ -44,12 +46,16 @@
 	if l.running[userChange]+l.running[backgroundChange] >= int(l.limit) {
 		return false
 	}
-	other := backgroundChange
-	share := 1 - backgroundShare
-	if class == backgroundChange {
-		other, share = userChange, backgroundShare
+	share := 1.0
+	switch {
+	case class == backgroundChange && l.waitingRounds(userChange) > 0:
+		share = backgroundMinimum
+	case class == backgroundChange:
+		share = backgroundMaximum
+	case l.waitingRounds(backgroundChange) > 0:
+		share = 1 - backgroundMinimum
 	}
-	return l.waitingRounds(other) == 0 || float64(l.running[class]) < share*l.limit
+	return float64(l.running[class]) < share*l.limit
 }
 
 // waitingRounds returns the number of rounds of a class that wait.
