Gateway: a site keeps its lease while jobs are cancelled one after the other

Cause: a member grants a site's renewal only if at that instant the site has acknowledged every cancellation the member has accepted. While cancellations come faster than a notice and its answer take, there is always one under way, so each of five renewals in a row is denied, the lease of 8 s ends, and the controllers stop everything.

Evidence: simulated members, 200 of 400 jobs cancelled: 4 to 20 notices not acknowledged at each renewal and the lease running down from 6.9 s to nothing in 7.5 s; TestManyCancelledAtOnce, which now counts services stopped that nobody cancelled, failed with 129.

Fix: a renewal that is denied waits for the acknowledgements of what the member knew when it arrived, and is then granted as from its arrival. A later cancellation need not be known for a lease asked for before it, as it need not where the renewal was granted at once, so the bounds are the same. A job taken from the site since then blocks that: it was taken because no lease was granted.

The grants of leases move from core.go to leases.go.

--- a/internal/coordination/gateway/core.go
+++ b/internal/coordination/gateway/core.go
@@ -85,25 +85,6 @@
 	record             wire.Record
 }
 
-// leaseGrant is the lease that this member granted to one site, and the notices that the
-// site has to acknowledge.
-type leaseGrant struct {
-	tasksUntil    time.Duration // the site may run tasks until then
-	noClaimBefore time.Duration // other members grant its lease: no forced claim before then
-	// grantedByOthers is set when other members still granted the lease at this member's last
-	// forced claim on a job of the site. While it is set, only one job at a time is claimed,
-	// to find out whether they still do.
-	grantedByOthers bool
-	session         uint64 // number of the daemon start that the site renews under
-	// notices holds the jobs whose records the site has to know. The value is true once the
-	// site has acknowledged a notice that blocks its lease, but not durably, so that it may
-	// forget it.
-	notices         map[string]bool
-	unackedBlocking int               // number of notices that block the lease and are not acknowledged
-	blocksLease     map[string]bool   // jobs whose notice must be acknowledged before the lease is renewed
-	revoked         map[string]uint32 // for records not accepted here: the epoch below which the site reports its claims as revoked
-}
-
 // Effects is what the caller must carry out. BatchStored is called when the batch is
 // durable, OwnershipProved when it is proved that the store still belongs to this process.
 // There is no further batch, and no further request for a proof, before that. Everything
@@ -230,10 +211,6 @@
 	return c
 }
 
-func newLeaseGrant() *leaseGrant {
-	return &leaseGrant{notices: map[string]bool{}, blocksLease: map[string]bool{}, revoked: map[string]uint32{}}
-}
-
 // majority returns the number of members that form a majority.
 func (c *Core) majority() int { return len(c.cfg.Members)/2 + 1 }
 
@@ -550,130 +527,6 @@
 	}
 }
 
-// trackNotice determines whether a site has to acknowledge a register's record, and whether
-// its lease waits for that.
-func (c *Core) trackNotice(site int, grant *leaseGrant, id string, r *register) {
-	required, blocksLease := noticeRequired(&r.record, site)
-	if r.ackedSites&memberBit(site) != 0 {
-		required, blocksLease = required && !blocksLease, false
-	}
-	c.untrackNotice(grant, id)
-	if !required {
-		return
-	}
-	grant.notices[id] = false
-	if blocksLease {
-		grant.blocksLease[id] = true
-		grant.unackedBlocking++
-	}
-}
-
-// untrackNotice forgets the notice for a job.
-func (c *Core) untrackNotice(grant *leaseGrant, id string) {
-	if acked, ok := grant.notices[id]; ok {
-		if grant.blocksLease[id] && !acked {
-			grant.unackedBlocking--
-		}
-		delete(grant.notices, id)
-		delete(grant.blocksLease, id)
-	}
-}
-
-// rebuildNotices determines anew what a site has to acknowledge, after a restart of the
-// site or of this member.
-func (c *Core) rebuildNotices(site int, grant *leaseGrant) {
-	grant.notices, grant.blocksLease, grant.unackedBlocking = map[string]bool{}, map[string]bool{}, 0
-	for id, r := range c.registers {
-		if r.hasRecord {
-			c.trackNotice(site, grant, id, r)
-		}
-	}
-}
-
-// onRenew grants a site its lease, unless the site has not yet acknowledged that it no
-// longer owns some job. With either answer it sends the site the notices that are not
-// acknowledged.
-func (c *Core) onRenew(from int, it *wire.Item) {
-	grant := c.grants[from]
-	if grant == nil {
-		return
-	}
-	session := uint64(it.Ballot.Proposer)
-	if session < grant.session {
-		return // sent before its last start
-	}
-	if session > grant.session {
-		grant.session = session
-		c.rebuildNotices(from, grant)
-	}
-	kind := wire.LeaseGranted
-	if grant.unackedBlocking > 0 && !c.cfg.Faults.IgnoreLease {
-		kind = wire.LeaseDenied
-		c.counts.Denied++
-	} else {
-		grant.tasksUntil = max(grant.tasksUntil, c.now+c.grantDuration())
-	}
-	var blocking, others []string
-	for id, acked := range grant.notices {
-		switch {
-		case acked:
-		case !c.registers[id].committed && !c.storeQueue.isDurable(id):
-			// Nobody may be told this record yet.
-		case grant.blocksLease[id]:
-			blocking = append(blocking, id)
-		case c.registers[id].committed:
-			others = append(others, id)
-		}
-	}
-	slices.Sort(blocking)
-	slices.Sort(others)
-	for i, id := range append(blocking, others...) {
-		if i >= maxNotices {
-			break
-		}
-		r := c.registers[id]
-		c.send(from, wire.Item{Kind: wire.Notice, ID: id, Accepted: r.accepted, HasRecord: true, Committed: r.committed, Record: r.record})
-	}
-	c.sendWhenOwned(from, wire.Item{Kind: kind, Ballot: it.Ballot})
-}
-
-// onAck handles a site's acknowledgement that its claims on a job below an epoch are
-// revoked there.
-func (c *Core) onAck(from int, it *wire.Item) {
-	grant := c.grants[from]
-	if grant == nil || !it.Durable && uint64(it.Ballot.Proposer) != grant.session {
-		return // sent before the site's daemon restarted, which may have lost it
-	}
-	r := c.registers[it.ID]
-	if r == nil || !r.hasRecord || it.Record.Epoch > r.record.Epoch && r.record.Outcome == wire.Open {
-		if it.Code == ackRevoked && len(grant.revoked) < 10000 {
-			grant.revoked[it.ID] = max(grant.revoked[it.ID], it.Record.Epoch)
-		}
-		return
-	}
-	delete(grant.revoked, it.ID)
-	acked, ok := grant.notices[it.ID]
-	if !ok || it.Record.Epoch < revokedBelow(&r.record) {
-		return
-	}
-	if grant.blocksLease[it.ID] && !it.Durable {
-		if !acked {
-			grant.notices[it.ID] = true
-			grant.unackedBlocking--
-		}
-		return
-	}
-	if grant.blocksLease[it.ID] {
-		c.storeQueue.change(it.ID, r, c.now)
-		r.ackedSites |= memberBit(from)
-	}
-	c.untrackNotice(grant, it.ID)
-}
-
-// ackRevoked is the code of an Ack that answers the notice of a claim not accepted by this
-// member.
-const ackRevoked = 1
-
 // unreachable reports whether no message has arrived from a member for silenceTimeout.
 func (c *Core) unreachable(m int) bool {
 	return m != c.cfg.Self && c.now-c.lastHeard[m] > silenceTimeout
--- a/internal/coordination/gateway/load_test.go
+++ b/internal/coordination/gateway/load_test.go
@@ -312,6 +312,11 @@
 	if stored < jobs/2 {
 		t.Errorf("%d cancellations are stored at the gateway, want %d", stored, jobs/2)
 	}
+	for site := 1; site <= 2; site++ {
+		if stops := l.taskStops(site, begun); stops > 0 {
+			t.Errorf("%d services of site %d are stopped that nobody cancelled", stops, site)
+		}
+	}
 	l.checkInvariants()
 }
 
