Gateway: a job that too few members have accepted is not called accepted

What callers could see: a submission answered 200 whose job is lost with one member.

Cause: a submission that is given up may have been accepted by one member. Repeated while no site can be given a job, it was answered from a read with the highest record of any member, agreed or not. If that member is lost, nobody else knows the job.

Fix: only an agreed record is answered with 200; otherwise the user is told to retry.

TestRecordOfOneMemberIsNotAccepted failed before the fix, with 200.

--- a/internal/coordination/gateway/front.go
+++ b/internal/coordination/gateway/front.go
@@ -188,8 +188,11 @@
 			switch {
 			case !result.ok:
 				c.answerRetryLater(req, 1, noMajority)
-			case result.exists:
+			case result.agreed:
 				c.answerWithJob(req, http.StatusOK, &result.record)
+			case result.exists:
+				// Some members have accepted the job, too few to say that it is accepted.
+				c.answerRetryLater(req, 1, noMajority)
 			case route == routeNeverFits:
 				c.answerWithError(req, http.StatusUnprocessableEntity, "it can run at no site: unknown team, above the team's limit, or a task fits no allowed machine type")
 			case route == routeSitesFull:
