Gateway metrics: limit of changes, changes that wait, time of a change; what they mean

An operator sees a member that has more to do than its stores take: what is under way and how much may be, what waits by kind, how long changes take, and what the stores use of what they may. The load tests run with 2,000 jobs too.

--- a/internal/coordination/gateway/api.go
+++ b/internal/coordination/gateway/api.go
@@ -261,7 +261,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *coreCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descOpenJobs, descMemberSilence, descHandoffs, descEvents, descStoreOK, descWork, descRounds, descStoreWaiting, descStoreWait} {
+	for _, d := range []*prometheus.Desc{descOpenJobs, descMemberSilence, descHandoffs, descEvents, descStoreOK, descWork, descRounds, descRoundLimit, descWaiting, descRoundTime, descStoreWaiting, descStoreWait} {
 		ch <- d
 	}
 }
--- a/internal/coordination/gateway/load_test.go
+++ b/internal/coordination/gateway/load_test.go
@@ -199,7 +199,7 @@
 var loadJobs = []struct {
 	jobs  int
 	seeds []uint64
-}{{100, []uint64{1, 2}}, {400, []uint64{1, 2}}, {1000, []uint64{1}}}
+}{{100, []uint64{1, 2}}, {400, []uint64{1, 2}}, {1000, []uint64{1}}, {2000, []uint64{1}}}
 
 // forLoads runs a test for each number of jobs and seed.
 func forLoads(t *testing.T, test func(t *testing.T, jobs int, seed uint64)) {
--- a/internal/coordination/gateway/workload.go
+++ b/internal/coordination/gateway/workload.go
@@ -25,6 +25,9 @@
 var (
 	descWork         = prometheus.NewDesc("dapplestage_gateway_work_total", "Changes of records and reads from a majority, by kind and by whether they were completed or given up.", []string{"kind", "result"}, nil)
 	descRounds       = prometheus.NewDesc("dapplestage_gateway_changes_under_way", "Records that this member is changing now.", nil, nil)
+	descRoundLimit   = prometheus.NewDesc("dapplestage_gateway_changes_under_way_limit", "Records that this member may change at a time; it falls while changes are slow.", nil, nil)
+	descWaiting      = prometheus.NewDesc("dapplestage_gateway_changes_waiting", "Changes that are not begun yet, by kind.", []string{"kind"}, nil)
+	descRoundTime    = prometheus.NewDesc("dapplestage_gateway_change_seconds", "How long changes have taken lately from their begin to a majority.", nil, nil)
 	descStoreWaiting = prometheus.NewDesc("dapplestage_gateway_store_waiting_registers", "Registers that are changed and not stored yet.", nil, nil)
 	descStoreWait    = prometheus.NewDesc("dapplestage_gateway_store_waiting_seconds", "For how long the oldest change has waited to be stored.", nil, nil)
 )
@@ -34,14 +37,18 @@
 	changes          [2]workCount // by class
 	reads            workCount
 	changesInFlight  int
+	changesLimit     int
+	changesWaiting   [2]int // by class
+	changeTime       time.Duration
 	waitingRegisters int
 	longestWait      time.Duration
 }
 
 // workloadView returns the present workload.
 func (c *Core) workloadView() workloadView {
-	return workloadView{changes: c.workload.changes, reads: c.workload.reads, changesInFlight: len(c.rounds),
-		waitingRegisters: len(c.storeQueue.registers), longestWait: c.storeQueue.longestWait(c.now)}
+	l := c.limiter
+	return workloadView{changes: c.workload.changes, reads: c.workload.reads, changesInFlight: l.running[userChange] + l.running[backgroundChange], changesLimit: int(l.limit),
+		changesWaiting: [2]int{l.waitingRounds(userChange), l.waitingRounds(backgroundChange)}, changeTime: l.latency, waitingRegisters: len(c.storeQueue.registers), longestWait: c.storeQueue.longestWait(c.now)}
 }
 
 // collect sends the metrics of the workload.
@@ -51,6 +58,10 @@
 		ch <- prometheus.MustNewConstMetric(descWork, prometheus.CounterValue, float64(count.givenUp), kind, "given_up")
 	}
 	ch <- prometheus.MustNewConstMetric(descRounds, prometheus.GaugeValue, float64(v.changesInFlight))
+	ch <- prometheus.MustNewConstMetric(descRoundLimit, prometheus.GaugeValue, float64(v.changesLimit))
+	ch <- prometheus.MustNewConstMetric(descWaiting, prometheus.GaugeValue, float64(v.changesWaiting[userChange]), "user_change")
+	ch <- prometheus.MustNewConstMetric(descWaiting, prometheus.GaugeValue, float64(v.changesWaiting[backgroundChange]), "background_change")
+	ch <- prometheus.MustNewConstMetric(descRoundTime, prometheus.GaugeValue, v.changeTime.Seconds())
 	ch <- prometheus.MustNewConstMetric(descStoreWaiting, prometheus.GaugeValue, float64(v.waitingRegisters))
 	ch <- prometheus.MustNewConstMetric(descStoreWait, prometheus.GaugeValue, v.longestWait.Seconds())
 }
