Gateway: batches fill their segments

The size of a register in a site's store was estimated a quarter too large for promises and a tenth too small for records, so a batch of records took one change more than meant.

--- a/internal/coordination/gateway/load_test.go
+++ b/internal/coordination/gateway/load_test.go
@@ -20,7 +20,7 @@
 	loadBatchBytes = 16 << 10
 	loadSpecBytes  = 600
 	// loadRegisterTime is how long a site's store takes for a register.
-	loadRegisterTime = time.Second * (registerBytes + loadSpecBytes) * 134 / 100 / loadStoreRate
+	loadRegisterTime = time.Second * (registerBytes + recordBytes + loadSpecBytes*4/3) / loadStoreRate
 
 	loadPollInterval  = 5 * time.Second
 	loadPollTimeout   = 2 * time.Second
--- a/internal/coordination/gateway/sim_test.go
+++ b/internal/coordination/gateway/sim_test.go
@@ -301,7 +301,7 @@
 	bytes := map[string]int{}
 	for _, batch := range batches {
 		for i := range batch.Items {
-			bytes[batch.Items[i].ID] = storedBytes(&register{record: batch.Items[i].Record})
+			bytes[batch.Items[i].ID] = storedBytes(&register{hasRecord: batch.Items[i].HasRecord, record: batch.Items[i].Record})
 		}
 	}
 	total := 0
--- a/internal/coordination/gateway/storequeue.go
+++ b/internal/coordination/gateway/storequeue.go
@@ -115,16 +115,19 @@
 // isDurable reports whether all changes of a register are durable.
 func (q *storeQueue) isDurable(id string) bool { return q.registers[id] == nil }
 
-// Estimated size of a stored register, without its submission, and how much larger than in
-// memory it is in the store.
+// Sizes in a site's store, which encodes values as base64, of a register without a record and
+// of a record without its submission.
 const (
-	registerBytes  = 150
-	encodingFactor = 1.34
+	registerBytes = 160
+	recordBytes   = 112
 )
 
 // storedBytes estimates the size of a register in the store.
 func storedBytes(r *register) int {
-	return int(float64(registerBytes+len(r.record.Spec)) * encodingFactor)
+	if !r.hasRecord {
+		return registerBytes
+	}
+	return registerBytes + recordBytes + len(r.record.Spec)*4/3
 }
 
 // nextBatch returns the next batch to be stored, of at most maxBytes (0: any size) but with
--- a/internal/storage/segments/segments.go
+++ b/internal/storage/segments/segments.go
@@ -247,12 +247,15 @@
 // batchTime is how long a write of BatchBytes should take at the log's rate of changes.
 const batchTime = 250 * time.Millisecond
 
+// segmentFill is how full segments are, since entries are not divided between them.
+const segmentFill = 0.9
+
 // BatchBytes returns the size of entries, as encoded in segments, that the log writes within
 // about batchTime, in one transaction that leaves room for compaction.
 func (l *Log) BatchBytes() int {
 	inTime := int(l.limits.ChangesPerS * batchTime.Seconds())
 	inTransaction := min(l.limits.TxnOps/2, maxTxnBytes/l.segmentCapacity()-1)
-	return l.segmentCapacity() * max(1, min(inTime, inTransaction))
+	return int(segmentFill * float64(l.segmentCapacity()*max(1, min(inTime, inTransaction))))
 }
 
 // maxTxnBytes keeps a transaction below the state service's limit of 64 KiB.
