Known red: a copy of an answered start is carried out again

A task that had failed and been moved was started again on its first machine 6.6 s after that start had been carried out and answered; its second attempt ran on another machine.

The fault joins the simulated cluster: copies of direct commands that were carried out and answered, up to three each, 0.1 s to four leases later, amid tasks that fail, cancellations, gangs, leases that run out, machines that hang, and restarts of one or all controllers within a second. The stand-in's worker carries a copy out as any command and reports what it changed.

--- /dev/null
+++ b/internal/coordination/node/copies_test.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dapplestage.example/dapplestage/internal/protocol"
+	"dapplestage.example/dapplestage/internal/standin"
+)
+
+// Copies of direct commands that were carried out and answered arrive again, some of them after the
+// task has ended, moved or been cancelled. No copy may change anything on its machine.
+
+// maxCopies is how many copies of one command there are at most.
+const maxCopies = 3
+
+// copiesCommand reports whether copies of an answered command are to arrive. If there are none at
+// all it draws no random number, so that the seeds of other tests keep their meaning.
+func (w *simCluster) copiesCommand(orders protocol.Orders) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.commandCopyRate > 0 && len(orders.Commands) > 0 && w.rng.Float64() < w.commandCopyRate
+}
+
+// sendCopiesLater makes copies of a command arrive, from a fraction of a second to well over a lease
+// later, and not while the machine hangs.
+func (w *simCluster) sendCopiesLater(addr string, orders protocol.Orders) {
+	lease := time.Duration(w.cfg[w.names[0]].Params.Workers.LeaseS * float64(time.Second))
+	ranges := [...][2]time.Duration{{100 * time.Millisecond, 2 * time.Second}, {2 * time.Second, lease}, {lease, 4 * lease}}
+	for range 1 + w.randInt(maxCopies) {
+		after := ranges[w.randInt(len(ranges))]
+		go func() {
+			time.Sleep(w.randDuration(after[0], after[1]))
+			host, _, _ := strings.Cut(addr, ":")
+			w.waitWhileHung(host)
+			changed, meetings := w.fleet.RepeatCommand(addr, orders)
+			w.recordEvent("copy")
+			for _, meeting := range meetings {
+				w.recordEvent(string(meeting))
+			}
+			for range changed {
+				w.recordEvent("copy changed something")
+			}
+		}()
+	}
+}
+
+// copiesOfAnsweredCommands is the scenario, amid tasks that fail, jobs that are cancelled, more
+// urgent work, leases that run out, machines that hang, and restarts within a second.
+var copiesOfAnsweredCommands = faultScenario{name: "copies of answered commands", inject: injectCommandCopies,
+	configure: func(p *protocol.WorkerSettings, w *simCluster) {
+		infrequentReports(p, w)
+		w.fleet.MaxMachines = 6
+		w.fleet.TaskFails = func(job *protocol.JobSpec, task, errors int) bool {
+			return job.Shape == protocol.Array && task%3 == 0 && errors == 0
+		}
+	},
+	mustOccur: []string{string(standin.CopyStillListed), string(standin.CopyNextSession), string(standin.CopyTaskFailed), string(standin.CopyTaskCompleted),
+		string(standin.CopyTaskMoved), string(standin.CopySameMachine), string(standin.CopyCancelled), string(standin.CopyCancelledLong),
+		string(standin.CopyOfGangTask), string(standin.CopyMachineIsFull), "handed over"},
+}
+
+func injectCommandCopies(w *simCluster) {
+	w.withLock(func() { w.commandCopyRate = 0.5 })
+	for round := range 8 {
+		w.submitAndCancel(round, 8*time.Second)
+		for i := range 3 {
+			team, number := []string{"red", "blue", "green"}[i], w.nextJobNumber()
+			gang := arrayFor(team, 5000+number, 1+i%2, "high", 8)
+			gang.Shape = protocol.Gang
+			w.addUsersFor(arrayFor(team, number, 4, "standard", 10), gang)
+		}
+		deaf := round%4 == 2 // some workers' leases run out
+		for i, m := range w.busyMachines() {
+			switch {
+			case deaf:
+				w.withLock(func() { w.noInbound[m] = true })
+			case i%4 == 0:
+				until := time.Now().Add(w.randDuration(2*time.Second, 12*time.Second))
+				w.withLock(func() { w.hungUntil[m] = until })
+			}
+		}
+		if deaf {
+			time.Sleep(40 * time.Second)
+			w.withLock(func() { clear(w.noInbound) })
+		}
+		time.Sleep(w.randDuration(5*time.Second, 14*time.Second))
+		switch round % 4 {
+		case 1:
+			w.restart(w.randomNode(), w.randDuration(0, time.Second))
+		case 3:
+			for _, name := range w.names {
+				w.stopNode(name)
+			}
+			time.Sleep(w.randDuration(0, time.Second))
+			for _, name := range w.names {
+				w.startIfStopped(name)
+			}
+		}
+	}
+	time.Sleep(150 * time.Second) // longer than the latest copy takes
+}
+
+// A start that was carried out and answered must not be carried out again once its task has left the machine.
+func TestLateCopyOfAnsweredStartStartsNothing(t *testing.T) {
+	for seed := range seedCount(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runScenarios(t, 11000+seed, "", copiesOfAnsweredCommands) })
+	}
+}
+
+// A task that was started directly failed and runs elsewhere. Once its worker forgets it, the worker must refuse a copy of the start.
+func TestCopyOfAnsweredStartIsRefusedOnceTaskIsForgotten(t *testing.T) {
+	b, j, workers := startJobDirectly(t)
+	workers.answers <- &protocol.Report{Machine: "host-1", Session: 1, Seq: 2, Token: 7, Tasks: []protocol.TaskReport{{Task: "job-1/0", Attempt: 1, State: protocol.TaskFetching}}}
+	(<-b.mailbox)()
+	failed := protocol.TaskReport{Task: "job-1/0", Attempt: 1, State: protocol.TaskExited, Cause: protocol.CauseError}
+	b.sendReport(7, 3, failed)
+	b.rejectDeferred(b.machines["host-1"])
+	b.watchPut(protocol.BatchKey("r-0-7-2-0"), protocol.BatchRecord{Machines: []protocol.MachineRecord{{Name: "host-2", Type: "g4", Zone: "a"}}})
+	b.watchPut(protocol.JobKey("job-1"), protocol.JobRecord{Spec: j.spec, NextAttempt: 3, Chunk: protocol.Chunk{Placed: []protocol.Placement{{Task: 0, Attempt: 2, Machine: "host-2"}}}})
+	for seq := uint64(4); seq < 6; seq++ { // the first answer may be lost
+		a := b.sendReport(7, seq, failed)
+		if a == nil || a.status != 200 {
+			t.Fatalf("report %d: %+v", seq, a)
+		}
+		orders := a.body.(protocol.Orders)
+		if len(orders.Commands) != 1 || orders.Commands[0].Op != protocol.OpForget || orders.Token <= 7 {
+			t.Fatalf("the worker forgets the attempt while the token of its start is valid: %+v", orders)
+		}
+	}
+}
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -53,6 +53,7 @@
 	delayedTxnRate       float64              // fraction of transactions that are not answered and are executed 2 to 12 s later
 	duplicateReportRate  float64              // fraction of reports of which a copy arrives again, 2 s to two leases later
 	delayedCommandRate   float64              // fraction of direct commands that are delayed by 2 to 12 s
+	commandCopyRate      float64              // fraction of answered direct commands of which copies arrive later; see copies_test.go
 	stateSilent          map[string]bool      // nodes whose calls the state service does not answer
 	peersUnreachable     map[string]bool      // nodes cut off from the other controllers
 	watchStalled         map[string]bool      // nodes whose watch delivers nothing
@@ -519,6 +520,9 @@
 		return nil, false, errNoAnswer
 	}
 	r, ok, err = f.w.fleet.Command(ctx, addr, orders)
+	if ok && f.w.copiesCommand(orders) {
+		f.w.sendCopiesLater(addr, orders)
+	}
 	if f.w.chance(&f.w.lossRate) {
 		time.Sleep(2 * time.Second)
 		return nil, false, errNoAnswer // executed, but the answer is lost
@@ -897,6 +901,7 @@
 	faults(w)
 	w.withLock(func() {
 		w.outage, w.lossRate, w.lateTxnRate, w.delayedTxnRate, w.duplicateReportRate, w.delayedCommandRate, w.stateDelay = false, 0, 0, 0, 0, 0, 0
+		w.commandCopyRate = 0
 		w.lostAnswerRate, w.keptReportRate, w.heldReportRate, w.releaseOnOwnerChange, w.isolatedZone = 0, 0, 0, false, ""
 		for _, m := range []map[string]bool{w.stateRefused, w.isolated, w.workersUnreachable, w.stateSilent, w.peersUnreachable, w.watchStalled, w.noInbound, w.cutPairs, w.noOutbound} {
 			clear(m)
