Controllers: a worker forgets no attempt under the token of its direct start

A direct start that had been carried out and answered arrived once more after its task had failed and moved, and started it a second time.

Cause: an answer was taken to mean that a command can have no effect any more. It proves that the command was carried out, not that it won't be again. What kept a copy from it was the attempt in the worker's list, and clear removed that under the token with which the attempt was started. The class: the record by which a receiver recognises duplicates is dropped while duplicates are still accepted.

Change: each ownership and each move reserves 2^20 tokens with the one change of the counter that it makes anyway. The owner notes what it starts directly, with token and session, and raises the token of the machine in the very answer that tells its worker to forget such an attempt; also with a direct start that replaces an earlier attempt of its task. No further change is stored, and it works without the state service.

Why it works: a worker takes the token of an answer and carries out its commands as one step. Before it the attempt is listed and a copy has no effect; after it the copy's token is too low. An answer that is lost changes neither, and the next one carries the raised token again. A new owner's range is above the old one, so nothing of this need be stored. A report with any token of the range fences off earlier owners as before. A member that answers for an owner repeats the token that the worker shows. A machine that an earlier release moved has no reserved tokens: it gets no direct starts.

The fixture of the unit tests stores an owner as this release does, with reserved tokens; acceptWorkerReport has lost a parameter.

--- a/internal/coordination/node/adopt.go
+++ b/internal/coordination/node/adopt.go
@@ -79,13 +79,13 @@
 	for _, t := range n.teams {
 		guarantees[t.partition] = guarantees[t.partition].Add(t.Guarantee, 1)
 	}
-	token := n.tokenCounter + 1
+	token, reservation := n.reserveTokens()
 	byPartition := make([][]protocol.MachineRecord, len(n.partitions))
 	for i, s := range decide.Apportion(sizes, guarantees) {
 		byPartition[s] = append(byPartition[s], records[i])
 	}
 	op := &storage.Op{Purpose: uint8(forMachines), Conds: []storage.Cond{ownerCond, {Key: protocol.RentalFenceKey, Revision: n.adoption.Fence()}, n.unchanged(protocol.TokenCounterKey)},
-		Writes: []storage.Write{{Put: protocol.TokenCounterKey, Value: mustJSON(protocol.TokenCounterRecord{Token: token})}}}
+		Writes: []storage.Write{reservation}}
 	adopted := 0
 	for s, machines := range byPartition {
 		capacity := math.MaxInt // smallest batch capacity, given by the longest type and zone names
@@ -94,7 +94,7 @@
 		}
 		i := 0
 		for part := range slices.Chunk(machines, capacity) {
-			write := storage.Write{Put: protocol.BatchKey(fmt.Sprintf("a-%d-%d-%d", s, token, i)), Value: mustJSON(protocol.BatchRecord{Partition: s, Token: token, Machines: part})}
+			write := storage.Write{Put: protocol.BatchKey(fmt.Sprintf("a-%d-%d-%d", s, token, i)), Value: mustJSON(protocol.BatchRecord{Partition: s, Token: token, ReservedTokens: reservedTokens, Machines: part})}
 			if !op.CanAdd(write, n.cfg.Params.State.TxnOps) {
 				break // the others are recorded in the next round
 			}
--- a/internal/coordination/node/batches.go
+++ b/internal/coordination/node/batches.go
@@ -38,7 +38,7 @@
 	present := make(map[string]bool, len(r.Machines))
 	for _, rec := range r.Machines {
 		present[rec.Name] = true
-		rec.Partition, rec.Token = r.Partition, r.Token
+		rec.Partition, rec.Token, rec.ReservedTokens = r.Partition, r.Token, r.ReservedTokens
 		n.setMachine(b, rec)
 	}
 	n.dropMissing(b, before, present)
--- a/internal/coordination/node/copies_test.go
+++ b/internal/coordination/node/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,9 +14,6 @@
 // Copies of direct commands that were carried out and answered arrive again, some of them after the
 // task has ended, moved or been cancelled. No copy may change anything on its machine.
 
-// maxCopies is how many copies of one command there are at most.
-const maxCopies = 3
-
 // copiesCommand reports whether copies of an answered command are to arrive. If there are none at
 // all it draws no random number, so that the seeds of other tests keep their meaning.
 func (w *simCluster) copiesCommand(orders protocol.Orders) bool {
@@ -24,29 +22,44 @@
 	return w.commandCopyRate > 0 && len(orders.Commands) > 0 && w.rng.Float64() < w.commandCopyRate
 }
 
+// sentCommand is a direct command that was carried out and answered.
+type sentCommand struct {
+	addr   string
+	orders protocol.Orders
+}
+
 // sendCopiesLater makes copies of a command arrive, from a fraction of a second to well over a lease
-// later, and not while the machine hangs.
-func (w *simCluster) sendCopiesLater(addr string, orders protocol.Orders) {
+// later, and keeps one more for sendKeptCopies.
+func (w *simCluster) sendCopiesLater(command sentCommand) {
+	w.withLock(func() { w.keptCommands = append(w.keptCommands, command) })
 	lease := time.Duration(w.cfg[w.names[0]].Params.Workers.LeaseS * float64(time.Second))
-	ranges := [...][2]time.Duration{{100 * time.Millisecond, 2 * time.Second}, {2 * time.Second, lease}, {lease, 4 * lease}}
-	for range 1 + w.randInt(maxCopies) {
-		after := ranges[w.randInt(len(ranges))]
+	for _, after := range [...][2]time.Duration{{100 * time.Millisecond, 2 * time.Second}, {2 * time.Second, lease}, {lease, 4 * lease}} {
 		go func() {
 			time.Sleep(w.randDuration(after[0], after[1]))
-			host, _, _ := strings.Cut(addr, ":")
-			w.waitWhileHung(host)
-			changed, meetings := w.fleet.RepeatCommand(addr, orders)
-			w.recordEvent("copy")
-			for _, meeting := range meetings {
-				w.recordEvent(string(meeting))
-			}
-			for range changed {
-				w.recordEvent("copy changed something")
-			}
+			w.sendCopy(command)
 		}()
 	}
 }
 
+// sendCopy makes a copy of a command arrive, but not while the machine hangs.
+func (w *simCluster) sendCopy(command sentCommand) {
+	host, _, _ := strings.Cut(command.addr, ":")
+	w.waitWhileHung(host)
+	for _, meeting := range w.fleet.RepeatCommand(command.addr, command.orders) {
+		w.recordEvent(string(meeting))
+	}
+}
+
+// sendKeptCopies makes copies of all commands of which copies are sent arrive now.
+func (w *simCluster) sendKeptCopies() {
+	w.mu.Lock()
+	commands := slices.Clone(w.keptCommands)
+	w.mu.Unlock()
+	for _, command := range commands {
+		w.sendCopy(command)
+	}
+}
+
 // copiesOfAnsweredCommands is the scenario, amid tasks that fail, jobs that are cancelled, more
 // urgent work, leases that run out, machines that hang, and restarts within a second.
 var copiesOfAnsweredCommands = faultScenario{name: "copies of answered commands", inject: injectCommandCopies,
@@ -63,9 +76,9 @@
 }
 
 func injectCommandCopies(w *simCluster) {
-	w.withLock(func() { w.commandCopyRate = 0.5 })
+	w.withLock(func() { w.commandCopyRate = 0.6 })
 	for round := range 8 {
-		w.submitAndCancel(round, 8*time.Second)
+		w.submitAndCancel(round, 20*time.Second)
 		for i := range 3 {
 			team, number := []string{"red", "blue", "green"}[i], w.nextJobNumber()
 			gang := arrayFor(team, 5000+number, 1+i%2, "high", 8)
@@ -87,6 +100,8 @@
 			w.withLock(func() { clear(w.noInbound) })
 		}
 		time.Sleep(w.randDuration(5*time.Second, 14*time.Second))
+		w.cancelRunningJobs(4, 0)
+		w.sendKeptCopies()
 		switch round % 4 {
 		case 1:
 			w.restart(w.randomNode(), w.randDuration(0, time.Second))
@@ -100,7 +115,10 @@
 			}
 		}
 	}
-	time.Sleep(150 * time.Second) // longer than the latest copy takes
+	for range 3 { // until after the latest copy, and longer than cancel_s
+		time.Sleep(50 * time.Second)
+		w.sendKeptCopies()
+	}
 }
 
 // A start that was carried out and answered must not be carried out again once its task has left the machine.
--- a/internal/coordination/node/guards_test.go
+++ b/internal/coordination/node/guards_test.go
@@ -39,9 +39,9 @@
 	n.completeAt = time.Now()
 	n.lease = 3
 	b := &testNode{Node: n, t: t, state: st, revision: 10}
-	b.watchPut(protocol.TokenCounterKey, protocol.TokenCounterRecord{Token: 7})
+	b.watchPut(protocol.TokenCounterKey, protocol.TokenCounterRecord{Token: 7 + reservedTokens})
 	b.watchPut(protocol.BatchKey("r-0-7-1-0"), protocol.BatchRecord{Machines: []protocol.MachineRecord{{Name: "host-1", Type: "g4", Zone: "a"}}})
-	b.watchPut(protocol.OwnerKey(0), protocol.OwnerRecord{Node: "n-0", Token: 7, Lease: 3})
+	b.watchPut(protocol.OwnerKey(0), protocol.OwnerRecord{Node: "n-0", Token: 7, Lease: 3, ReservedTokens: reservedTokens})
 	return b
 }
 
--- a/internal/coordination/node/machine_scenarios_test.go
+++ b/internal/coordination/node/machine_scenarios_test.go
@@ -29,6 +29,7 @@
 		mustOccur: []string{"stopped directly on a machine that can't report", "handed over", "shorter than the lease", "longer than the lease"}},
 	{name: "commands of a deposed owner", inject: commandsOfDeposedOwner, configure: infrequentReports,
 		mustOccur: []string{"start of an earlier owner refused", "handed over"}},
+	copiesOfAnsweredCommands,
 }
 
 // arrayFor returns an array of a team that runs for a while.
@@ -636,6 +637,11 @@
 	{name: "silence taken as proof that a machine is gone", scenario: 3, expected: "ran_twice", apply: silenceAsProof},
 	{name: "silence taken as proof that a machine is gone", scenario: 4, expected: "rule broken", apply: silenceAsProof},
 	{name: "workers accept lower tokens", scenario: 5, expected: "rule broken", leftOut: "tokens"},
+	{name: "answered direct starts are not remembered", scenario: 6, expected: "changed_by_copy", apply: func(_ *Node, p *partition) {
+		for _, m := range p.machines {
+			m.repeatableStarts = nil
+		}
+	}},
 }
 
 // silenceAsProof marks all tasks of silent machines as gone.
--- a/internal/coordination/node/moves.go
+++ b/internal/coordination/node/moves.go
@@ -185,11 +185,11 @@
 	if len(h.machines) == 0 {
 		return
 	}
-	token := n.tokenCounter + 1
+	token, reservation := n.reserveTokens()
 	n.submit(&storage.Op{
 		Purpose: uint8(forMoves),
 		Conds:   []storage.Cond{n.unchanged(protocol.OwnerKey(from)), n.unchanged(protocol.TokenCounterKey)},
-		Writes:  []storage.Write{{Put: protocol.TokenCounterKey, Value: mustJSON(protocol.TokenCounterRecord{Token: token})}},
+		Writes:  []storage.Write{reservation},
 	}, func(r storage.Result) {
 		if r.OK {
 			n.storeHandover(h, token)
@@ -228,7 +228,7 @@
 // most is executed. The token is above those of the machines and of the partition's owner as they
 // are now, and the conditions ensure that these are unchanged when the write is executed.
 func (n *Node) storeHandover(h *handover, token uint64) {
-	newBatch := protocol.BatchRecord{Partition: h.to, Token: token}
+	newBatch := protocol.BatchRecord{Partition: h.to, Token: token, ReservedTokens: reservedTokens}
 	moving := map[string]bool{}
 	var sources []*batch
 	for _, m := range h.machines {
--- a/internal/coordination/node/partitions.go
+++ b/internal/coordination/node/partitions.go
@@ -288,13 +288,13 @@
 // provided that the additional conditions hold.
 func (n *Node) takePartition(p *partition, conditions ...storage.Cond) {
 	p.ownerChangePending = true
-	token := n.tokenCounter + 1
+	token, reservation := n.reserveTokens()
 	key := protocol.OwnerKey(p.index)
 	op := &storage.Op{
 		Conds: append([]storage.Cond{n.unchanged(key), n.unchanged(protocol.TokenCounterKey)}, conditions...),
 		Writes: []storage.Write{
-			{Put: key, Value: mustJSON(protocol.OwnerRecord{Node: n.cfg.Node, Token: token, Lease: n.lease}), Lease: n.lease},
-			{Put: protocol.TokenCounterKey, Value: mustJSON(protocol.TokenCounterRecord{Token: token})},
+			{Put: key, Value: mustJSON(protocol.OwnerRecord{Node: n.cfg.Node, Token: token, Lease: n.lease, ReservedTokens: reservedTokens}), Lease: n.lease},
+			reservation,
 		},
 	}
 	n.submit(op, func(storage.Result) { p.ownerChangePending = false })
--- a/internal/coordination/node/peers.go
+++ b/internal/coordination/node/peers.go
@@ -151,10 +151,10 @@
 // owner that stalled during an outage lost their leases.
 func (n *Node) answerForOwner(m *machine, report *protocol.Report, now time.Time) (protocol.Orders, bool) {
 	p := n.partitions[m.rec.Partition]
-	token := n.fencingToken(m)
 	owner := n.peers[p.owner.Node]
-	if p.owner.Token == 0 || n.peerReachable(p.owner.Node, now) && !owner.workersUnreachable || !n.mayExtendLeases(now) || report.Token > token {
+	if p.owner.Token == 0 || n.peerReachable(p.owner.Node, now) && !owner.workersUnreachable || !n.mayExtendLeases(now) || report.Token > n.highestToken(m) {
 		return protocol.Orders{}, false
 	}
+	token := max(report.Token, n.fencingToken(m)) // the owner may have raised it
 	return protocol.Orders{Token: token, Commands: n.stopsForReport(report, now)}, true
 }
--- a/internal/coordination/node/reconcile_test.go
+++ b/internal/coordination/node/reconcile_test.go
@@ -43,7 +43,7 @@
 	if r := b.jobRow(j, time.Now()); r.State != "unknown" {
 		t.Errorf("state %q, %q", r.State, r.Why)
 	}
-	if m := b.machines["host-001000"]; !b.acceptWorkerReport(m, &protocol.Report{Machine: m.name, Session: 1, Seq: 1, Token: 9}, 9, time.Now()) || b.tasksAwaitingReport(j) != 0 {
+	if m := b.machines["host-001000"]; !b.acceptWorkerReport(m, &protocol.Report{Machine: m.name, Session: 1, Seq: 1, Token: 9}, time.Now()) || b.tasksAwaitingReport(j) != 0 {
 		t.Error("the machine has reported and is not reconciled")
 	}
 }
@@ -63,7 +63,7 @@
 	b.watchPut(protocol.OwnerKey(0), protocol.OwnerRecord{Node: "n-1", Token: 8, Lease: 9})
 	b.watchPut(protocol.OwnerKey(0), protocol.OwnerRecord{Node: "n-0", Token: 9, Lease: 3})
 	now := time.Now().Add(time.Hour)
-	b.acceptWorkerReport(unknown, &protocol.Report{Machine: "host-5", Session: 1, Seq: 1, Token: 9}, 9, now)
+	b.acceptWorkerReport(unknown, &protocol.Report{Machine: "host-5", Session: 1, Seq: 1, Token: 9}, now)
 	if !unknown.idleSinceUnknown || !unknown.idleSince.Equal(now) {
 		t.Errorf("idle time unknown %v, idle since %v", unknown.idleSinceUnknown, unknown.idleSince)
 	}
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -54,6 +54,7 @@
 	duplicateReportRate  float64              // fraction of reports of which a copy arrives again, 2 s to two leases later
 	delayedCommandRate   float64              // fraction of direct commands that are delayed by 2 to 12 s
 	commandCopyRate      float64              // fraction of answered direct commands of which copies arrive later; see copies_test.go
+	keptCommands         []sentCommand        // these commands
 	stateSilent          map[string]bool      // nodes whose calls the state service does not answer
 	peersUnreachable     map[string]bool      // nodes cut off from the other controllers
 	watchStalled         map[string]bool      // nodes whose watch delivers nothing
@@ -521,7 +522,7 @@
 	}
 	r, ok, err = f.w.fleet.Command(ctx, addr, orders)
 	if ok && f.w.copiesCommand(orders) {
-		f.w.sendCopiesLater(addr, orders)
+		f.w.sendCopiesLater(sentCommand{addr, orders})
 	}
 	if f.w.chance(&f.w.lossRate) {
 		time.Sleep(2 * time.Second)
--- a/internal/coordination/node/standby_test.go
+++ b/internal/coordination/node/standby_test.go
@@ -275,7 +275,7 @@
 		t.Fatal("decides before any machine has reported under its token")
 	}
 	m := p.machines[1]
-	node.acceptWorkerReport(m, &protocol.Report{Machine: m.name, Session: 1, Seq: 1, Token: 9}, 9, now)
+	node.acceptWorkerReport(m, &protocol.Report{Machine: m.name, Session: 1, Seq: 1, Token: 9}, now)
 	node.reachability.stallEnded = now
 	if node.mayDecide(p, now) {
 		t.Fatal("decides right after a stall")
--- a/internal/coordination/node/starts.go
+++ b/internal/coordination/node/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/coordination/start"
@@ -18,6 +19,11 @@
 //   - a report under the current token lists the tasks: then the command was executed, or
 //   - the machine's token is raised and a report carries it: then it never will be.
 //
+// That a command was executed and answered does not mean that it has no effect any more: a copy of
+// it may arrive minutes later, and starts the task again unless the worker still lists the attempt,
+// its session is another one, or it has seen a higher token. So a worker never forgets an attempt
+// under the token of its direct start: the answer that contains the command raises the token.
+//
 // Jobs of the gateway are never started directly: when the site loses its lease for them there is
 // no time to wait for any of this (see sitejobs.go).
 
@@ -45,7 +51,10 @@
 
 // sendDirectStarts sends the stored starts of a machine that have not been sent yet.
 func (n *Node) sendDirectStarts(m *machine, now time.Time) {
-	orders := protocol.Orders{Token: n.fencingToken(m), Session: m.session}
+	if !n.mayRaiseToken(m) {
+		return // its starts are sent in answers to reports
+	}
+	orders := protocol.Orders{Session: m.session}
 	var tasks []directStart
 	for k := range m.tasks {
 		j, t := k.job, &k.job.tasks[k.task]
@@ -60,6 +69,11 @@
 	if len(tasks) == 0 {
 		return
 	}
+	for _, started := range tasks {
+		n.refuseCopies(m, started.task) // this start replaces an earlier attempt
+	}
+	orders.Token = n.fencingToken(m)
+	m.noteSentStarts(tasks, orders)
 	m.startInFlight = true
 	n.directStarts++
 	addr := m.addr
@@ -78,7 +92,7 @@
 				return
 			}
 			now := time.Now()
-			if executed && report.Token == orders.Token && n.acceptDirectAnswer(m, report, orders.Token, now) {
+			if executed && report.Token == orders.Token && n.acceptDirectAnswer(m, report, now) {
 				n.observeTasks(m, report, now)
 			}
 		})
@@ -91,6 +105,36 @@
 	attempt uint64
 }
 
+// sentStart is a direct start and what the worker compares before it executes a copy of it.
+type sentStart struct {
+	directStart
+	token, session uint64
+}
+
+// noteSentStarts records direct starts as repeatable.
+func (m *machine) noteSentStarts(tasks []directStart, orders protocol.Orders) {
+	for _, started := range tasks {
+		m.repeatableStarts = append(m.repeatableStarts, sentStart{started, orders.Token, orders.Session})
+	}
+}
+
+// dropRefusedStarts drops the direct starts of which the worker, as a report shows, would refuse a
+// copy.
+func (m *machine) dropRefusedStarts(report *protocol.Report) {
+	m.repeatableStarts = slices.DeleteFunc(m.repeatableStarts, func(s sentStart) bool {
+		return s.token < report.Token || s.session < report.Session
+	})
+}
+
+// refuseCopies raises a machine's token if a copy of a direct start of the task could otherwise be
+// executed after the next commands.
+func (n *Node) refuseCopies(m *machine, task string) {
+	token := n.fencingToken(m)
+	if slices.ContainsFunc(m.repeatableStarts, func(s sentStart) bool { return s.task == task && s.token >= token }) {
+		n.raiseToken(m)
+	}
+}
+
 // hasUnconfirmedStart reports whether a direct start may still be executed. A report that lists
 // all of these tasks confirms them.
 func (m *machine) hasUnconfirmedStart(report *protocol.Report) bool {
--- a/internal/coordination/node/unreported.go
+++ b/internal/coordination/node/unreported.go
@@ -86,7 +86,7 @@
 		return
 	}
 	expired, first := report.Session > m.session, !m.reachableOnlyDirectly()
-	if !n.acceptDirectAnswer(m, report, token, now) {
+	if !n.acceptDirectAnswer(m, report, now) {
 		return // the worker has sent a report of its own meanwhile
 	}
 	if first && m.reachableOnlyDirectly() {
@@ -109,13 +109,13 @@
 // acceptDirectAnswer accepts the header of the report in the answer to a direct call. It returns
 // false if a newer report was accepted already. The answer does not show that the worker can reach
 // this node.
-func (n *Node) acceptDirectAnswer(m *machine, report *protocol.Report, token uint64, now time.Time) bool {
-	if !n.acceptReportHeader(m, report, token, now) {
+func (n *Node) acceptDirectAnswer(m *machine, report *protocol.Report, now time.Time) bool {
+	if !n.acceptReportHeader(m, report, now) {
 		return false
 	}
 	n.markStale(m)
 	switch {
-	case report.Token != token:
+	case !n.showsOwnToken(m, report):
 	case m.lastFencedReport.IsZero():
 		m.lastFencedReport = now // the machine is up; its silence timeout starts as after a report
 	case now.Sub(n.silentSince(m)) > n.overdueTimeout():
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -44,6 +44,8 @@
 	returned          bool          // the cloud has confirmed its return
 	startInFlight     bool          // a direct start is in flight
 	unconfirmedStarts []directStart // direct starts that were not answered
+	repeatableStarts  []sentStart   // direct starts of which a copy may still be executed; see starts.go
+	raisedToken       uint64        // the token to which this owner has raised it; see tokens.go
 	pollInFlight      bool          // a poll is in flight; see unreported.go
 	nextPoll          time.Time     // earliest time of the next poll
 	lastDirectAnswer  time.Time     // when it last answered a direct call while its reports were overdue
@@ -156,11 +158,6 @@
 	m.unconfirmedStarts = nil // the token is higher now: late commands have no effect
 }
 
-// fencingToken returns the token under which this node commands a machine.
-func (n *Node) fencingToken(m *machine) uint64 {
-	return max(n.partitions[m.rec.Partition].owner.Token, m.rec.Token)
-}
-
 // mayExtendLeases reports whether answers to reports may still extend the workers' leases.
 // Without the state service a cancellation may be missed. That does no harm if users are told
 // of a cancellation only when nothing of the job is left. Otherwise the last answer must be early
@@ -206,7 +203,7 @@
 		reply <- answer{status: 503}
 		return
 	}
-	if !n.acceptWorkerReport(m, report, token, now) {
+	if !n.acceptWorkerReport(m, report, now) {
 		// An old report, delayed on its way or overtaken by the answer to a direct call: its
 		// task list may be out of date. The answer contains no commands.
 		n.metrics.guardRefusals.WithLabelValues("old_report").Inc()
@@ -222,7 +219,7 @@
 	if len(cmds) == 0 && n.deferAnswer(m, report, now, reply) {
 		return
 	}
-	reply <- answer{status: 200, body: protocol.Orders{Token: token, Commands: cmds}}
+	reply <- answer{status: 200, body: protocol.Orders{Token: n.fencingToken(m), Commands: cmds}}
 }
 
 // stopsForReport returns commands that stop the reported tasks that are no longer wanted. They
@@ -247,11 +244,11 @@
 
 // acceptWorkerReport accepts the header of a report that the worker has sent by itself, which
 // shows that it reaches this node. It returns false if a newer report was accepted already.
-func (n *Node) acceptWorkerReport(m *machine, report *protocol.Report, token uint64, now time.Time) bool {
-	if !n.acceptReportHeader(m, report, token, now) {
+func (n *Node) acceptWorkerReport(m *machine, report *protocol.Report, now time.Time) bool {
+	if !n.acceptReportHeader(m, report, now) {
 		return false
 	}
-	if report.Token == token {
+	if n.showsOwnToken(m, report) {
 		m.lastFencedReport = now
 	}
 	return true
@@ -259,7 +256,7 @@
 
 // acceptReportHeader accepts everything in a report except its tasks. It returns false if a newer
 // report was accepted already.
-func (n *Node) acceptReportHeader(m *machine, report *protocol.Report, token uint64, now time.Time) bool {
+func (n *Node) acceptReportHeader(m *machine, report *protocol.Report, now time.Time) bool {
 	if report.Session < m.session || report.Session == m.session && report.Seq <= m.seq {
 		return false
 	}
@@ -268,14 +265,15 @@
 		n.log.Info("worker's lease ran out", "machine", m.name, "tasks", len(m.tasks), "silent_s", roundToTenth(now.Sub(n.silentSince(m)).Seconds()))
 	}
 	m.session, m.seq = report.Session, report.Seq
+	m.dropRefusedStarts(report)
 	n.markStale(m)
 	if report.Addr != "" && report.Addr != m.rec.Addr {
 		m.addr = report.Addr
 		m.batch.markDirty(now)
 	}
-	if report.Token == token {
+	if n.showsOwnToken(m, report) {
 		if !m.fenced {
-			n.log.Debug("machine is fenced", "machine", m.name, "token", token)
+			n.log.Debug("machine is fenced", "machine", m.name, "token", report.Token)
 			n.replan = true
 			n.machineReconciled(m, now)
 		}
@@ -292,8 +290,10 @@
 	return true
 }
 
-// commandsFor takes the task list of a report under the current token as the state of the
-// machine, records the outcomes that it proves, and returns the commands for the worker.
+// commandsFor takes the task list of a report under this owner's token as the state of the
+// machine, records the outcomes that it proves, and returns the commands for the worker. They must
+// be sent under the machine's token as it is then: it is raised before a worker forgets an attempt
+// whose start could otherwise be executed again.
 func (n *Node) commandsFor(m *machine, report *protocol.Report, now time.Time) []protocol.Command {
 	cmds := []protocol.Command{}
 	listed := make(map[taskKey]bool, len(report.Tasks))
@@ -311,6 +311,7 @@
 		if t == nil || t.phase != phasePlaced || t.machine != m || t.attempt != taskReport.Attempt {
 			// Not recorded here: the task is over, or was left behind by an earlier owner.
 			if taskReport.State == protocol.TaskExited {
+				n.refuseCopies(m, taskReport.Task)
 				cmds = append(cmds, protocol.Command{Op: protocol.OpForget, Task: taskReport.Task, Attempt: taskReport.Attempt})
 			} else {
 				cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: taskReport.Task, Attempt: taskReport.Attempt})
@@ -633,7 +634,7 @@
 			if err != nil || !ok || report == nil || report.Machine != m.name || n.machines[m.name] != m || !n.owns(n.partitions[m.rec.Partition]) || n.fencingToken(m) != orders.Token {
 				return
 			}
-			if report.Token == orders.Token && n.acceptDirectAnswer(m, report, orders.Token, now) {
+			if report.Token == orders.Token && n.acceptDirectAnswer(m, report, now) {
 				n.observeTasks(m, report, now)
 			}
 		})
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -234,25 +234,32 @@
 	Node  string `json:"node"`
 	Token uint64 `json:"token"`
 	Lease uint64 `json:"lease"`
+	// ReservedTokens is how many tokens above Token no other record uses, so that the owner can
+	// raise a machine's token without a change. Releases that don't know it reserve none.
+	ReservedTokens uint64 `json:"reserved,omitempty"`
 }
 
 // BatchRecord assigns machines that were rented or moved together to a partition. If they
-// were moved, Token is their fencing token. Only the partition's owner changes the record.
+// were moved, Token is their fencing token, with ReservedTokens as in OwnerRecord. Only the
+// partition's owner changes the record.
 type BatchRecord struct {
-	Partition int             `json:"share"`
-	Token     uint64          `json:"token,omitempty"`
-	Machines  []MachineRecord `json:"m"`
+	Partition      int             `json:"share"`
+	Token          uint64          `json:"token,omitempty"`
+	ReservedTokens uint64          `json:"reserved,omitempty"`
+	Machines       []MachineRecord `json:"m"`
 }
 
-// MachineRecord is one machine of a batch. Partition and Token are copied from the batch.
+// MachineRecord is one machine of a batch. Partition, Token and ReservedTokens are copied from
+// the batch.
 type MachineRecord struct {
-	Partition int    `json:"-"`
-	Token     uint64 `json:"-"`
-	Name      string `json:"n"`
-	Type      string `json:"y"`
-	Zone      string `json:"z"`
-	Spot      bool   `json:"p,omitempty"`
-	Addr      string `json:"a,omitempty"`
+	Partition      int    `json:"-"`
+	Token          uint64 `json:"-"`
+	ReservedTokens uint64 `json:"-"`
+	Name           string `json:"n"`
+	Type           string `json:"y"`
+	Zone           string `json:"z"`
+	Spot           bool   `json:"p,omitempty"`
+	Addr           string `json:"a,omitempty"`
 }
 
 // TokenCounterRecord is the counter of fencing tokens. It is never deleted.
--- a/internal/standin/copies.go
+++ b/internal/standin/copies.go
@@ -27,13 +27,13 @@
 
 // RepeatCommand carries out a copy of a direct command that the worker has carried out and
 // answered before, as a network may deliver it. A copy that changes a task of the worker is a
-// violation. It returns how many tasks it changed, and in which situations it arrived.
-func (f *Fleet) RepeatCommand(addr string, orders protocol.Orders) (changed int, meetings []CopyMeeting) {
+// violation. It returns in which situations the copy arrived.
+func (f *Fleet) RepeatCommand(addr string, orders protocol.Orders) (meetings []CopyMeeting) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.byAddress[addr]
 	if m == nil || !m.booted || m.removed {
-		return 0, []CopyMeeting{CopyMachineGone}
+		return []CopyMeeting{CopyMachineGone}
 	}
 	m.checkLease()
 	for _, command := range orders.Commands {
@@ -43,19 +43,19 @@
 	}
 	switch {
 	case orders.Session != m.session:
-		return 0, append(meetings, CopyNextSession)
+		return append(meetings, CopyNextSession)
 	case orders.Token < m.token && !f.IgnoreTokens:
-		return 0, append(meetings, CopyTokenRaised)
+		return append(meetings, CopyTokenRaised)
 	}
 	for _, command := range orders.Commands {
 		before := m.taskState(command.Task)
 		m.executeCommands([]protocol.Command{command})
 		if m.taskState(command.Task) != before {
-			changed++
+			f.CopiesWithEffect++
 			f.violation("changed_by_copy %s on %s", command.Task, m.info.ID)
 		}
 	}
-	return changed, meetings
+	return meetings
 }
 
 // taskState returns a copy of a task's entry in the worker's list, empty if there is none.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -57,27 +57,28 @@
 	// its machine or its worker's lease). It must not block.
 	OnTaskEvent func(event, task, machine string, at time.Time)
 
-	mu              sync.Mutex
-	ctx             context.Context
-	lastNumber      int // of the machine added last
-	machines        map[string]*Machine
-	byAddress       map[string]*Machine
-	rentedByRequest map[string][]string // machine names by request ID: a repeated request rents nothing more
-	jobs            map[string]*protocol.JobSpec
-	cancelledAt     map[string]time.Time // when the user got the confirmation, by job
-	failsEverywhere map[string]bool      // jobs
-	errorCounts     map[string]int       // by task
-	everStarted     map[string]bool      // by task; kept only if LosesFirstMachine is set
-	stalledJobs     map[string]bool
-	finishedTasks   map[string]int // number of completed tasks, by job
-	completedTasks  map[string]bool
-	completedAt     map[string]time.Time // when the last task completed, by job
-	latestAttempt   map[string]uint64    // the highest attempt that was started, by task
-	StartedTasks    int                  // starts after a fetched image
-	StoppedTasks    int                  // running tasks that a controller stopped
-	ExpiredTasks    int                  // tasks that ended because their worker's lease expired
-	Violations      []string
-	refusedStarts   int // direct commands with starts that were refused because of their token
+	mu               sync.Mutex
+	ctx              context.Context
+	lastNumber       int // of the machine added last
+	machines         map[string]*Machine
+	byAddress        map[string]*Machine
+	rentedByRequest  map[string][]string // machine names by request ID: a repeated request rents nothing more
+	jobs             map[string]*protocol.JobSpec
+	cancelledAt      map[string]time.Time // when the user got the confirmation, by job
+	failsEverywhere  map[string]bool      // jobs
+	errorCounts      map[string]int       // by task
+	everStarted      map[string]bool      // by task; kept only if LosesFirstMachine is set
+	stalledJobs      map[string]bool
+	finishedTasks    map[string]int // number of completed tasks, by job
+	completedTasks   map[string]bool
+	completedAt      map[string]time.Time // when the last task completed, by job
+	latestAttempt    map[string]uint64    // the highest attempt that was started, by task
+	StartedTasks     int                  // starts after a fetched image
+	StoppedTasks     int                  // running tasks that a controller stopped
+	ExpiredTasks     int                  // tasks that ended because their worker's lease expired
+	CopiesWithEffect int                  // commands of which a copy changed something
+	Violations       []string
+	refusedStarts    int // direct commands with starts that were refused because of their token
 }
 
 // MachineKind is a kind of machine that the cloud offers.
