Controllers: log lines and metrics that tell a start carried out twice

The records of the incident could not be read from the controllers' output: nothing said which attempts were started directly, under which token, why a worker forgot an attempt, or that a machine ran what nobody had placed.

--- a/internal/coordination/node/metrics.go
+++ b/internal/coordination/node/metrics.go
@@ -26,6 +26,9 @@
 	takeover        *prometheus.HistogramVec
 	changes         *prometheus.CounterVec
 	entries         *prometheus.HistogramVec
+	directStarts    *prometheus.CounterVec
+	tokenRaises     prometheus.Counter
+	misplacedTasks  prometheus.Counter
 	classes         map[string]bool
 }
 
@@ -64,7 +67,13 @@
 		Help: "Changes of the state service that this node made, by what they were for; brought up to date every 20 s."}, []string{"for"})
 	m.entries = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "dapplestage_entry_jobs",
 		Help: "Jobs of which one stored entry told: of a share's log, or of this node's inbox.", Buckets: []float64{1, 2, 4, 8, 16, 32}}, []string{"ring"})
-	m.Registry.MustRegister(m.entries, m.changes, m.takeover, m.orders, m.unheardMachines, m.orderRate, m.waiting, m.actorLag, m.backlog, m.accept, m.start, m.finish, m.stateCalls, m.cloudCalls, m.guardRefusals, m.placed)
+	m.directStarts = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dapplestage_direct_starts_total",
+		Help: "Starts sent to workers directly, by the outcome of the call."}, []string{"outcome"})
+	m.tokenRaises = prometheus.NewCounter(prometheus.CounterOpts{Name: "dapplestage_token_raises_total",
+		Help: "Raises of a machine's token without a change, so that copies of earlier direct starts are refused."})
+	m.misplacedTasks = prometheus.NewCounter(prometheus.CounterOpts{Name: "dapplestage_misplaced_tasks_total",
+		Help: "Reports of tasks on a machine where they are not placed; they are stopped."})
+	m.Registry.MustRegister(m.directStarts, m.tokenRaises, m.misplacedTasks, m.entries, m.changes, m.takeover, m.orders, m.unheardMachines, m.orderRate, m.waiting, m.actorLag, m.backlog, m.accept, m.start, m.finish, m.stateCalls, m.cloudCalls, m.guardRefusals, m.placed)
 	return m
 }
 
--- a/internal/coordination/node/starts.go
+++ b/internal/coordination/node/starts.go
@@ -74,6 +74,7 @@
 	}
 	orders.Token = n.fencingToken(m)
 	m.noteSentStarts(tasks, orders)
+	n.logDirectStarts(m, tasks, orders)
 	m.startInFlight = true
 	n.directStarts++
 	addr := m.addr
@@ -82,6 +83,7 @@
 		n.post(func() {
 			n.directStarts--
 			m.startInFlight = false
+			n.countDirectStarts(tasks, err == nil && report != nil, executed)
 			if n.machines[m.name] != m || !m.recorded || !n.owns(n.partitions[m.rec.Partition]) || n.fencingToken(m) != orders.Token {
 				return // the token was raised meanwhile: a late command has no effect
 			}
--- a/internal/coordination/node/tokens.go
+++ b/internal/coordination/node/tokens.go
@@ -64,5 +64,6 @@
 // raiseToken raises the token under which this node commands a machine.
 func (n *Node) raiseToken(m *machine) {
 	m.raisedToken = n.fencingToken(m) + 1
+	n.metrics.tokenRaises.Inc()
 	n.log.Debug("token raised", "machine", m.name, "token", m.raisedToken)
 }
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -312,8 +312,10 @@
 			// Not recorded here: the task is over, or was left behind by an earlier owner.
 			if taskReport.State == protocol.TaskExited {
 				n.refuseCopies(m, taskReport.Task)
+				n.logForgotten(m, taskReport, t)
 				cmds = append(cmds, protocol.Command{Op: protocol.OpForget, Task: taskReport.Task, Attempt: taskReport.Attempt})
 			} else {
+				n.noteMisplacedTask(m, taskReport, t)
 				cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: taskReport.Task, Attempt: taskReport.Attempt})
 			}
 			continue
