--- a/internal/coordination/node/copies_test.go
+++ b/internal/coordination/node/copies_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -121,6 +122,52 @@
 	}
 }
 
+// copyLater makes a copy of an answered call of a kind arrive later.
+func (w *simCluster) copyLater(kind string, call func()) {
+	w.mu.Lock()
+	copied := w.callCopyRate > 0 && w.rng.Float64() < w.callCopyRate
+	w.mu.Unlock()
+	if !copied {
+		return
+	}
+	go func() {
+		time.Sleep(w.randDuration(100*time.Millisecond, 60*time.Second))
+		w.recordEvent("copy of a " + kind)
+		call()
+	}()
+}
+
+// copiesOfAnsweredCalls is the scenario with copies of all other calls of the controllers, and of
+// reports and users' requests.
+var copiesOfAnsweredCalls = faultScenario{name: "copies of answered calls", inject: injectCallCopies,
+	mustOccur: []string{"copy of a transaction", "copy of a rental", "copy of a return", "copy of a grant", "copy of a renewal", "copy of a release", "copy of a hint",
+		"old report", "handed over"},
+}
+
+func injectCallCopies(w *simCluster) {
+	w.withLock(func() { w.callCopyRate, w.duplicateReportRate = 0.4, 0.4 })
+	for round := range 8 {
+		w.submitAndCancel(round, 20*time.Second)
+		w.addUsersFor(arrayFor("red", w.nextJobNumber(), 4, "standard", 10), arrayFor("blue", w.nextJobNumber(), 4, "standard", 10))
+		for _, u := range w.cancelRunningJobs(2, 0) {
+			go func() { // copies of its users' requests
+				time.Sleep(w.randDuration(100*time.Millisecond, 60*time.Second))
+				w.cancelOnce(w.randomNode(), u.spec.ID)
+				ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+				defer cancel()
+				w.submitAt(ctx, w.randomNode(), u.spec)
+			}()
+		}
+		if machines := w.fleet.MachineNames(); round%3 == 0 && len(machines) > 0 {
+			w.fleet.Kill(machines[w.randInt(len(machines))])
+		}
+		time.Sleep(w.randDuration(8*time.Second, 16*time.Second))
+		w.restart(w.randomNode(), w.randDuration(0, time.Second))
+	}
+	w.withLock(func() { w.callCopyRate, w.duplicateReportRate = 0, 0 })
+	time.Sleep(60 * time.Second)
+}
+
 // A start that was carried out and answered must not be carried out again once its task has left the machine.
 func TestLateCopyOfAnsweredStartStartsNothing(t *testing.T) {
 	for seed := range seedCount(3) {
--- a/internal/coordination/node/machine_scenarios_test.go
+++ b/internal/coordination/node/machine_scenarios_test.go
@@ -30,6 +30,7 @@
 	{name: "commands of a deposed owner", inject: commandsOfDeposedOwner, configure: infrequentReports,
 		mustOccur: []string{"start of an earlier owner refused", "handed over"}},
 	copiesOfAnsweredCommands,
+	copiesOfAnsweredCalls,
 }
 
 // arrayFor returns an array of a team that runs for a while.
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -54,6 +54,7 @@
 	duplicateReportRate  float64              // fraction of reports of which a copy arrives again, 2 s to two leases later
 	delayedCommandRate   float64              // fraction of direct commands that are delayed by 2 to 12 s
 	commandCopyRate      float64              // fraction of answered direct commands of which copies arrive later; see copies_test.go
+	callCopyRate         float64              // fraction of answered calls of the stores and of hints of which a copy arrives later
 	keptCommands         []sentCommand        // these commands
 	stateSilent          map[string]bool      // nodes whose calls the state service does not answer
 	peersUnreachable     map[string]bool      // nodes cut off from the other controllers
@@ -248,7 +249,13 @@
 				}
 				connected[name] = other
 				if due {
-					other.ReceiveHint(n.Hint())
+					hint := n.Hint()
+					other.ReceiveHint(hint)
+					w.copyLater("hint", func() {
+						if receiver := w.node(name); receiver != nil {
+							receiver.ReceiveHint(hint)
+						}
+					})
 				}
 			}
 		}
@@ -579,7 +586,9 @@
 		return nil, errNoAnswer
 	}
 	defer f.w.waitUntilThawed(f.node)
-	return f.CloudService.Rent(ctx, r)
+	names, err := f.CloudService.Rent(ctx, r)
+	f.w.copyLater("rental", func() { f.CloudService.Rent(f.w.ctx, r) })
+	return names, err
 }
 
 func (f *faultyCloud) Return(ctx context.Context, names []string) error {
@@ -591,7 +600,9 @@
 	if f.w.disabledGuard == "return" { // disabled guard: treat silence as proof that a machine is gone
 		return nil
 	}
-	return f.CloudService.Return(ctx, names)
+	err := f.CloudService.Return(ctx, names)
+	f.w.copyLater("return", func() { f.CloudService.Return(f.w.ctx, names) })
+	return err
 }
 
 // faultyState is the state service as one node sees it, subject to faults.
@@ -697,6 +708,11 @@
 	}
 	if len(writes) > 0 {
 		f.w.countAnsweredTxns(f.node, 1)
+		f.w.copyLater("transaction", func() {
+			if again, _, _, _ := f.w.state.Txn(f.w.ctx, conds, writes); again && ok {
+				f.w.recordEvent("copy of a transaction executed: " + writes[0].Put + writes[0].Delete)
+			}
+		})
 	}
 	return ok, rev, failed, err
 }
@@ -714,6 +730,7 @@
 	if err := f.injectFaults(ctx); err != nil {
 		return 0, err
 	}
+	f.w.copyLater("grant", func() { f.w.state.Grant(f.w.ctx, ttl) })
 	return f.w.state.Grant(ctx, ttl)
 }
 
@@ -722,6 +739,7 @@
 	if err := f.injectFaults(ctx); err != nil {
 		return err
 	}
+	f.w.copyLater("renewal", func() { f.w.state.Renew(f.w.ctx, id) })
 	return f.w.state.Renew(ctx, id)
 }
 
@@ -730,6 +748,7 @@
 	if err := f.injectFaults(ctx); err != nil {
 		return err
 	}
+	f.w.copyLater("release", func() { f.w.state.Release(f.w.ctx, id) })
 	return f.w.state.Release(ctx, id)
 }
 
@@ -902,7 +921,7 @@
 	faults(w)
 	w.withLock(func() {
 		w.outage, w.lossRate, w.lateTxnRate, w.delayedTxnRate, w.duplicateReportRate, w.delayedCommandRate, w.stateDelay = false, 0, 0, 0, 0, 0, 0
-		w.commandCopyRate = 0
+		w.commandCopyRate, w.callCopyRate = 0, 0
 		w.lostAnswerRate, w.keptReportRate, w.heldReportRate, w.releaseOnOwnerChange, w.isolatedZone = 0, 0, 0, false, ""
 		for _, m := range []map[string]bool{w.stateRefused, w.isolated, w.workersUnreachable, w.stateSilent, w.peersUnreachable, w.watchStalled, w.noInbound, w.cutPairs, w.noOutbound} {
 			clear(m)
