Lab: copies of answered direct commands beside restarts within a second

The stand-in's workers carry out copies of direct commands that they have answered (-copies, -copy-min, -copy-max, -copy-seed) and say what they met and changed.

--- a/cmd/lab/deployment.go
+++ b/cmd/lab/deployment.go
@@ -229,6 +229,9 @@
 	writeRPS                                                             float64
 	maxTeamGPUs                                                          float64 // limit of each team; 0: 400
 	maxInFlight                                                          int
+	copyRate                                                             float64       // test sites only: fraction of the answered direct commands of which a copy arrives later
+	copyMaxDelay                                                         time.Duration // longest delay of a copy
+	copySeed                                                             uint64
 	mixedMachines                                                        bool // test sites only: several types of machine in three zones, some of which run already
 }
 
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -25,7 +25,7 @@
 func main() {
 	root := &cobra.Command{Use: "lab", Short: "Proofs and measurements with real processes on loopback", SilenceErrors: true, SilenceUsage: true}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %v", errUsage, err) })
-	root.AddCommand(gatewayProofCommand(), gatewayLoadCommand(), gatewayGrowthCommand(), ticketsProofCommand(), ticketsLoadCommand(), whyProofCommand(), reportProofCommand(), startProofCommand(), standbyProofCommand())
+	root.AddCommand(gatewayProofCommand(), gatewayLoadCommand(), gatewayGrowthCommand(), ticketsProofCommand(), ticketsLoadCommand(), whyProofCommand(), reportProofCommand(), startProofCommand(), copiesProofCommand(), standbyProofCommand())
 	err := root.Execute()
 	if err != nil && !errors.Is(err, errBroken) {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/lab/tickets.go
+++ b/cmd/lab/tickets.go
@@ -112,7 +112,8 @@
 	nodes := []string{"n-0", "n-1"}
 	addProcess("state", "standin", "-state", stateAddr, "-cloud", "", "-nodes", "n-0="+site.apis[0])
 	addProcess("cloud", "standin", "-state", "", "-cloud", cloudAddr, "-nodes", "n-0="+site.apis[0]+",n-1="+site.apis[1], "-boot", "400ms", "-fetch", "150ms",
-		"-lease", fmt.Sprint(timing.workerLease), "-report", fmt.Sprint(timing.reportInterval), "-zone", "a", "-machines", fmt.Sprint(machines), "-events", site.eventsPath, "-farm", fmt.Sprint(seed), "-workers", workersPort, fmt.Sprintf("-place=%v", timing.mixedMachines))
+		"-lease", fmt.Sprint(timing.workerLease), "-report", fmt.Sprint(timing.reportInterval), "-zone", "a", "-machines", fmt.Sprint(machines), "-events", site.eventsPath, "-farm", fmt.Sprint(seed), "-workers", workersPort, fmt.Sprintf("-place=%v", timing.mixedMachines),
+		"-copies", fmt.Sprint(timing.copyRate), "-copy-max", fmt.Sprint(max(timing.copyMaxDelay, time.Second)), "-copy-seed", fmt.Sprint(timing.copySeed))
 	site.mixedMachines = timing.mixedMachines
 	zones := []string{"a", "a"}
 	if timing.mixedMachines {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,6 +33,7 @@
 	maxMachines, workersPort                      int
 	mixedTypes                                    bool
 	renderSeed                                    uint64
+	copies                                        copyOptions
 }
 
 func readOptions() *options {
@@ -50,6 +51,10 @@
 	flag.IntVar(&opts.workersPort, "workers", 0, "port of the workers' addresses, 127.77.x.y; 0: workers can't be called directly")
 	flag.BoolVar(&opts.mixedTypes, "place", false, "several types of machine in three zones, some of which run already")
 	flag.Uint64Var(&opts.renderSeed, "farm", 0, "seed of injected render-farm faults: task errors, interruption notices and lost machines; 0: none")
+	flag.Float64Var(&opts.copies.rate, "copies", 0, "fraction of the answered direct commands of which a copy arrives later")
+	flag.DurationVar(&opts.copies.minDelay, "copy-min", 200*time.Millisecond, "least delay of a copy")
+	flag.DurationVar(&opts.copies.maxDelay, "copy-max", 20*time.Second, "longest delay of a copy")
+	flag.Uint64Var(&opts.copies.seed, "copy-seed", 1, "seed of the copies")
 	flag.Parse()
 	return opts
 }
@@ -58,7 +63,10 @@
 	opts := readOptions()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	fleet, err := newFleet(ctx, opts)
+	if opts.copies.rate < 0 || opts.copies.rate > 1 || opts.copies.minDelay < 0 || opts.copies.maxDelay < opts.copies.minDelay {
+		log.Fatal("-copies must be within 0 to 1, and -copy-min from 0 to -copy-max")
+	}
+	fleet, copier, err := newFleet(ctx, opts)
 	if err != nil {
 		log.Fatal(err)
 	}
@@ -76,7 +84,7 @@
 		serve(opts.stateAddr, stateAPI(standin.NewState()))
 	}
 	if opts.cloudAddr != "" {
-		serve(opts.cloudAddr, cloudAPI(fleet, onUpload))
+		serve(opts.cloudAddr, cloudAPI(fleet, onUpload, copier))
 	}
 	log.Printf("state service on %s, cloud on %s, workers report to %s", opts.stateAddr, opts.cloudAddr, opts.nodes)
 	<-ctx.Done()
@@ -85,14 +93,16 @@
 	}
 }
 
-// newFleet returns the simulated cloud and its workers as the flags describe them.
-func newFleet(ctx context.Context, opts *options) (*standin.Fleet, error) {
+// newFleet returns the simulated cloud and its workers as the flags describe them, and what delivers
+// copies of the workers' commands.
+func newFleet(ctx context.Context, opts *options) (*standin.Fleet, *commandCopier, error) {
 	fleet := standin.NewFleet(ctx)
+	copier := newCommandCopier(fleet, opts.copies)
 	addrByNode := map[string]string{}
 	for _, pair := range strings.Split(opts.nodes, ",") {
 		name, addr, ok := strings.Cut(pair, "=")
 		if !ok {
-			return nil, fmt.Errorf("-nodes: %q is not name=address", pair)
+			return nil, nil, fmt.Errorf("-nodes: %q is not name=address", pair)
 		}
 		addrByNode[name] = addr
 		fleet.Nodes = append(fleet.Nodes, name)
@@ -107,7 +117,7 @@
 	if opts.eventsPath != "" {
 		file, err := os.OpenFile(opts.eventsPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		fleet.OnTaskEvent = func(event, task, machine string, at time.Time) {
 			line, _ := json.Marshal(map[string]any{"at": at.UnixNano(), "event": event, "task": task, "machine": machine})
@@ -117,9 +127,9 @@
 	fleet.SendReport = newHTTPReporter(addrByNode)
 	if opts.workersPort > 0 {
 		fleet.WorkerAddress = func(n int) string { return fmt.Sprintf("127.77.%d.%d:%d", n>>8&255, n&255, opts.workersPort) }
-		fleet.StartListener = func(addr string) { go serveWorker(ctx, fleet, addr) }
+		fleet.StartListener = func(addr string) { go serveWorker(ctx, fleet, addr, copier) }
 	}
-	return fleet, nil
+	return fleet, copier, nil
 }
 
 // newHTTPReporter returns a function that sends workers' reports to the controllers over
@@ -150,7 +160,7 @@
 }
 
 // serveWorker serves direct calls to one worker until ctx ends.
-func serveWorker(ctx context.Context, f *standin.Fleet, addr string) {
+func serveWorker(ctx context.Context, f *standin.Fleet, addr string, copier *commandCopier) {
 	r := httprouter.New()
 	r.POST("/commands", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var orders protocol.Orders
@@ -163,6 +173,7 @@
 		case err != nil:
 			writeJSON(w, 503, struct{}{})
 		case ok:
+			copier.onAnswered(addr, orders)
 			writeJSON(w, 200, report)
 		default:
 			writeJSON(w, 409, report)
@@ -300,7 +311,7 @@
 }
 
 // cloudAPI serves the cloud, and accepts copies of submissions for the workers.
-func cloudAPI(f *standin.Fleet, onUpload func([]byte)) http.Handler {
+func cloudAPI(f *standin.Fleet, onUpload func([]byte), copier *commandCopier) http.Handler {
 	h := cloudHandlers{f, onUpload}
 	r := httprouter.New()
 	r.GET("/catalog", h.catalog)
@@ -314,6 +325,7 @@
 	r.POST("/mistaken/:id/:is", h.setFailing)
 	r.POST("/stall/:id/:is", h.setStalled)
 	r.POST("/kill/:machine", h.killMachine)
+	r.GET("/copies", copier.serveReport)
 	return r
 }
 
--- a/internal/standin/copies.go
+++ b/internal/standin/copies.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"time"
 
 	"dapplestage.example/dapplestage/internal/protocol"
@@ -51,13 +52,20 @@
 		before := m.taskState(command.Task)
 		m.executeCommands([]protocol.Command{command})
 		if m.taskState(command.Task) != before {
-			f.CopiesWithEffect++
+			f.copiesWithEffect++
 			f.violation("changed_by_copy %s on %s", command.Task, m.info.ID)
 		}
 	}
 	return meetings
 }
 
+// CopyEffects returns how many commands in copies changed something, and which rules were broken.
+func (f *Fleet) CopyEffects() (changed int, violations []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copiesWithEffect, slices.Clone(f.Violations)
+}
+
 // taskState returns a copy of a task's entry in the worker's list, empty if there is none.
 func (m *Machine) taskState(id string) workerTask {
 	if task := m.tasks[id]; task != nil {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -76,8 +76,8 @@
 	StartedTasks     int                  // starts after a fetched image
 	StoppedTasks     int                  // running tasks that a controller stopped
 	ExpiredTasks     int                  // tasks that ended because their worker's lease expired
-	CopiesWithEffect int                  // commands of which a copy changed something
 	Violations       []string
+	copiesWithEffect int // commands of which a copy changed something
 	refusedStarts    int // direct commands with starts that were refused because of their token
 }
 
