--- a/internal/coordination/node/starts.go
+++ b/internal/coordination/node/starts.go
@@ -54,23 +54,14 @@
 	if !n.mayRaiseToken(m) {
 		return // its starts are sent in answers to reports
 	}
-	orders := protocol.Orders{Session: m.session}
-	var tasks []directStart
-	for k := range m.tasks {
-		j, t := k.job, &k.job.tasks[k.task]
-		if t.phase != phasePlaced || t.outcome != outcomeNone || t.reportedState != reportedNone || !t.startSentAt.IsZero() || n.shouldStop(j, t) || n.overLimit(j.team) || j.claim > 0 ||
-			j.spec.Shape == protocol.Gang && j.storedPlacements() < len(j.tasks) {
-			continue
-		}
-		t.startSentAt = now
-		orders.Commands = append(orders.Commands, protocol.Command{Op: protocol.OpStart, Task: protocol.TaskID(j.id, k.task), Attempt: t.attempt})
-		tasks = append(tasks, directStart{protocol.TaskID(j.id, k.task), t.attempt})
-	}
+	tasks := n.takeDirectStarts(m, now)
 	if len(tasks) == 0 {
 		return
 	}
+	orders := protocol.Orders{Session: m.session}
 	for _, started := range tasks {
 		n.refuseCopies(m, started.task) // this start replaces an earlier attempt
+		orders.Commands = append(orders.Commands, protocol.Command{Op: protocol.OpStart, Task: started.task, Attempt: started.attempt})
 	}
 	orders.Token = n.fencingToken(m)
 	m.noteSentStarts(tasks, orders)
@@ -84,23 +75,44 @@
 			n.directStarts--
 			m.startInFlight = false
 			n.countDirectStarts(tasks, err == nil && report != nil, executed)
-			if n.machines[m.name] != m || !m.recorded || !n.owns(n.partitions[m.rec.Partition]) || n.fencingToken(m) != orders.Token {
-				return // the token was raised meanwhile: a late command has no effect
-			}
-			if err != nil || report == nil || report.Machine != m.name {
-				n.log.Info("direct start not answered", "machine", m.name, "tasks", len(tasks), "why", err)
-				m.unconfirmedStarts = tasks
-				n.markStale(m)
-				return
-			}
-			now := time.Now()
-			if executed && report.Token == orders.Token && n.acceptDirectAnswer(m, report, now) {
-				n.observeTasks(m, report, now)
-			}
+			n.onDirectStartsAnswered(m, tasks, orders.Token, report, executed, err)
 		})
 	})
 }
 
+// takeDirectStarts returns the stored starts of a machine that have not been sent yet, and marks them
+// as sent.
+func (n *Node) takeDirectStarts(m *machine, now time.Time) (tasks []directStart) {
+	for k := range m.tasks {
+		j, t := k.job, &k.job.tasks[k.task]
+		if t.phase != phasePlaced || t.outcome != outcomeNone || t.reportedState != reportedNone || !t.startSentAt.IsZero() || n.shouldStop(j, t) || n.overLimit(j.team) || j.claim > 0 ||
+			j.spec.Shape == protocol.Gang && j.storedPlacements() < len(j.tasks) {
+			continue
+		}
+		t.startSentAt = now
+		tasks = append(tasks, directStart{protocol.TaskID(j.id, k.task), t.attempt})
+	}
+	return tasks
+}
+
+// onDirectStartsAnswered processes the end of a call with direct starts: the worker's report, or that
+// there is no answer.
+func (n *Node) onDirectStartsAnswered(m *machine, tasks []directStart, token uint64, report *protocol.Report, executed bool, err error) {
+	if n.machines[m.name] != m || !m.recorded || !n.owns(n.partitions[m.rec.Partition]) || n.fencingToken(m) != token {
+		return // the token was raised meanwhile: a late command has no effect
+	}
+	if err != nil || report == nil || report.Machine != m.name {
+		n.log.Info("direct start not answered", "machine", m.name, "tasks", len(tasks), "why", err)
+		m.unconfirmedStarts = tasks
+		n.markStale(m)
+		return
+	}
+	now := time.Now()
+	if executed && report.Token == token && n.acceptDirectAnswer(m, report, now) {
+		n.observeTasks(m, report, now)
+	}
+}
+
 // directStart identifies an attempt of a task that was started directly.
 type directStart struct {
 	task    string
