--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -77,7 +77,7 @@
 	StoppedTasks     int                  // running tasks that a controller stopped
 	ExpiredTasks     int                  // tasks that ended because their worker's lease expired
 	Violations       []string
-	copiesWithEffect int // commands of which a copy changed something
+	copiesWithEffect int // starts of which a copy changed something
 	refusedStarts    int // direct commands with starts that were refused because of their token
 }
 
