--- a/cmd/lab/copies.go
+++ b/cmd/lab/copies.go
@@ -14,8 +14,8 @@
 )
 
 // The copies proof delivers copies of direct commands that the workers have carried out and answered,
-// while tasks fail, jobs are cancelled and controllers are killed and back within a second. No copy
-// may change anything, and no rule may break.
+// while tasks fail, jobs are cancelled and controllers are killed and back within a second. No start
+// in a copy may change anything, and no rule may break.
 
 // copiesTimes are the times and limits of a site whose workers report rarely, so that tasks are
 // started directly.
--- a/internal/coordination/node/copies_test.go
+++ b/internal/coordination/node/copies_test.go
@@ -13,7 +13,7 @@
 )
 
 // Copies of direct commands that were carried out and answered arrive again, some of them after the
-// task has ended, moved or been cancelled. No copy may change anything on its machine.
+// task has ended, moved or been cancelled. No copy of a start may change anything on its machine.
 
 // copiesCommand reports whether copies of an answered command are to arrive. If there are none at
 // all it draws no random number, so that the seeds of other tests keep their meaning.
