--- a/cmd/lab/copies.go
+++ b/cmd/lab/copies.go
@@ -65,7 +65,7 @@
 	}
 	violations, _, err := run.site.awaitJobsDone(ctx, run.tasks)
 	run.violations, run.err = append(run.violations, violations...), err
-	sleep(ctx, timing.copyMaxDelay)
+	sleepContext(ctx, timing.copyMaxDelay)
 	run.checkCancelled()
 	run.readReport(ctx)
 	return run
@@ -81,14 +81,14 @@
 	const array, failing, cancelled = 1, 2, 3
 	for kind := range arraysPerRound {
 		r.submit(ctx, id(array+10*kind))
-		sleep(ctx, randomDuration(r.rng, 100*time.Millisecond, 500*time.Millisecond))
+		sleepContext(ctx, randomDuration(r.rng, 100*time.Millisecond, 500*time.Millisecond))
 	}
 	if postToCloud(ctx, r.site, "/mistaken/"+id(failing)+"/true") == nil {
 		r.submit(ctx, id(failing))
 	}
 	r.submit(ctx, id(cancelled))
 	delete(r.tasks, id(cancelled))
-	sleep(ctx, randomDuration(r.rng, 500*time.Millisecond, 2500*time.Millisecond))
+	sleepContext(ctx, randomDuration(r.rng, 500*time.Millisecond, 2500*time.Millisecond))
 	if err := postToCloud(ctx, r.site, "/mistaken/"+id(failing)+"/false"); err != nil && r.err == nil {
 		r.err = err
 	}
@@ -97,12 +97,12 @@
 	for _, i := range r.rng.Perm(2)[:restarted] {
 		controller := r.site.childProcess(fmt.Sprint("n-", i))
 		controller.kill()
-		sleep(ctx, randomDuration(r.rng, 0, 500*time.Millisecond))
+		sleepContext(ctx, randomDuration(r.rng, 0, 500*time.Millisecond))
 		if err := controller.start(); err != nil {
 			r.err = err
 		}
 	}
-	sleep(ctx, randomDuration(r.rng, time.Second, 3*time.Second))
+	sleepContext(ctx, randomDuration(r.rng, time.Second, 3*time.Second))
 }
 
 // submit submits an array of 2 to 5 tasks that run for 1 to 3 s.
@@ -166,14 +166,6 @@
 	}
 }
 
-// sleep waits for a duration, or until ctx ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(duration):
-	}
-}
-
 // copiesProofCommand returns the subcommand of the copies proof.
 func copiesProofCommand() *cobra.Command {
 	machines, rounds := 12, 6
