Placement: work that needs no GPU uses machines whose GPUs are in use

Cause: Machine.HasCapacity decided without the job whether a machine has any free capacity; one whose GPUs are all in use had none, so the index left it out of every search. The forecast for rentals counted the same room and rented nothing. The reference implementation called the same function, so no comparison saw it.

Change: the index and the forecast keep machines by the kinds of resources that they have exhausted, and a search visits those in which nothing that the job needs is exhausted. Work that needs GPUs visits the same machines as before.

--- a/internal/coordination/decide/agree_test.go
+++ b/internal/coordination/decide/agree_test.go
@@ -23,8 +23,11 @@
 		earmarkedGang := &decide.Job{ID: "job-kept", Rank: protocol.High, Waiting: 1}
 		for i := range rapid.IntRange(0, 60).Draw(t, "machines") {
 			used := float64(rapid.IntRange(0, 4).Draw(t, "used"))
+			// On some machines only some kinds of resources are left.
+			usedCPUs := rapid.SampledFrom([]float64{4 * used, 4 * used, 4 * used, 0, 24}).Draw(t, "used CPUs")
+			usedGB := rapid.SampledFrom([]float64{20 * used, 20 * used, 20 * used, 0, 192}).Draw(t, "used memory")
 			facts := decide.Machine{Name: fmt.Sprintf("m%02d", i), Type: "g4", Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot"),
-				HasType: true, Size: decide.SizeOf(typ), Used: decide.Resources{CPUs: 4 * used, GPUs: used, MemoryGB: 20 * used}, LastReport: now,
+				HasType: true, Size: decide.SizeOf(typ), Used: decide.Resources{CPUs: usedCPUs, GPUs: used, MemoryGB: usedGB}, LastReport: now,
 				SecPerGB: rapid.SampledFrom([]float64{2, 2, 2, 3, 4}).Draw(t, "cost")}
 			// Some images are on most machines, some on hardly any, to test both ways of finding them.
 			for k, rarity := range []int{1, 2, 12, 20} {
@@ -47,9 +50,10 @@
 		v := &decide.View{Now: now, Index: index, Types: map[string]*protocol.MachineType{"g4": typ}, Config: decide.Config{ReportS: 2}, Teams: []*decide.Team{{Name: "red", Limit: decide.Resources{GPUs: 150}}}}
 		for i := range rapid.IntRange(1, 12).Draw(t, "jobs") {
 			n := rapid.IntRange(1, 12).Draw(t, "tasks")
-			spec := &protocol.JobSpec{ID: fmt.Sprint("job-", i), Shape: protocol.Array, Priority: "standard", Tasks: n, CPUs: 4, GPUs: 1, MemoryGB: 20,
+			need := rapid.SampledFrom([]decide.Resources{{CPUs: 4, GPUs: 1, MemoryGB: 20}, {CPUs: 4, GPUs: 1, MemoryGB: 20}, {CPUs: 5, MemoryGB: 20}, {GPUs: 1, MemoryGB: 20}, {CPUs: 4, GPUs: 1}}).Draw(t, "need")
+			spec := &protocol.JobSpec{ID: fmt.Sprint("job-", i), Shape: protocol.Array, Priority: "standard", Tasks: n, CPUs: need.CPUs, GPUs: need.GPUs, MemoryGB: need.MemoryGB,
 				Image: fmt.Sprint("i", rapid.IntRange(0, 4).Draw(t, "image")), ImageGB: rapid.SampledFrom([]float64{0, 1, 4}).Draw(t, "gb"), Spot: rapid.Bool().Draw(t, "spot")}
-			j := &decide.Job{ID: spec.ID, Spec: spec, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Need: decide.Resources{CPUs: 4, GPUs: 1, MemoryGB: 20}, Tasks: n, Waiting: n,
+			j := &decide.Job{ID: spec.ID, Spec: spec, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Need: need, Tasks: n, Waiting: n,
 				Heavy: rapid.Bool().Draw(t, "heavy"), Submitted: now, FirstSeen: now}
 			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0:
--- a/internal/coordination/decide/decidetest/plain.go
+++ b/internal/coordination/decide/decidetest/plain.go
@@ -35,7 +35,7 @@
 	}
 	var slots []slot
 	for _, m := range v.Index.Machines(v.Partition) {
-		if !m.HasCapacity() || !m.Usable(v.Now, v.Config.ReportS) || m.EarmarkExcludes(j, v.Now) || zoneCapacity(m.Zone) <= 0 ||
+		if !m.Usable(v.Now, v.Config.ReportS) || m.EarmarkExcludes(j, v.Now) || zoneCapacity(m.Zone) <= 0 ||
 			!decide.Allowed(j.Spec, decide.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}) {
 			continue
 		}
@@ -54,7 +54,10 @@
 		if j.Need.GPUs == 0 && (v.GPUTypesInDemand == nil || v.GPUTypesInDemand[m.Type]) {
 			s.idledGPUs = m.Size.GPUs
 		}
-		for range m.Free().TaskCount(j.Need) {
+		if !m.HasType {
+			continue
+		}
+		for range m.Size.Add(m.Used, -1).TaskCount(j.Need) {
 			slots = append(slots, s)
 		}
 	}
--- a/internal/coordination/decide/index.go
+++ b/internal/coordination/decide/index.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/RoaringBitmap/roaring/v2"
-	"github.com/google/btree"
 )
 
 // Index keeps the machines in search order, so that a scheduling pass need not scan the
@@ -14,8 +13,8 @@
 // number of machines only through the depth of a tree. The index holds:
 //
 //   - Each partition's machines, by name.
-//   - The machines that have free capacity and no Block, grouped by offer and fetch cost,
-//     the fullest first. Slots are ranked in this order.
+//   - The machines that have free capacity and no Block, in a capacityPool for each set of
+//     exhausted resources. Slots are ranked in the order of the pools' groups.
 //   - Which of these machines hold an image, as compressed bitmaps of machine IDs.
 //   - The GPUs that each team's stopping tasks still use.
 type Index struct {
@@ -28,23 +27,9 @@
 
 // partitionIndex is the index of one partition's machines.
 type partitionIndex struct {
-	machines     []*Machine // recorded machines, by name
-	groups       []*machineGroup
-	images       map[string]*roaring.Bitmap // IDs of the machines in groups that hold an image
-	withCapacity int                        // number of machines in groups
-}
-
-// machineGroup holds the machines with free capacity that belong to one offer and have the same
-// fetch cost.
-type machineGroup struct {
-	offer    Offer
-	secPerGB float64
-	tree     *btree.BTreeG[*Machine]
-}
-
-// fullestFirst orders machines by packingOrder, and equal ones by name.
-func fullestFirst(a, b *Machine) bool {
-	return cmp.Or(cmp.Compare(a.packingOrder(), b.packingOrder()), cmp.Compare(a.Name, b.Name)) < 0
+	machines []*Machine                 // recorded machines, by name
+	pools    [allResources]capacityPool // by the kinds of resources that the machines have exhausted
+	images   map[string]*roaring.Bitmap // IDs of the machines in pools that hold an image
 }
 
 // NewIndex returns an empty index for a number of partitions and teams.
@@ -68,21 +53,22 @@
 		m.id = x.assignID(m)
 	}
 	listed := facts.Block&NotRecorded == 0
-	open := listed && facts.Block == 0 && facts.HasCapacity()
+	exhausted := facts.Size.exhausted(facts.Free())
+	open := listed && facts.Block == 0 && facts.Free().kinds() != 0
 	stays := m.listed && listed && m.Partition == facts.Partition && m.Name == facts.Name
 	x.countAssignments(m, -1)
 	var sameGroup *machineGroup // the group that it stays in, at the same position
 	sameImages := false         // its images are in the bitmaps already
 	if m.group != nil && stays && open {
 		sameImages = slices.Equal(m.Images, facts.Images)
-		if g := m.group; g.offer == facts.offer() && g.secPerGB == facts.SecPerGB && m.packingOrder() == facts.packingOrder() {
+		pool := &x.partitions[m.Partition].pools[exhausted]
+		if g := m.group; g.pool == pool && g.offer == facts.offer() && g.secPerGB == facts.SecPerGB && m.packingOrder() == facts.packingOrder() {
 			sameGroup = g
 		}
 	}
 	if m.group != nil {
 		if sameGroup == nil {
-			m.group.tree.Delete(m)
-			x.partitions[m.Partition].withCapacity--
+			m.group.remove(m)
 		}
 		if !sameImages {
 			x.partitions[m.Partition].dropImages(m)
@@ -110,9 +96,7 @@
 		return
 	}
 	if sameGroup == nil {
-		m.group = partition.group(m)
-		m.group.tree.ReplaceOrInsert(m)
-		partition.withCapacity++
+		partition.pools[exhausted].insert(m)
 	}
 	if !sameImages {
 		partition.addImages(m)
@@ -195,85 +179,6 @@
 	return uint32(len(x.byID) - 1)
 }
 
-// group returns the group that a machine belongs to, and creates it if there is none.
-func (p *partitionIndex) group(m *Machine) *machineGroup {
-	offer := m.offer()
-	for _, g := range p.groups {
-		if g.offer == offer && g.secPerGB == m.SecPerGB {
-			return g
-		}
-	}
-	g := &machineGroup{offer: offer, secPerGB: m.SecPerGB, tree: btree.NewG(16, fullestFirst)}
-	p.groups = append(p.groups, g)
-	return g
-}
-
-// groupCursor iterates over the machines of a group in their order.
-type groupCursor struct {
-	orderOffset float64    // added to the order; places spot machines before or after ordinary ones
-	buffered    []*Machine // fetched from the tree and not yet consumed
-	group       *machineGroup
-	last        *Machine // the last machine fetched; nil: none yet
-	done        bool
-}
-
-// cursorChunk is the number of machines that a cursor fetches from the tree at once.
-const cursorChunk = 16
-
-// peek returns the next machine, or nil at the end. It fetches machines from the tree in
-// chunks; the tree must not change while the cursor is in use.
-func (c *groupCursor) peek() *Machine {
-	if len(c.buffered) == 0 && !c.done {
-		buffer := func(m *Machine) bool {
-			if m != c.last {
-				c.buffered = append(c.buffered, m)
-			}
-			return len(c.buffered) < cursorChunk
-		}
-		if c.last == nil {
-			c.group.tree.Ascend(buffer)
-		} else {
-			c.group.tree.AscendGreaterOrEqual(c.last, buffer)
-		}
-		if len(c.buffered) == 0 {
-			c.done = true
-			return nil
-		}
-		c.last = c.buffered[len(c.buffered)-1]
-	}
-	if len(c.buffered) == 0 {
-		return nil
-	}
-	return c.buffered[0]
-}
-
-// mergeGroups iterates over the machines of several groups, by order and then by name, until
-// visit returns false.
-func mergeGroups(cursors []*groupCursor, visit func(m *Machine, order float64) bool) {
-	for {
-		var best *groupCursor
-		var bestMachine *Machine
-		var bestOrder float64
-		for _, cursor := range cursors {
-			m := cursor.peek()
-			if m == nil {
-				continue
-			}
-			o := cursor.orderOffset + m.packingOrder()
-			if best == nil || o < bestOrder || o == bestOrder && m.Name < bestMachine.Name {
-				best, bestMachine, bestOrder = cursor, m, o
-			}
-		}
-		if best == nil {
-			return
-		}
-		best.buffered = best.buffered[1:]
-		if !visit(bestMachine, bestOrder) {
-			return
-		}
-	}
-}
-
 // Check compares the index with a new one of the same machines and returns the first
 // difference as an error. Tests use it.
 func (x *Index) Check() error {
@@ -288,23 +193,17 @@
 	for i := range x.partitions {
 		actual, expected := &x.partitions[i], &fresh.partitions[i]
 		same := func(m, o *Machine) bool { return m.Name == o.Name }
-		if !slices.EqualFunc(actual.machines, expected.machines, same) || actual.withCapacity != expected.withCapacity || len(actual.images) != len(expected.images) {
-			return fmt.Errorf("share %d: %d machines, %d with room, %d images; %d, %d, %d in a new index", i, len(actual.machines), actual.withCapacity, len(actual.images), len(expected.machines), expected.withCapacity, len(expected.images))
+		if !slices.EqualFunc(actual.machines, expected.machines, same) || len(actual.images) != len(expected.images) {
+			return fmt.Errorf("share %d: %d machines, %d images; %d, %d in a new index", i, len(actual.machines), len(actual.images), len(expected.machines), len(expected.images))
 		}
 		for im, bits := range actual.images {
 			if expected.images[im] == nil || bits.GetCardinality() != expected.images[im].GetCardinality() {
 				return fmt.Errorf("share %d: image %s is on other machines in a new index", i, im)
 			}
 		}
-		for _, g := range actual.groups {
-			want := 0
-			for _, other := range expected.groups {
-				if other.offer == g.offer && other.secPerGB == g.secPerGB {
-					want = other.tree.Len()
-				}
-			}
-			if g.tree.Len() != want {
-				return fmt.Errorf("share %d: %d machines of %v with room, %d in a new index", i, g.tree.Len(), g.offer, want)
+		for exhausted := range actual.pools {
+			if err := actual.pools[exhausted].check(&expected.pools[exhausted]); err != nil {
+				return fmt.Errorf("share %d, machines with resources %03b exhausted: %w", i, exhausted, err)
 			}
 		}
 	}
--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -72,14 +72,10 @@
 	return m.Size.Add(m.Used, -1)
 }
 
-// HasCapacity reports whether a machine has the resources for any further task. A machine with
-// GPUs has none if all GPUs are in use.
-func (m *Machine) HasCapacity() bool {
-	f := m.Free()
-	if m.HasType && m.Size.GPUs > 0 && f.GPUs < Tolerance {
-		return false
-	}
-	return f.CPUs > Tolerance && f.MemoryGB > Tolerance
+// HasAllResources reports whether a machine has some left of each kind of resource that its type
+// has.
+func (m *Machine) HasAllResources() bool {
+	return m.HasType && m.Size.exhausted(m.Free()) == 0
 }
 
 // Usable reports whether new tasks may be placed on a machine.
--- a/internal/coordination/decide/place.go
+++ b/internal/coordination/decide/place.go
@@ -133,26 +133,20 @@
 	partition := &v.Index.partitions[v.Partition]
 	zones := map[string]int{}
 	v.reservedSlots = 0
-	if partition.withCapacity == 0 {
-		return nil, zones
-	}
 	key := placementKeyOf(j)
 	if at, known := v.noCapacityAt[key]; known && at == v.Index.version && !j.zoneConstrained() {
 		return nil, zones
 	}
-	var groups []*machineGroup
-	for _, g := range partition.groups {
-		if g.tree.Len() > 0 && Allowed(j.Spec, g.offer) && j.zoneCapacity(g.offer.Zone) > 0 {
-			groups = append(groups, g)
-			if _, ok := zones[g.offer.Zone]; !ok {
-				zones[g.offer.Zone] = len(zones)
-			}
+	groups, searched := partition.groupsFor(j, func(o Offer) bool { return j.zoneCapacity(o.Zone) > 0 })
+	for _, g := range groups {
+		if _, ok := zones[g.offer.Zone]; !ok {
+			zones[g.offer.Zone] = len(zones)
 		}
 	}
 	var out []candidate
 	if !j.zoneConstrained() {
 		v.skippedEarmarked = false
-		if out = v.leastIdledGPUs(j, groups, r); len(out) == 0 && !v.skippedEarmarked {
+		if out = v.leastIdledGPUs(j, groups, searched, r); len(out) == 0 && !v.skippedEarmarked {
 			if v.noCapacityAt == nil {
 				v.noCapacityAt = map[placementKey]uint64{}
 			}
@@ -161,15 +155,16 @@
 		return out, zones
 	}
 	for z := range zones {
-		out = append(out, v.leastIdledGPUs(j, slices.DeleteFunc(slices.Clone(groups), func(g *machineGroup) bool { return g.offer.Zone != z }), r)...)
+		out = append(out, v.leastIdledGPUs(j, slices.DeleteFunc(slices.Clone(groups), func(g *machineGroup) bool { return g.offer.Zone != z }), searched, r)...)
 	}
 	slices.SortFunc(out, byCost)
 	return out, zones
 }
 
 // leastIdledGPUs returns the cheapest machines of the groups with the fewest idled GPUs, up to 2r
-// slots, and of the groups with more idled GPUs only as many as r slots still lack.
-func (v *View) leastIdledGPUs(j *Job, groups []*machineGroup, r int) []candidate {
+// slots, and of the groups with more idled GPUs only as many as r slots still lack. searched is the
+// number of machines in the groups' pools.
+func (v *View) leastIdledGPUs(j *Job, groups []*machineGroup, searched, r int) []candidate {
 	levels := map[float64][]*machineGroup{}
 	for _, g := range groups {
 		idled := v.idledGPUs(j, g.offer.Type)
@@ -185,7 +180,7 @@
 		if i == 0 {
 			missing = 2 * r
 		}
-		for _, c := range v.cheapest(j, levels[idled], missing) {
+		for _, c := range v.cheapest(j, levels[idled], searched, missing) {
 			c.idledGPUs = idled
 			fitting += c.fit
 			out = append(out, c)
@@ -208,8 +203,8 @@
 }
 
 // cheapest returns the first machines of groups in the order of their cost, until they have the
-// given number of slots.
-func (v *View) cheapest(j *Job, groups []*machineGroup, slots int) (out []candidate) {
+// given number of slots. searched is the number of machines in the groups' pools.
+func (v *View) cheapest(j *Job, groups []*machineGroup, searched, slots int) (out []candidate) {
 	partition := &v.Index.partitions[v.Partition]
 	avoidSpot := v.Config.RestartMissesObjective(j, v.Now)
 	remaining := slots
@@ -243,7 +238,7 @@
 	// from the bitmap; otherwise a scan of the groups finds them quickly.
 	cached := partition.images[j.Spec.Image]
 	if cached != nil && j.Spec.ImageGB > 0 {
-		if int(cached.GetCardinality())*8 < partition.withCapacity {
+		if int(cached.GetCardinality())*8 < searched {
 			var cachedCandidates []candidate
 			for it := cached.Iterator(); it.HasNext(); {
 				m := v.Index.byID[it.Next()]
--- a/internal/coordination/decide/relocation.go
+++ b/internal/coordination/decide/relocation.go
@@ -58,13 +58,10 @@
 	if p.noPlace[key] {
 		return 0, false
 	}
-	var groups []*machineGroup
-	for _, g := range p.view.Index.partitions[p.view.Partition].groups {
-		if g.tree.Len() > 0 && g.offer.Zone == from.Zone && Allowed(j.Spec, g.offer) && p.view.idledGPUs(j, g.offer.Type) == 0 {
-			groups = append(groups, g)
-		}
-	}
-	free := p.view.cheapest(j, groups, len(p.placements)+1)
+	groups, searched := p.view.Index.partitions[p.view.Partition].groupsFor(j, func(o Offer) bool {
+		return o.Zone == from.Zone && p.view.idledGPUs(j, o.Type) == 0
+	})
+	free := p.view.cheapest(j, groups, searched, len(p.placements)+1)
 	for _, maxFetch := range []float64{0, maxRelocationFetch} {
 		if m := p.placeOnFree(j, free, maxFetch); m != nil {
 			return m.FetchSeconds(j.Spec), true
--- a/internal/coordination/decide/rent.go
+++ b/internal/coordination/decide/rent.go
@@ -11,20 +11,20 @@
 // Bin is a machine in a forecast, on which waiting tasks are placed to find out what to rent.
 type Bin struct {
 	Offer
+	size    Resources
 	free    Resources
 	machine *Machine // nil: requested from the cloud, to be moved here, or to be rented
 	uses    int      // tasks that the forecast placed on it
-	gpus    bool     // its type has GPUs
 }
 
 // binOf returns a bin for an existing machine.
 func binOf(m *Machine) *Bin {
-	return &Bin{Offer: m.offer(), free: m.Free(), machine: m, gpus: m.HasType && m.Size.GPUs > 0}
+	return &Bin{Offer: m.offer(), size: m.Size, free: m.Free(), machine: m}
 }
 
 // newBin returns a bin for a machine to be rented.
 func newBin(o Offer, t *protocol.MachineType) *Bin {
-	return &Bin{Offer: o, free: SizeOf(t), gpus: t.GPUs > 0}
+	return &Bin{Offer: o, size: SizeOf(t), free: SizeOf(t)}
 }
 
 // SizeOf returns the resources of a machine type.
@@ -46,8 +46,8 @@
 	return len(b.machine.Images)
 }
 
-// full reports whether a bin has no CPUs left, or no GPUs if its type has any.
-func (b *Bin) full() bool { return b.free.CPUs <= Tolerance || b.gpus && b.free.GPUs <= Tolerance }
+// exhausted returns the kinds of resources that a bin has none left of.
+func (b *Bin) exhausted() resourceSet { return b.size.exhausted(b.free) }
 
 // PendingRental is a number of machines that were requested from the cloud and are not recorded yet.
 type PendingRental struct {
@@ -112,11 +112,11 @@
 	}
 	donors := v.donorMachines(market.DonorPartitions)
 	f.bins = append(slices.Clone(running), f.bins...)
-	f.openBins = slices.Clone(f.bins)
+	f.open(f.bins)
 	for _, j := range waiting {
 		if v.Now.Sub(j.FirstSeen) < v.moveTime() {
 			f.bins = append(f.bins, donors...)
-			f.openBins = append(f.openBins, donors...)
+			f.open(donors)
 			donors = nil
 		}
 		reason := NoCapacity
@@ -134,8 +134,8 @@
 	slices.SortStableFunc(f.bins, func(a, b *Bin) int {
 		return cmp.Or(b.tasks()-a.tasks(), b.images()-a.images())
 	})
-	f.openBins = slices.DeleteFunc(slices.Clone(f.bins), (*Bin).full)
-	f.scanFrom = nil
+	f.openBins = [allResources]binList{}
+	f.open(f.bins)
 	for _, j := range expected {
 		f.placeTasks(j, j.Tasks)
 	}
@@ -250,17 +250,66 @@
 // forecast is the search for the machines that waiting and expected jobs need.
 type forecast struct {
 	view         *View
-	bins         []*Bin               // all, in order
-	openBins     []*Bin               // bins with capacity
-	scanFrom     map[placementKey]int // index in openBins at which jobs with the same key start
-	placedByTeam []Resources          // by team: resources of the tasks placed in the forecast
-	toRent       map[Offer]int        // number of bins opened by offer
-	inZone       map[string]int       // number of machines of the partition by zone
+	bins         []*Bin                // all, in order
+	openBins     [allResources]binList // bins with capacity, by the kinds of resources that they have exhausted
+	placedByTeam []Resources           // by team: resources of the tasks placed in the forecast
+	toRent       map[Offer]int         // number of bins opened by offer
+	inZone       map[string]int        // number of machines of the partition by zone
 	market       *Market
 
 	noNewBins bool // place tasks on existing bins only
 }
 
+// binList is a list of bins that is searched in order.
+type binList struct {
+	bins     []*Bin
+	scanFrom map[placementKey]int // index at which jobs with the same key start
+}
+
+// open enters bins with capacity into the lists, in the given order.
+func (f *forecast) open(bins []*Bin) {
+	for _, b := range bins {
+		if b.free.kinds() != 0 {
+			list := &f.openBins[b.exhausted()]
+			list.bins = append(list.bins, b)
+		}
+	}
+}
+
+// maxMisplacedBins is how many bins may have exhausted more than their list says before they are
+// moved to other lists.
+const maxMisplacedBins = 16
+
+// fillFrom fills the bins of a list in order until fill returns false. Bins only become fuller.
+// One pass is therefore enough, and a job with the same key continues where the last one stopped.
+func (f *forecast) fillFrom(exhausted resourceSet, j *Job, fill func(b *Bin) (more bool)) {
+	list := &f.openBins[exhausted]
+	key := placementKeyOf(j)
+	next, misplaced := 0, 0
+	if !j.zoneConstrained() {
+		next = list.scanFrom[key]
+	}
+	for more := true; next < len(list.bins); next++ {
+		b := list.bins[next]
+		if more = fill(b); b.exhausted() != exhausted {
+			misplaced++
+		}
+		if !more {
+			break // the bin may have capacity for the next job
+		}
+	}
+	if misplaced > maxMisplacedBins {
+		bins := list.bins
+		*list = binList{}
+		f.open(bins)
+	} else if !j.zoneConstrained() {
+		if list.scanFrom == nil {
+			list.scanFrom = map[placementKey]int{}
+		}
+		list.scanFrom[key] = next
+	}
+}
+
 // placeTasks places a number of a job's tasks on bins and opens new bins for the rest. It returns
 // false if no task is to be placed, in particular because of the team's limit.
 func (f *forecast) placeTasks(j *Job, tasks int) bool {
@@ -286,7 +335,7 @@
 		return Allowed(j.Spec, o) && (zone == "" || zone == o.Zone) &&
 			(!j.Spec.Spread || byZone[o.Zone] < half)
 	}
-	fill := func(b *Bin) {
+	fill := func(b *Bin) (more bool) {
 		for tasks > 0 && b.free.TaskCount(j.Need) > 0 && fits(b.Offer) {
 			b.free = b.free.Add(j.Need, -1)
 			b.uses++
@@ -296,33 +345,13 @@
 			}
 			tasks--
 		}
+		return tasks > 0
 	}
-	// Bins only become fuller. One pass over the open bins is therefore enough, and a job
-	// with the same key continues where the last one stopped. Full bins are removed, so
-	// that the next jobs do not scan them again.
-	key := placementKeyOf(j)
-	next, full := 0, 0
-	if !j.zoneConstrained() {
-		next = f.scanFrom[key]
-	}
-	for ; next < len(f.openBins) && tasks > 0; next++ {
-		b := f.openBins[next]
-		fill(b)
-		if b.full() {
-			full++
-		}
-		if tasks == 0 {
-			break // the bin may have capacity for the next job
-		}
-	}
-	if full > 16 {
-		f.openBins = slices.DeleteFunc(f.openBins, (*Bin).full)
-		f.scanFrom = nil
-	} else if !j.zoneConstrained() {
-		if f.scanFrom == nil {
-			f.scanFrom = map[placementKey]int{}
+	// Bins that other work leaves a part of come first, so that others stay free.
+	for exhausted := allResources; exhausted > 0 && tasks > 0; {
+		if exhausted--; exhausted&j.Need.kinds() == 0 {
+			f.fillFrom(exhausted, j, fill)
 		}
-		f.scanFrom[key] = next
 	}
 	for tasks > 0 && !f.noNewBins {
 		o, ok := f.bestOffer(j, fits)
@@ -336,7 +365,8 @@
 		if b.uses == 0 {
 			return true
 		}
-		f.bins, f.openBins = append(f.bins, b), append(f.openBins, b)
+		f.bins = append(f.bins, b)
+		f.open([]*Bin{b})
 	}
 	return true
 }
--- a/internal/coordination/node/facts.go
+++ b/internal/coordination/node/facts.go
@@ -184,8 +184,8 @@
 // available returns a machine's free resources.
 func (n *Node) available(m *machine) Resources { return n.currentFacts(m).Free() }
 
-// hasCapacity reports whether another task could start on a machine.
-func (n *Node) hasCapacity(m *machine) bool { return n.currentFacts(m).HasCapacity() }
+// hasAllResources reports whether a machine has resources of every kind left.
+func (n *Node) hasAllResources(m *machine) bool { return n.currentFacts(m).HasAllResources() }
 
 // hasStoppingTask reports whether a task on a machine is to leave it.
 func (n *Node) hasStoppingTask(m *machine) bool {
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -495,7 +495,7 @@
 // deferAnswer defers the answer to a report. A worker drops answers after 4 s, so the deferral
 // is never longer than 3.3 s.
 func (n *Node) deferAnswer(m *machine, report *protocol.Report, now time.Time, reply chan<- answer) bool {
-	if m.spotNotice || m.returning || len(m.tasks) > 0 && !n.hasCapacity(m) && !m.hasPendingOutcomes() {
+	if m.spotNotice || m.returning || len(m.tasks) > 0 && !n.hasAllResources(m) && !m.hasPendingOutcomes() {
 		return false
 	}
 	m.answerAt = time.Time{}
