Partitions lend capacity to one another

Cause: a machine belongs to one partition, and moves only as a whole. Guarantees of 5 and 3 GPUs on two machines of 4 can't be served by any assignment of machines.

Change: after a job has waited for 10 s (30 s for machines without tasks) an owner whose machines have room lends it to the job's partition, by one stored record; the borrower's owner places tasks there on the condition that the loan is unchanged. A job's owner alone places its tasks and counts them for its team; a machine's owner alone commands it, proves ends, and stores them in the job's record on the condition that it still owns the machine's partition. Records have version 4: nothing is lent, and foreign tasks are stopped, while a node of an earlier version lives.

--- a/internal/coordination/decide/decidetest/plain.go
+++ b/internal/coordination/decide/decidetest/plain.go
@@ -52,7 +52,7 @@
 		}
 		s.order -= fullness
 		if j.Need.GPUs == 0 && (v.GPUTypesInDemand == nil || v.GPUTypesInDemand[m.Type]) {
-			s.idledGPUs = m.Size.GPUs
+			s.idledGPUs = v.Types[m.Type].GPUs // also of a machine of which only a part is lent
 		}
 		if !m.HasType {
 			continue
--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -54,6 +54,7 @@
 	EarmarkedUntil   time.Time
 	Reserved         bool // the earmark is a reservation: jobs that do not delay the gang may be backfilled
 	Needed           bool // by waiting or expected jobs
+	Lent             bool // it is the part of another partition's machine that is lent to this one
 
 	// Maintained by Index.
 	stoppingTasks  int           // number of assigned tasks with Stopping
@@ -84,9 +85,9 @@
 }
 
 // reportOverdue reports whether the last report of a machine is older than two and a half
-// report intervals and a second.
+// report intervals and a second. The reports of a lent part's machine go to the lender.
 func (m *Machine) reportOverdue(now time.Time, reportS float64) bool {
-	return now.Sub(m.LastReport).Seconds() >= 2.5*reportS+1
+	return !m.Lent && now.Sub(m.LastReport).Seconds() >= 2.5*reportS+1
 }
 
 // HasImage reports whether a machine has an image cached or is fetching it.
--- a/internal/coordination/decide/place.go
+++ b/internal/coordination/decide/place.go
@@ -214,7 +214,7 @@
 			if m.Reserved && v.usable(m) {
 				v.reservedSlots += m.Free().TaskCount(j.Need)
 			}
-		} else if v.usable(m) {
+		} else if v.usable(m) && !(m.Lent && j.Partition != m.Partition) {
 			if k := min(m.Free().TaskCount(j.Need), slots); k > 0 {
 				out = append(out, candidate{m: m, fit: k, cost: cost, order: order})
 				remaining -= k
--- a/internal/coordination/decide/rent.go
+++ b/internal/coordination/decide/rent.go
@@ -90,6 +90,12 @@
 		if m.Block&(Returned|Returning|Cordoned|Moving) != 0 {
 			continue
 		}
+		if m.Lent {
+			lent := binOf(m)
+			lent.machine = nil // whether the machine is needed is for the lender to say
+			f.bins = append(f.bins, lent)
+			continue
+		}
 		f.inZone[m.Zone]++
 		rental.Needed[m] = false
 		if m.LastReport.IsZero() && m.Block&InterruptionNotice == 0 {
--- a/internal/coordination/node/account.go
+++ b/internal/coordination/node/account.go
@@ -454,14 +454,14 @@
 		if len(row.Machines) < maxRowMachines && !slices.Contains(row.Machines, m.name) {
 			row.Machines = append(row.Machines, m.name)
 		}
-		silent := owned && m.recorded && m.hasBooted() && n.silent(m, now)
+		silent := n.ownsMachine(m) && m.hasBooted() && n.silent(m, now)
 		if silent {
 			row.Silent++
 			if silence := now.Sub(n.silentSince(m)); firstSilent || silence < facts.Silent {
 				facts.Silent, firstSilent = silence, false
 			}
 		}
-		switch t.reportedState {
+		switch n.shownState(j, t) {
 		case reportedRunning, reportedSaving:
 			row.Running++
 			began := t.runningSince
--- a/internal/coordination/node/cancels.go
+++ b/internal/coordination/node/cancels.go
@@ -54,7 +54,6 @@
 // moment: a machine is unreachable as far as this node knows, or the tasks are on more machines
 // than get the stop directly.
 func (n *Node) cancelWillBeSlow(j *job, now time.Time) bool {
-	owned := n.owns(n.partitions[j.partition])
 	seen := map[*machine]bool{}
 	for i := range j.tasks {
 		t := &j.tasks[i]
@@ -62,6 +61,7 @@
 			continue
 		}
 		m := t.machine
+		owned := n.ownsMachine(m)
 		if seen[m] = true; len(seen) > maxDirectStops || n.zoneUnreachable(m.rec.Zone, now) || owned && (m.addr == "" || !m.fenced || n.silent(m, now)) {
 			return true
 		}
@@ -105,14 +105,11 @@
 // get it with the answers to their reports.
 const maxDirectStops = 32
 
-// stopTasksDirectly tells the machines of a job that is being cancelled to stop its tasks.
+// stopTasksDirectly tells this node's machines to stop the tasks of a job that is being cancelled.
 func (n *Node) stopTasksDirectly(j *job) {
-	if !n.owns(n.partitions[j.partition]) {
-		return
-	}
 	stopped := map[*machine]bool{}
 	for i := range j.tasks {
-		if m := j.tasks[i].machine; m != nil && j.tasks[i].phase == phasePlaced && !stopped[m] && len(stopped) < maxDirectStops {
+		if m := j.tasks[i].machine; m != nil && j.tasks[i].phase == phasePlaced && n.ownsMachine(m) && !stopped[m] && len(stopped) < maxDirectStops {
 			stopped[m] = true
 			n.sendStops(m)
 		}
--- a/internal/coordination/node/facts.go
+++ b/internal/coordination/node/facts.go
@@ -62,11 +62,14 @@
 	if m.factsStale {
 		m.factsStale = false
 		if n.machines[m.name] != m {
+			n.removeInvalidLentParts(m)
 			n.planningFacts.index.Remove(&m.facts)
 			return &m.facts
 		}
+		n.removeInvalidLentParts(m) // first, since it may have moved to the borrower
 		f := n.buildMachineFacts(m)
 		n.planningFacts.index.Set(&m.facts, &f)
+		n.setLentParts(m)
 	}
 	return &m.facts
 }
@@ -74,7 +77,7 @@
 // buildMachineFacts builds a machine's facts from the actor's state.
 func (n *Node) buildMachineFacts(m *machine) decide.Machine {
 	machineType := n.machineTypes[m.rec.Type]
-	facts := decide.Machine{Name: m.name, Type: m.rec.Type, Zone: m.rec.Zone, Spot: m.rec.Spot, Partition: m.rec.Partition, Used: m.used, SecPerGB: decide.SecondsPerGB(machineType, m.secPerGB),
+	facts := decide.Machine{Name: m.name, Type: m.rec.Type, Zone: m.rec.Zone, Spot: m.rec.Spot, Partition: m.rec.Partition, Used: m.used.Add(n.reservedByLoans(m), 1), SecPerGB: decide.SecondsPerGB(machineType, m.secPerGB),
 		AvoidUntil: m.avoidUntil, LastReport: m.lastFencedReport, HasAddress: m.rec.Addr != "", EarmarkedUntil: m.earmarkedUntil, Reserved: m.gangReservation, Needed: m.needed}
 	if machineType != nil {
 		facts.HasType, facts.Size = true, decide.SizeOf(machineType)
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -98,6 +98,7 @@
 	writePending        bool              // a change of it is being stored
 	heavy               bool              // its image is large compared with recent arrivals; see decide.Window
 	abortAttempt        bool              // gangs: the current attempt must end
+	attemptWhole        bool              // gangs: all tasks of the current attempt have been placed; see loans.go
 	firstSeen           time.Time         // when this node first saw it
 	preemptionWaitUntil time.Time         // how long to wait for preemption on machines that cache its image
 	allPlacedAt         time.Time         // when the last waiting task was first recorded as placed
@@ -294,21 +295,26 @@
 		if confirmed {
 			n.scheduleAnswer(m, now)
 			n.pendingStarts[m] = true
+		} else {
+			n.wakeForForeignTask(j, m, now)
 		}
 	case j.retriesExhausted(int(t.storedErrors)):
 		n.setPhase(j, i, phaseExhausted, nil, 0, now)
 	case t.phase != phaseWaiting:
+		n.noteForeignTaskReturned(j, t, now)
 		n.setPhase(j, i, phaseWaiting, nil, 0, now)
 	}
 }
 
 // afterTasksApplied updates the job after the stored state of some of its tasks was applied.
 func (n *Node) afterTasksApplied(j *job) {
+	n.noteBrokenAttempt(j)
 	if j.abortAttempt && j.nPlaced == 0 {
 		j.abortAttempt = false
 		n.markJobStale(j)
 	}
-	if j.cancelled || j.nDone+j.nExhausted == len(j.tasks) {
+	// Of a gang of which another owner has stored that a task is done, all tasks are done.
+	if j.cancelled || j.nDone+j.nExhausted == len(j.tasks) || j.spec.Shape == protocol.Gang && j.nDone > 0 {
 		n.dirty[j] = true
 	}
 }
@@ -358,7 +364,7 @@
 	n.markStale(m)
 	team := n.teams[j.team]
 	team.Used = team.Used.Add(j.need, 1)
-	m.used = m.used.Add(j.need, 1)
+	m.addUse(j.partition, j.need, 1)
 	m.tasks[taskKey{j, i}] = struct{}{}
 	m.idleSince, m.idleSinceUnknown = time.Time{}, false
 }
@@ -372,6 +378,7 @@
 	delete(m.tasks, taskKey{j, i})
 	if len(m.tasks) == 0 {
 		m.used = Resources{}
+		clear(m.usedByPartition)
 		m.idleSince = time.Now()
 	}
 	n.replan = true
@@ -390,7 +397,7 @@
 	n.markStale(t.machine)
 	team := n.teams[j.team]
 	team.Used = team.Used.Add(j.need, -1)
-	t.machine.used = t.machine.used.Add(j.need, -1)
+	t.machine.addUse(j.partition, j.need, -1)
 	n.replan = true
 }
 
@@ -401,17 +408,22 @@
 // it had not stored.
 func (n *Node) discardOutcomes(j *job) {
 	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.capacityFreed {
-			t.capacityFreed = false
-			team := n.teams[j.team]
-			team.Used = team.Used.Add(j.need, 1)
-			t.machine.used = t.machine.used.Add(j.need, 1)
-		}
-		t.outcome, t.storing, t.stopRequested, t.unstoredError = outcomeNone, false, false, false
-		t.reportedState, t.startSentAt, t.runningSince = reportedNone, time.Time{}, time.Time{}
-		n.markStale(t.machine)
+		n.discardOutcome(j, i)
+	}
+}
+
+// discardOutcome drops what was observed of one placed task.
+func (n *Node) discardOutcome(j *job, i int) {
+	t := &j.tasks[i]
+	if t.capacityFreed {
+		t.capacityFreed = false
+		team := n.teams[j.team]
+		team.Used = team.Used.Add(j.need, 1)
+		t.machine.addUse(j.partition, j.need, 1)
 	}
+	t.outcome, t.storing, t.stopRequested, t.unstoredError = outcomeNone, false, false, false
+	t.reportedState, t.startSentAt, t.runningSince = reportedNone, time.Time{}, time.Time{}
+	n.markStale(t.machine)
 }
 
 // dropJob removes a job whose head was deleted: it has ended.
@@ -501,7 +513,11 @@
 	t.outcome = outcome
 	n.dirty[j] = true
 	n.markStale(t.machine)
-	n.freeCapacity(j, i)
+	if !j.isForeign(t.machine) {
+		// The place of a foreign task counts as free only when its end is stored: until then
+		// another owner of its machine may find that it runs.
+		n.freeCapacity(j, i)
+	}
 	if j.spec.Shape != protocol.Gang {
 		return
 	}
@@ -511,7 +527,9 @@
 			if j.tasks[k].phase == phasePlaced {
 				j.tasks[k].outcome = outcomeFinished
 				n.markStale(j.tasks[k].machine)
-				n.freeCapacity(j, k)
+				if !j.isForeign(j.tasks[k].machine) {
+					n.freeCapacity(j, k)
+				}
 			}
 		}
 	} else if !j.abortAttempt {
@@ -551,7 +569,7 @@
 		}
 		if !n.owns(n.partitions[j.partition]) {
 			n.revertProposals(j)
-			delete(n.dirty, j)
+			n.storeForeignEnds(j)
 			continue
 		}
 		if j.dirtySince.IsZero() {
@@ -635,25 +653,42 @@
 	c := protocol.Chunk{LogSeq: n.partitions[j.partition].log.LastSeq()}
 	lo, hi := j.chunkRange(k)
 	for i := lo; i < hi; i++ {
-		t := &j.tasks[i]
-		if e := t.countedErrors(); e > 0 && t.phase != phaseDone && t.outcome != outcomeFinished {
-			c.Errors = append(c.Errors, [2]int{i, e})
-		}
-		switch {
-		case t.phase == phaseDone || t.outcome == outcomeFinished:
-			if l := len(c.Done); l > 0 && c.Done[l-1][1] == i-1 {
-				c.Done[l-1][1] = i
-			} else {
-				c.Done = append(c.Done, [2]int{i, i})
-			}
-		case t.outcome == outcomeGone || t.phase == phaseWaiting || t.phase == phaseExhausted:
-		default:
-			c.Placed = append(c.Placed, protocol.Placement{Task: i, Attempt: t.attempt, Machine: t.machine.name})
-		}
+		j.tasks[i].addTo(&c, i, j.tasks[i].outcome)
 	}
 	return c
 }
 
+// withoutProposal returns the state of a task without a placement that is not stored yet.
+func (t *task) withoutProposal() task {
+	stored := *t
+	if stored.phase == phaseProposed {
+		stored.phase, stored.machine = phaseWaiting, nil
+	}
+	return stored
+}
+
+// addTo adds the state of task i to a chunk, with the given outcome if it is placed.
+func (t *task) addTo(c *protocol.Chunk, i int, outcome taskOutcome) {
+	done := t.phase == phaseDone || outcome == outcomeFinished
+	errors := int(t.storedErrors)
+	if outcome != outcomeNone {
+		errors = t.countedErrors()
+	}
+	if errors > 0 && !done {
+		c.Errors = append(c.Errors, [2]int{i, errors})
+	}
+	switch {
+	case done:
+		if l := len(c.Done); l > 0 && c.Done[l-1][1] == i-1 {
+			c.Done[l-1][1] = i
+		} else {
+			c.Done = append(c.Done, [2]int{i, i})
+		}
+	case (t.phase == phasePlaced || t.phase == phaseProposed) && outcome == outcomeNone:
+		c.Placed = append(c.Placed, protocol.Placement{Task: i, Attempt: t.attempt, Machine: t.machine.name})
+	}
+}
+
 // headRecord returns a job's head record as the owner stores it.
 func (n *Node) headRecord(j *job) protocol.JobRecord {
 	return protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled && !j.cancelPending, CancelRequested: j.cancelPending, NextAttempt: j.nextAttempt, Tries: j.failures.tries, Claim: j.claim, Step: j.step, Failed: j.failed, LostRuns: j.history.lostRuns, LastLostMS: j.history.lastLostMS(), Chunk: n.chunkRecord(j, 0)}
@@ -693,6 +728,7 @@
 	if n.mayHaveEntries() {
 		op.Conds = append(op.Conds, n.logUnchanged(j.partition), storage.Cond{Key: protocol.FinalKey(j.id)})
 	}
+	op.Conds = append(op.Conds, n.foreignConds(j)...)
 	if ends && j.step != nil {
 		if !n.addStepEnd(j, op) {
 			j.dirtyChunks = touched
--- a/internal/coordination/node/machines.go
+++ b/internal/coordination/node/machines.go
@@ -184,7 +184,7 @@
 		case n.presumedDead(m, now):
 			n.log.Info("machine given up", "machine", m.name, "heard", !m.lastFencedReport.IsZero(), "tasks", len(m.tasks))
 			toReturn = append(toReturn, m)
-		case len(m.tasks) > 0 || !m.fenced || m.moving:
+		case len(m.tasks) > 0 || !m.fenced || m.moving || n.isLent(m):
 		case m.spotNotice || n.faulty(m):
 			n.log.Info("machine returned", "machine", m.name, "notice", m.spotNotice, "blamed_by", len(m.faults.failedJobs), "failures", m.faults.provenFailures)
 			toReturn = append(toReturn, m)
@@ -358,10 +358,12 @@
 		}
 		return
 	}
+	ownsAny := false // of the owners of jobs with tasks there each returns it, for its own tasks
 	for k := range m.tasks {
-		if !n.owns(n.partitions[k.job.partition]) {
-			return
-		}
+		ownsAny = ownsAny || n.owns(n.partitions[k.job.partition])
+	}
+	if !ownsAny {
+		return
 	}
 	switch {
 	case m.returned:
@@ -530,5 +532,6 @@
 	}
 	t := &j.tasks[i]
 	t.stopRequested, t.stopGraceS = true, grace
+	n.recallLoan(j, t.machine)
 	n.wakeMachines(j)
 }
--- a/internal/coordination/node/moves.go
+++ b/internal/coordination/node/moves.go
@@ -127,7 +127,7 @@
 			}
 			continue
 		}
-		if m.batch.storing {
+		if m.batch.storing || n.isLent(m) {
 			continue
 		}
 		p := path{m.rec.Partition, move.Partition}
--- a/internal/coordination/node/node.go
+++ b/internal/coordination/node/node.go
@@ -92,8 +92,10 @@
 	teamIndex           map[string]int
 	tokenCounter        uint64               // highest fencing token issued, as stored
 	liveNodes           map[string]time.Time // nodes with a live record, and when each was first seen
-	olderNodes          map[string]bool      // live nodes that use an earlier version of the records
+	olderNodes          map[string]bool      // live nodes that confirm the cancellation of a ticket before its tasks have ended
 	nodesWithoutEntries map[string]bool      // live nodes whose version can't read packed entries
+	nodesWithoutLoans   map[string]bool      // live nodes whose version can't run tasks on lent capacity
+	loans               loanState            // loans.go: capacity that partitions lend to one another
 	lease               uint64               // this node's lease; 0: none
 	machineTypes        map[string]*protocol.MachineType
 	catalog             catalog
@@ -255,7 +257,8 @@
 	n.corruptKeys = map[string]uint64{}
 	n.cancelling = map[*job]bool{}
 	n.adoption, n.nodesWithoutEntries = duty.NewAdoption(), map[string]bool{}
-	n.olderNodes = map[string]bool{}
+	n.olderNodes, n.nodesWithoutLoans = map[string]bool{}, map[string]bool{}
+	n.loans = newLoanState()
 	n.watchTimeout.Store(int64(longWatchTimeout))
 	n.packed = newPackedState()
 	n.userCommitter.OnAnswered, n.urgentCommitter.OnAnswered, n.backgroundCommitter.OnAnswered = n.changeCounts.add, n.changeCounts.add, n.changeCounts.add
@@ -411,6 +414,7 @@
 	n.tickPartitions(now)
 	n.tickReconciliations(now)
 	n.tickMachines(now)
+	n.tickLoans(now)
 }
 
 // maintainCatalog reads the cloud's catalogue every minute; after a failure it retries in two seconds.
--- a/internal/coordination/node/packed.go
+++ b/internal/coordination/node/packed.go
@@ -441,12 +441,13 @@
 	var finals []storage.Write
 	for _, request := range requests {
 		j := request.job
-		if len(op.Conds)+2 > n.maxConditions() {
-			break
-		}
 		if j.cancelled {
 			n.revertProposals(j) // no task of it may start any more
 		}
+		conds := append(n.stillOpen(j.id), n.foreignConds(j)...)
+		if len(op.Conds)+len(conds) > n.maxConditions() {
+			break
+		}
 		draft := packed.Draft{Part: protocol.Part{Job: j.id}}
 		if j.remainingTasks() == 0 {
 			if len(finals) == maxEnds {
@@ -466,7 +467,7 @@
 			}
 			break
 		}
-		op.Conds = append(op.Conds, n.stillOpen(j.id)...)
+		op.Conds = append(op.Conds, conds...)
 		delete(n.dirty, j)
 		j.dirtySince, j.writePending = time.Time{}, true
 		j.dirtyChunks = map[int]bool{}
--- a/internal/coordination/node/partitions.go
+++ b/internal/coordination/node/partitions.go
@@ -141,6 +141,7 @@
 	if wasOwner {
 		n.onPartitionLost(p)
 	}
+	n.discardForeignOutcomes(p)
 	if n.owns(p) {
 		p.acquiredAt = now
 		n.recordTakeover(p, previous, now)
@@ -179,6 +180,7 @@
 	for _, m := range p.machines {
 		n.rejectDeferred(m)
 	}
+	n.discardForeignOutcomes(p)
 	for _, j := range p.jobs {
 		if !j.writePending {
 			n.revertProposals(j)
--- a/internal/coordination/node/replica.go
+++ b/internal/coordination/node/replica.go
@@ -313,6 +313,7 @@
 		name := strings.TrimPrefix(item.Key, protocol.NodeRoot)
 		delete(n.nodesWithoutEntries, name)
 		delete(n.olderNodes, name)
+		n.setWithoutLoans(name, false)
 		delete(n.packed.plainNodes, name)
 		if item.Value == nil {
 			delete(n.liveNodes, name)
@@ -326,9 +327,10 @@
 		if read(&r); corrupt {
 			r = protocol.NodeRecord{} // the node is live, but what it can read is not known
 		}
-		if r.Version < protocol.RecordVersion {
+		if r.Version < protocol.TicketCancelVersion {
 			n.olderNodes[name] = true
 		}
+		n.setWithoutLoans(name, r.Version < protocol.LoansVersion)
 		if r.Version < protocol.PackedVersion {
 			n.nodesWithoutEntries[name] = true
 		}
@@ -336,6 +338,11 @@
 			n.packed.plainNodes[name] = true
 		}
 		n.applyNodeRecord(name, r.Lease)
+	case strings.HasPrefix(item.Key, protocol.LoanRoot):
+		var r protocol.LoansRecord
+		if read(&r) || !corrupt {
+			n.applyLoans(item.Key, r)
+		}
 	case strings.HasPrefix(item.Key, protocol.LogRoot):
 		n.applyLogEntry(item)
 	case strings.HasPrefix(item.Key, protocol.InboxRoot):
--- a/internal/coordination/node/schedule.go
+++ b/internal/coordination/node/schedule.go
@@ -187,7 +187,9 @@
 	until := j.reservedSince.Add(j.facts.ReservationTime())
 	machines := make([]*machine, 0, len(reservation.Machines))
 	for _, f := range reservation.Machines {
-		machines = append(machines, n.machines[f.Name])
+		if !f.Lent {
+			machines = append(machines, n.machines[f.Name])
+		}
 	}
 	for _, m := range j.reservedMachines {
 		if !slices.Contains(machines, m) {
@@ -282,6 +284,9 @@
 		return
 	}
 	for _, f := range preemption.Earmarked {
+		if f.Lent {
+			continue // the lender takes it back by itself
+		}
 		m := n.machines[f.Name]
 		m.earmarkedFor, m.earmarkedUntil, m.gangReservation = j, now.Add(preemptionHold), false
 		n.markStale(m)
--- a/internal/coordination/node/sim_test.go
+++ b/internal/coordination/node/sim_test.go
@@ -919,14 +919,7 @@
 		time.Sleep(w.randDuration(time.Millisecond, 2*time.Second))
 	}
 	faults(w)
-	w.withLock(func() {
-		w.outage, w.lossRate, w.lateTxnRate, w.delayedTxnRate, w.duplicateReportRate, w.delayedCommandRate, w.stateDelay = false, 0, 0, 0, 0, 0, 0
-		w.commandCopyRate, w.callCopyRate = 0, 0
-		w.lostAnswerRate, w.keptReportRate, w.heldReportRate, w.releaseOnOwnerChange, w.isolatedZone = 0, 0, 0, false, ""
-		for _, m := range []map[string]bool{w.stateRefused, w.isolated, w.workersUnreachable, w.stateSilent, w.peersUnreachable, w.watchStalled, w.noInbound, w.cutPairs, w.noOutbound} {
-			clear(m)
-		}
-	})
+	w.removeFaults()
 	w.closingCheck(6 * time.Minute)
 	for _, b := range w.fleet.Violations {
 		w.violation("rule broken: %s", b)
@@ -939,6 +932,18 @@
 	}
 }
 
+// removeFaults removes all faults that are set.
+func (w *simCluster) removeFaults() {
+	w.withLock(func() {
+		w.outage, w.lossRate, w.lateTxnRate, w.delayedTxnRate, w.duplicateReportRate, w.delayedCommandRate, w.stateDelay = false, 0, 0, 0, 0, 0, 0
+		w.commandCopyRate, w.callCopyRate = 0, 0
+		w.lostAnswerRate, w.keptReportRate, w.heldReportRate, w.releaseOnOwnerChange, w.isolatedZone = 0, 0, 0, false, ""
+		for _, m := range []map[string]bool{w.stateRefused, w.isolated, w.workersUnreachable, w.stateSilent, w.peersUnreachable, w.watchStalled, w.noInbound, w.cutPairs, w.noOutbound} {
+			clear(m)
+		}
+	})
+}
+
 // simulate runs a workload with faults in a new cluster.
 func simulate(t *testing.T, seed uint64, count int, change func(p *protocol.WorkerSettings), faults func(w *simCluster)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/node/status.go
+++ b/internal/coordination/node/status.go
@@ -171,7 +171,7 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		switch {
-		case t.phase == phaseDone || t.phase == phaseExhausted || t.phase == phasePlaced && t.reportedState >= reportedRunning:
+		case t.phase == phaseDone || t.phase == phaseExhausted || t.phase == phasePlaced && n.shownState(j, t) >= reportedRunning:
 			continue
 		case t.phase == phaseWaiting:
 			if j.cancelled {
--- a/internal/coordination/node/users.go
+++ b/internal/coordination/node/users.go
@@ -605,19 +605,8 @@
 	r := protocol.JobRecord{Spec: j.spec, SubmittedMS: j.submitted.UnixMilli(), Cancelled: j.cancelled && !j.cancelPending, CancelRequested: j.cancelPending, NextAttempt: j.nextAttempt, Tries: j.failures.tries, Claim: j.claim, Step: j.step, Failed: j.failed, LostRuns: j.history.lostRuns, LastLostMS: j.history.lastLostMS()}
 	lo, hi := j.chunkRange(0)
 	for i := lo; i < hi; i++ {
-		if e := int(j.tasks[i].storedErrors); e > 0 && j.tasks[i].phase != phaseDone {
-			r.Errors = append(r.Errors, [2]int{i, e})
-		}
-		switch t := &j.tasks[i]; t.phase {
-		case phaseDone:
-			if l := len(r.Done); l > 0 && r.Done[l-1][1] == i-1 {
-				r.Done[l-1][1] = i
-			} else {
-				r.Done = append(r.Done, [2]int{i, i})
-			}
-		case phasePlaced:
-			r.Placed = append(r.Placed, protocol.Placement{Task: i, Attempt: t.attempt, Machine: t.machine.name})
-		}
+		stored := j.tasks[i].withoutProposal()
+		stored.addTo(&r.Chunk, i, outcomeNone)
 	}
 	return r
 }
--- a/internal/coordination/node/why.go
+++ b/internal/coordination/node/why.go
@@ -268,7 +268,7 @@
 		switch {
 		case t.phase == phaseDone || t.phase == phaseExhausted:
 			continue
-		case t.phase == phasePlaced && t.reportedState >= reportedRunning:
+		case t.phase == phasePlaced && n.shownState(j, t) >= reportedRunning:
 			explanation.Running++
 			continue
 		case t.phase != phaseWaiting:
@@ -320,7 +320,7 @@
 	causes := map[decide.Reason]decide.Cause{}
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.phase != phasePlaced && t.phase != phaseProposed || t.reportedState >= reportedRunning && t.phase == phasePlaced {
+		if t.phase != phasePlaced && t.phase != phaseProposed || n.shownState(j, t) >= reportedRunning && t.phase == phasePlaced {
 			continue
 		}
 		kind := decide.Starting
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -27,6 +27,8 @@
 	batch    *batch // the batch that contains its record
 	tasks    map[taskKey]struct{}
 	used     Resources
+	// usedByPartition is the part of used by the tasks of each partition's jobs.
+	usedByPartition []Resources
 
 	addr              string
 	trackedSince      time.Time // start of the silence timeouts: record first seen, or partition taken over
@@ -61,7 +63,8 @@
 	secPerGB          float64                // measured seconds per GB fetched; 0: unknown
 	fetchStartedAt    map[string]time.Time
 	cordoned          bool
-	earmarkedFor      *job // job for which free resources on it are kept
+	lentParts         map[int]*decide.Machine // decision facts of the parts that are lent, by borrowing partition
+	earmarkedFor      *job                    // job for which free resources on it are kept
 	earmarkedUntil    time.Time
 	gangReservation   bool           // they are kept by a gang's reservation, not by preemption
 	needed            bool           // by waiting or expected jobs
@@ -69,6 +72,23 @@
 	factsStale        bool           // the facts must be rebuilt
 }
 
+// addUse adds what tasks of a partition's jobs use of a machine, or subtracts it.
+func (m *machine) addUse(partition int, need Resources, factor float64) {
+	m.used = m.used.Add(need, factor)
+	for len(m.usedByPartition) <= partition {
+		m.usedByPartition = append(m.usedByPartition, Resources{})
+	}
+	m.usedByPartition[partition] = m.usedByPartition[partition].Add(need, factor)
+}
+
+// usedBy returns what the tasks of a partition's jobs use on a machine.
+func (m *machine) usedBy(partition int) Resources {
+	if partition >= len(m.usedByPartition) {
+		return Resources{}
+	}
+	return m.usedByPartition[partition]
+}
+
 // deferredReport is a report whose answer is delayed so that a start can be sent as soon as it
 // is stored.
 type deferredReport struct {
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -23,6 +23,7 @@
 	ClassesKey        = WatchedRoot + "classes"   // classes of tickets
 	LogRoot           = WatchedRoot + "log/"      // Entry, by partition and slot
 	InboxRoot         = WatchedRoot + "in/"       // Entry, by node and slot
+	LoanRoot          = WatchedRoot + "loans/"    // LoansRecord, by lending and borrowing partition
 	FormatKey         = WatchedRoot + "format"    // FormatRecord
 	FinalRoot         = "f/"                      // FinalRecord, by job
 	TicketRoot        = "t/"                      // template and arguments, by ticket
@@ -64,6 +65,11 @@
 // OwnerKey is the key of a partition's OwnerRecord.
 func OwnerKey(partition int) string { return OwnerRoot + strconv.Itoa(partition) + "/holder" }
 
+// LoansKey is the key of the capacity that one partition lends to another.
+func LoansKey(lender, borrower int) string {
+	return LoanRoot + strconv.Itoa(lender) + "/" + strconv.Itoa(borrower)
+}
+
 // BatchKey is the key of a BatchRecord of machines.
 func BatchKey(name string) string { return MachineRoot + name }
 
@@ -274,14 +280,45 @@
 	RequiresRecords bool   `json:"p,omitempty"` // the node accepts tickets or gateway jobs, which need records of their own
 }
 
+// LoansRecord is the capacity of some machines that the partition to which they belong lends to
+// another one. Only the owner of the lending partition changes it. The owner of the borrowing
+// partition may place tasks there on the condition that the record is unchanged. The record stays
+// in force when the owners change; an empty one lends nothing.
+type LoansRecord struct {
+	Machines []Loan `json:"m,omitempty"`
+}
+
+// Loan is capacity of one machine, including that which tasks of the borrowing partition use.
+type Loan struct {
+	Machine  string  `json:"n"`
+	CPUs     float64 `json:"c,omitempty"`
+	GPUs     float64 `json:"g,omitempty"`
+	MemoryGB float64 `json:"m,omitempty"`
+}
+
+// Check returns an error if the record has an impossible value.
+func (r *LoansRecord) Check() error {
+	for _, l := range r.Machines {
+		if l.Machine == "" || l.CPUs < 0 || l.GPUs < 0 || l.MemoryGB < 0 {
+			return fmt.Errorf("a loan of %v CPUs, %v GPUs and %v GB of machine %q", l.CPUs, l.GPUs, l.MemoryGB, l.Machine)
+		}
+	}
+	return nil
+}
+
 // RecordVersion is the version of the records of this release. Version 1 records rentals
 // under the rental fence, and confirms the cancellation of a job only when none of its tasks
 // is left. Version 2 reads and writes entries. Version 3 confirms the cancellation of a
-// ticket only when none of its tasks is left.
-const RecordVersion = 3
+// ticket only when none of its tasks is left. Version 4 runs tasks on capacity that another
+// partition lends.
+const RecordVersion = 4
 
-// PackedVersion is the first RecordVersion that reads and writes entries.
-const PackedVersion = 2
+// The first versions of the records that have a feature.
+const (
+	PackedVersion       = 2 // reads and writes entries
+	TicketCancelVersion = 3 // confirms the cancellation of a ticket only when none of its tasks is left
+	LoansVersion        = 4 // reads and writes loans
+)
 
 // CatalogRecord is the cloud's catalog as a node last read it. A node that starts while the
 // cloud does not answer learns the types of the running machines from it.
