--- a/internal/coordination/node/bad_input_test.go
+++ b/internal/coordination/node/bad_input_test.go
@@ -157,6 +157,9 @@
 func TestBadInputDetectsDisabledGuard(t *testing.T) {
 	frequent := badInput
 	frequent.inject = func(w *simCluster) {
+		for i, team := range []string{"red", "blue", "green", "red", "blue", "green"} { // tasks run all the time
+			w.submit(&protocol.JobSpec{ID: fmt.Sprintf("job-98%04d", i), Team: team, Class: "c", Shape: protocol.Array, Priority: "high", Tasks: 2, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "i", ImageGB: 1, EstimateS: 40})
+		}
 		for range 40 {
 			for range 8 {
 				go w.corruptOne()
