Blamed machines with running tasks are tried again

Cause: a circle. Where only one machine has room a job with a mistake fails there alone, so the machine is blamed; three such jobs keep all new tasks off it. It is returned only without tasks, and was cleared only by a task that starts there. On the related paths: one job with a mistake that nobody cancels took the only place before any sound job; the time for which a machine is avoided grew without bound.

Change: a blamed machine with tasks takes one task, or one gang, of a job that has not failed there, after 10, 20 and then every 30 s; success clears it (half-open state). A job that fails again on the same machine is kept off it for 20 s to 60 s.

Failed tries: a trial whose capacity was lent to any job was spent by jobs that had failed there; a pause of the whole job kept it from other machines.

--- a/internal/coordination/decide/agree_test.go
+++ b/internal/coordination/decide/agree_test.go
@@ -35,11 +35,17 @@
 					facts.Images = append(facts.Images, fmt.Sprint("i", k))
 				}
 			}
-			switch rapid.IntRange(0, 12).Draw(t, "state") {
+			switch rapid.IntRange(0, 13).Draw(t, "state") {
+			case 4:
+				facts.Block, facts.OnTrial, facts.ExcludedJobs = decide.Faulty, rapid.Bool().Draw(t, "on trial"), []string{"job-1"}
 			case 0:
 				facts.Block = decide.Cordoned
 			case 1:
 				facts.LastReport = now.Add(-time.Minute)
+			case 6:
+				facts.ExcludedJobs = []string{"job-1", "job-3"}
+			case 5:
+				facts.Lent, facts.OnlyFor = true, rapid.SampledFrom([]string{"", "job-1"}).Draw(t, "only for")
 			case 2:
 				facts.AvoidUntil = now.Add(time.Second)
 			case 3:
--- a/internal/coordination/decide/decidetest/plain.go
+++ b/internal/coordination/decide/decidetest/plain.go
@@ -35,7 +35,15 @@
 	}
 	var slots []slot
 	for _, m := range v.Index.Machines(v.Partition) {
-		if !m.Usable(v.Now, v.Config.ReportS) || m.EarmarkExcludes(j, v.Now) || zoneCapacity(m.Zone) <= 0 ||
+		onTrial := m.OnTrial && m.Block == decide.Faulty && !j.FailsEverywhere
+		unblocked := *m
+		if onTrial {
+			unblocked.Block = 0
+		}
+		if m.OnlyFor != "" && m.OnlyFor != j.ID || slices.Contains(m.ExcludedJobs, j.ID) {
+			continue
+		}
+		if !unblocked.Usable(v.Now, v.Config.ReportS) || m.EarmarkExcludes(j, v.Now) || zoneCapacity(m.Zone) <= 0 ||
 			!decide.Allowed(j.Spec, decide.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}) {
 			continue
 		}
@@ -57,7 +65,11 @@
 		if !m.HasType {
 			continue
 		}
-		for range m.Size.Add(m.Used, -1).TaskCount(j.Need) {
+		fit := m.Size.Add(m.Used, -1).TaskCount(j.Need)
+		if onTrial && !(j.Spec.Shape == protocol.Gang && j.Tasks > 1) {
+			fit = min(fit, 1)
+		}
+		for range fit {
 			slots = append(slots, s)
 		}
 	}
--- a/internal/coordination/decide/explain.go
+++ b/internal/coordination/decide/explain.go
@@ -265,7 +265,7 @@
 		return AwaitingFirstReport
 	case m.LastReport.IsZero() && m.Block&(Returned|Returning|Moving) == 0:
 		return Booting
-	case m.Block&(Unfenced|StartUnconfirmed|Moving|Faulty|Returning|Returned) != 0 || v.Now.Before(m.AvoidUntil):
+	case m.Block&(Unfenced|StartUnconfirmed|Moving|Faulty|Returning|Returned) != 0 || v.Now.Before(m.AvoidUntil) || m.excludes(j) || m.OnlyFor != "" && m.OnlyFor != j.ID:
 		return NotReady
 	case m.reportOverdue(v.Now, v.Config.ReportS):
 		return ReportOverdue
--- a/internal/coordination/decide/index.go
+++ b/internal/coordination/decide/index.go
@@ -13,7 +13,7 @@
 // number of machines only through the depth of a tree. The index holds:
 //
 //   - Each partition's machines, by name.
-//   - The machines that have free capacity and no Block, in a capacityPool for each set of
+//   - The machines that have free capacity and no Block, or are on trial, in a capacityPool for each set of
 //     exhausted resources. Slots are ranked in the order of the pools' groups.
 //   - Which of these machines hold an image, as compressed bitmaps of machine IDs.
 //   - The GPUs that each team's stopping tasks still use.
@@ -54,7 +54,7 @@
 	}
 	listed := facts.Block&NotRecorded == 0
 	exhausted := facts.Size.exhausted(facts.Free())
-	open := listed && facts.Block == 0 && facts.Free().kinds() != 0
+	open := listed && (facts.Block == 0 || facts.Block == Faulty && facts.OnTrial) && facts.Free().kinds() != 0
 	stays := m.listed && listed && m.Partition == facts.Partition && m.Name == facts.Name
 	x.countAssignments(m, -1)
 	var sameGroup *machineGroup // the group that it stays in, at the same position
--- a/internal/coordination/decide/lend.go
+++ b/internal/coordination/decide/lend.go
@@ -26,7 +26,7 @@
 	if j.coscheduled() {
 		spec := *j.Spec
 		spec.Shape = protocol.Array
-		request.Spec = &spec
+		request.Spec, request.PartOfGang = &spec, true
 	}
 	lender := *v
 	lender.NoPreemption = true
--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -52,9 +52,12 @@
 	Assignments      []Assignment
 	EarmarkedFor     *Job // the gang that its capacity is held for
 	EarmarkedUntil   time.Time
-	Reserved         bool // the earmark is a reservation: jobs that do not delay the gang may be backfilled
-	Needed           bool // by waiting or expected jobs
-	Lent             bool // it is the part of another partition's machine that is lent to this one
+	Reserved         bool     // the earmark is a reservation: jobs that do not delay the gang may be backfilled
+	Needed           bool     // by waiting or expected jobs
+	Lent             bool     // it is the part of another partition's machine that is lent to this one
+	OnlyFor          string   // if Lent is set: ID of the only job that may use it; empty: any
+	OnTrial          bool     // although it is Faulty, a task of a job that has not failed on it, or a gang, may be tried
+	ExcludedJobs     []string // IDs of jobs that have failed on it and may not be placed there now
 
 	// Maintained by Index.
 	stoppingTasks  int           // number of assigned tasks with Stopping
@@ -81,9 +84,23 @@
 
 // Usable reports whether new tasks may be placed on a machine.
 func (m *Machine) Usable(now time.Time, reportS float64) bool {
-	return m.Block == 0 && !now.Before(m.AvoidUntil) && !m.reportOverdue(now, reportS)
+	return m.Block == 0 && m.answering(now, reportS)
 }
 
+// answering reports whether a machine reports in time and is not to be avoided.
+func (m *Machine) answering(now time.Time, reportS float64) bool {
+	return !now.Before(m.AvoidUntil) && !m.reportOverdue(now, reportS)
+}
+
+// mayBeTriedBy reports whether one task of a job, or a whole gang, may be tried on a machine that is
+// on trial: the job is not known to fail, neither there nor everywhere.
+func (m *Machine) mayBeTriedBy(j *Job) bool {
+	return m.OnTrial && m.Block == Faulty && !j.FailsEverywhere && !m.excludes(j)
+}
+
+// excludes reports whether a job has failed on a machine and may not be placed there now.
+func (m *Machine) excludes(j *Job) bool { return slices.Contains(m.ExcludedJobs, j.ID) }
+
 // reportOverdue reports whether the last report of a machine is older than two and a half
 // report intervals and a second. The reports of a lent part's machine go to the lender.
 func (m *Machine) reportOverdue(now time.Time, reportS float64) bool {
@@ -193,6 +210,8 @@
 	FailsEverywhere     bool // its tasks have failed on every machine tried, most likely for a mistake in the job
 	Heavy               bool
 	TicketStep          bool // the job is a step of a ticket
+	Excluded            bool // some machines exclude it
+	PartOfGang          bool // it stands for the part of a gang for which another partition looks for capacity
 	Tries               int  // number of tries if FailsEverywhere is set
 	LastError           string
 	NotBefore           time.Time // no task is tried before this time, after errors
@@ -425,9 +444,9 @@
 	NoPreemption     bool            // Place preempts nothing, because machines that have not reported yet may have capacity
 
 	// Index versions at which a search found nothing, for jobs with the same key.
-	noCapacityAt     map[placementKey]uint64
-	noVictimsAt      map[preemptionKey]uint64
-	skippedEarmarked bool // the last search skipped a machine because of its earmark
+	noCapacityAt  map[placementKey]uint64
+	noVictimsAt   map[preemptionKey]uint64
+	skippedForJob bool // the last search skipped a machine for a reason that need not hold for other jobs
 
 	reservedSlots int // slots that the last search for candidates skipped because of reservations
 
@@ -459,3 +478,21 @@
 func (v *View) Demand(j *Job) int { return Demand(j, v.team(j), v.Now) }
 
 func (v *View) usable(m *Machine) bool { return m.Usable(v.Now, v.Config.ReportS) }
+
+// slotsOn returns how many tasks of a job may be placed on a machine now.
+func (v *View) slotsOn(j *Job, m *Machine) int {
+	switch {
+	case m.Lent && j.Partition != m.Partition:
+		return 0 // what is lent is not lent on
+	case m.OnlyFor != "" && m.OnlyFor != j.ID || m.excludes(j):
+		return 0
+	case v.usable(m):
+		return m.Free().TaskCount(j.Need)
+	case m.mayBeTriedBy(j) && m.answering(v.Now, v.Config.ReportS):
+		if j.coscheduled() || j.PartOfGang {
+			return m.Free().TaskCount(j.Need)
+		}
+		return min(1, m.Free().TaskCount(j.Need))
+	}
+	return 0
+}
--- a/internal/coordination/decide/place.go
+++ b/internal/coordination/decide/place.go
@@ -145,8 +145,8 @@
 	}
 	var out []candidate
 	if !j.zoneConstrained() {
-		v.skippedEarmarked = false
-		if out = v.leastIdledGPUs(j, groups, searched, r); len(out) == 0 && !v.skippedEarmarked {
+		v.skippedForJob = false
+		if out = v.leastIdledGPUs(j, groups, searched, r); len(out) == 0 && !v.skippedForJob {
 			if v.noCapacityAt == nil {
 				v.noCapacityAt = map[placementKey]uint64{}
 			}
@@ -210,15 +210,15 @@
 	remaining := slots
 	add := func(m *Machine, order, cost float64) bool {
 		if m.EarmarkExcludes(j, v.Now) {
-			v.skippedEarmarked = true
+			v.skippedForJob = true
 			if m.Reserved && v.usable(m) {
 				v.reservedSlots += m.Free().TaskCount(j.Need)
 			}
-		} else if v.usable(m) && !(m.Lent && j.Partition != m.Partition) {
-			if k := min(m.Free().TaskCount(j.Need), slots); k > 0 {
-				out = append(out, candidate{m: m, fit: k, cost: cost, order: order})
-				remaining -= k
-			}
+		} else if k := min(v.slotsOn(j, m), slots); k > 0 {
+			out = append(out, candidate{m: m, fit: k, cost: cost, order: order})
+			remaining -= k
+		} else if m.excludes(j) || m.OnTrial && !m.mayBeTriedBy(j) || m.OnlyFor != "" {
+			v.skippedForJob = true
 		}
 		return remaining > 0
 	}
@@ -328,7 +328,7 @@
 // firstMachineInZone returns the first machine by name in a zone that a job can use.
 func (v *View) firstMachineInZone(j *Job, zone string) string {
 	for _, m := range v.Index.Machines(v.Partition) {
-		if m.Zone == zone && m.group != nil && v.usable(m) && Allowed(j.Spec, m.offer()) && !m.EarmarkExcludes(j, v.Now) && m.Free().TaskCount(j.Need) > 0 {
+		if m.Zone == zone && m.group != nil && Allowed(j.Spec, m.offer()) && !m.EarmarkExcludes(j, v.Now) && v.slotsOn(j, m) > 0 {
 			return m.Name
 		}
 	}
--- a/internal/coordination/decide/rent.go
+++ b/internal/coordination/decide/rent.go
@@ -292,7 +292,7 @@
 	list := &f.openBins[exhausted]
 	key := placementKeyOf(j)
 	next, misplaced := 0, 0
-	if !j.zoneConstrained() {
+	if !j.zoneConstrained() && !j.Excluded {
 		next = list.scanFrom[key]
 	}
 	for more := true; next < len(list.bins); next++ {
@@ -308,7 +308,7 @@
 		bins := list.bins
 		*list = binList{}
 		f.open(bins)
-	} else if !j.zoneConstrained() {
+	} else if !j.zoneConstrained() && !j.Excluded {
 		if list.scanFrom == nil {
 			list.scanFrom = map[placementKey]int{}
 		}
@@ -342,6 +342,9 @@
 			(!j.Spec.Spread || byZone[o.Zone] < half)
 	}
 	fill := func(b *Bin) (more bool) {
+		if b.machine != nil && b.machine.excludes(j) {
+			return true
+		}
 		for tasks > 0 && b.free.TaskCount(j.Need) > 0 && fits(b.Offer) {
 			b.free = b.free.Add(j.Need, -1)
 			b.uses++
--- a/internal/coordination/node/facts.go
+++ b/internal/coordination/node/facts.go
@@ -91,6 +91,10 @@
 			facts.Block |= b.bit
 		}
 	}
+	facts.OnTrial = m.faults.onTrial
+	if len(m.excludedJobs) > 0 || m.faults.onTrial {
+		facts.ExcludedJobs = m.jobsExcludedFrom()
+	}
 	if m.reachableOnlyDirectly() {
 		facts.LastReport = m.lastFencedReport.Add(-n.silenceTimeout()) // counts as silent at once: a task started now would end with the lease
 	}
@@ -119,6 +123,7 @@
 		f.InBackoff = j.nWaiting() - j.startableTasks(now)
 	}
 	f.Cancelled, f.AbortAttempt, f.WritePending, f.SiteLeaseMissing = j.cancelled, j.abortAttempt, j.writePending, n.blockedBySiteLease(j, now)
+	f.Excluded = j.failures.repeats > 0
 	f.FailsEverywhere, f.Tries, f.LastError, f.Heavy = j.failures.failsEverywhere, j.failures.tries, j.failures.lastMachine, j.heavy
 	f.NotBefore, f.PreemptionWaitUntil, f.PreemptAfter, f.VictimSearchAfter = j.notBefore, j.preemptionWaitUntil, j.preemptAfter, j.victimSearchAfter
 	f.ReservedSince, f.ReserveAfter, f.ExpectedStart, f.ReservationBlockedSince = j.reservedSince, j.reserveAfter, j.expectedStart, j.reservationBlockedSince
@@ -187,6 +192,11 @@
 // available returns a machine's free resources.
 func (n *Node) available(m *machine) Resources { return n.currentFacts(m).Free() }
 
+// mayGetTasks reports whether new tasks may be placed on a machine, or one may be tried.
+func (n *Node) mayGetTasks(m *machine, now time.Time) bool {
+	return n.usable(m, now) || m.faults.onTrial
+}
+
 // hasAllResources reports whether a machine has resources of every kind left.
 func (n *Node) hasAllResources(m *machine) bool { return n.currentFacts(m).HasAllResources() }
 
--- a/internal/coordination/node/facts_test.go
+++ b/internal/coordination/node/facts_test.go
@@ -20,7 +20,7 @@
 		for _, m := range n.machines {
 			want := n.buildMachineFacts(m)
 			got := decide.Machine{Name: m.facts.Name, Type: m.facts.Type, Zone: m.facts.Zone, Spot: m.facts.Spot, Partition: m.facts.Partition, Block: m.facts.Block, HasType: m.facts.HasType, Size: m.facts.Size, Used: m.facts.Used,
-				SecPerGB: m.facts.SecPerGB, Images: m.facts.Images, AvoidUntil: m.facts.AvoidUntil, LastReport: m.facts.LastReport, HasAddress: m.facts.HasAddress, Assignments: m.facts.Assignments, EarmarkedFor: m.facts.EarmarkedFor, EarmarkedUntil: m.facts.EarmarkedUntil, Reserved: m.facts.Reserved, Needed: m.facts.Needed}
+				SecPerGB: m.facts.SecPerGB, Images: m.facts.Images, AvoidUntil: m.facts.AvoidUntil, LastReport: m.facts.LastReport, HasAddress: m.facts.HasAddress, Assignments: m.facts.Assignments, EarmarkedFor: m.facts.EarmarkedFor, EarmarkedUntil: m.facts.EarmarkedUntil, Reserved: m.facts.Reserved, Needed: m.facts.Needed, OnTrial: m.facts.OnTrial, ExcludedJobs: m.facts.ExcludedJobs}
 			for _, f := range []*decide.Machine{&want, &got} {
 				f.Assignments, f.Images = slices.Clone(f.Assignments), slices.Clone(f.Images)
 				sort.Strings(f.Images)
--- a/internal/coordination/node/jobs.go
+++ b/internal/coordination/node/jobs.go
@@ -198,6 +198,9 @@
 	}
 	j.nextAttempt = max(j.nextAttempt, record.NextAttempt)
 	n.applyTries(j, record.Tries, time.Now())
+	if record.NotBeforeMS > 0 {
+		j.notBefore = latest(j.notBefore, time.UnixMilli(record.NotBeforeMS))
+	}
 	n.applyTasks(j, 0, &record.Chunk)
 	if isNew {
 		n.applyLogParts(j)
@@ -366,6 +369,7 @@
 	team.Used = team.Used.Add(j.need, 1)
 	m.addUse(j.partition, j.need, 1)
 	m.tasks[taskKey{j, i}] = struct{}{}
+	m.noteTrial(taskKey{j, i})
 	m.idleSince, m.idleSinceUnknown = time.Time{}, false
 }
 
--- a/internal/coordination/node/loans.go
+++ b/internal/coordination/node/loans.go
@@ -115,6 +115,15 @@
 	return lent
 }
 
+// onlyBorrowingJob returns the only job that may use the capacity of a machine in a LoansRecord; empty: any.
+func onlyBorrowingJob(record protocol.LoansRecord, machine string) string {
+	i := slices.IndexFunc(record.Machines, func(l protocol.Loan) bool { return l.Machine == machine && l.Job != "" })
+	if i < 0 {
+		return ""
+	}
+	return record.Machines[i].Job
+}
+
 // unusedBeyond returns the part of lent that is not used, of each resource.
 func unusedBeyond(lent, used Resources) Resources {
 	unused := func(lent, used float64) float64 {
@@ -189,6 +198,7 @@
 		m.lentParts[k.borrower] = part
 	}
 	facts := m.facts.LentPart(k.borrower, capacityLent(n.loans.stored[k], m.name), m.usedBy(k.borrower))
+	facts.OnlyFor = onlyBorrowingJob(n.loans.stored[k], m.name)
 	facts.AvoidUntil = n.loans.avoidUntil[lending.Key{Machine: m.name, Borrower: k.borrower}]
 	n.planningFacts.index.Set(part, &facts)
 }
@@ -257,6 +267,9 @@
 	delete(chunks, 0)
 	record := n.storedRecordAtLog(j)
 	record.Chunk = n.chunkWithEnds(j, 0)
+	if time.Now().Before(j.notBefore) {
+		record.NotBeforeMS = j.notBefore.UnixMilli()
+	}
 	op := &storage.Op{Purpose: uint8(forTaskEnds), Conds: append(n.stillOpen(j.id), n.foreignConds(j)...),
 		Writes: []storage.Write{{Put: protocol.JobKey(j.id), Value: mustJSON(record)}}}
 	for k := range chunks {
@@ -387,25 +400,30 @@
 func (n *Node) keptLoans(p *partition, now time.Time) map[int]*protocol.LoansRecord {
 	kept := map[int]*protocol.LoansRecord{}
 	for _, borrower := range n.partitions {
-		record := &protocol.LoansRecord{}
+		record, attributed := &protocol.LoansRecord{}, map[*machine]Resources{} // use attributed to earlier loans
 		kept[borrower.index] = record
 		for _, l := range n.loans.stored[loanKey{p.index, borrower.index}].Machines {
 			m := n.machines[l.Machine]
 			if m == nil || !m.recorded || m.rec.Partition != p.index {
 				continue
 			}
-			lent, used := loanCapacity(l), m.usedBy(borrower.index)
+			lent, used := loanCapacity(l), unusedBeyond(m.usedBy(borrower.index), attributed[m])
+			attributed[m] = attributed[m].Add(lent, 1)
 			key := lending.Key{Machine: m.name, Borrower: borrower.index}
 			_, recalled := n.loans.recalled[key]
 			observation := lending.Observation{
 				FullyUsed:   unusedBeyond(lent, used) == Resources{},
-				Unavailable: recalled || len(n.nodesWithoutLoans) > 0 || !n.usable(m, now),
+				Unavailable: recalled || len(n.nodesWithoutLoans) > 0 || !n.mayGetTasks(m, now),
 			}
 			if n.loans.tracker.TakesBack(key, observation, now) {
 				lent = Resources{CPUs: min(lent.CPUs, used.CPUs), GPUs: min(lent.GPUs, used.GPUs), MemoryGB: min(lent.MemoryGB, used.MemoryGB)}
 			}
 			if lent != (Resources{}) {
-				record.Machines = append(record.Machines, protocol.Loan{Machine: m.name, CPUs: lent.CPUs, GPUs: lent.GPUs, MemoryGB: lent.MemoryGB})
+				job := l.Job
+				if !n.faulty(m) {
+					job = "" // the trial for which it was lent has succeeded
+				}
+				record.Machines = append(record.Machines, protocol.Loan{Machine: m.name, Job: job, CPUs: lent.CPUs, GPUs: lent.GPUs, MemoryGB: lent.MemoryGB})
 			}
 		}
 	}
@@ -420,7 +438,7 @@
 }
 
 // lendingKey identifies waiting jobs for which the same capacity can be lent. Jobs whose tasks depend
-// on one another have a key of their own.
+// on one another, or have failed, have a key of their own.
 type lendingKey struct {
 	job         string
 	team, rank  int
@@ -431,7 +449,7 @@
 
 func (j *job) lendingKey() lendingKey {
 	key := lendingKey{team: j.team, rank: j.rank, need: j.need, types: strings.Join(j.spec.Types, " "), zone: j.spec.Zone, spot: j.spec.Spot}
-	if j.spec.OneZone || j.spec.Spread || j.spec.Shape == protocol.Gang {
+	if j.spec.OneZone || j.spec.Spread || j.spec.Shape == protocol.Gang || len(j.failures.machines) > 0 {
 		key.job = j.id
 	}
 	return key
@@ -524,9 +542,16 @@
 	for _, f := range view.LendTo(facts, request.tasks) {
 		m := n.machines[f.Name]
 		idle := len(m.tasks) == 0
-		if zone != "" && m.rec.Zone != zone || idle && request.waited < lendIdleAfter || !addLoan(record, m.name, request.job.need) {
+		if zone != "" && m.rec.Zone != zone || idle && request.waited < lendIdleAfter {
 			continue
 		}
+		onlyFor := ""
+		if m.faults.onTrial {
+			onlyFor = request.job.id // others may be known to fail there
+		}
+		if !addLoan(record, m.name, onlyFor, request.job.need) {
+			break
+		}
 		any = true
 		n.log.Info("capacity lent", "machine", m.name, "share", p.index, "to", request.job.partition, "job", request.job.id, "waited_s", roundToTenth(request.waited.Seconds()))
 	}
@@ -536,14 +561,15 @@
 // maxLoansPerRecord bounds the number of machines in a LoansRecord.
 const maxLoansPerRecord = 64
 
-// addLoan adds capacity of a machine to a record. It returns false if the record is full.
-func addLoan(record *protocol.LoansRecord, machine string, more Resources) bool {
-	i := slices.IndexFunc(record.Machines, func(l protocol.Loan) bool { return l.Machine == machine })
+// addLoan adds capacity of a machine to a record, for one job or, if onlyFor is empty, any. It returns
+// false if the record is full.
+func addLoan(record *protocol.LoansRecord, machine, onlyFor string, more Resources) bool {
+	i := slices.IndexFunc(record.Machines, func(l protocol.Loan) bool { return l.Machine == machine && l.Job == onlyFor })
 	if i < 0 {
 		if i = len(record.Machines); i == maxLoansPerRecord {
 			return false
 		}
-		record.Machines = append(record.Machines, protocol.Loan{Machine: machine})
+		record.Machines = append(record.Machines, protocol.Loan{Machine: machine, Job: onlyFor})
 	}
 	l := &record.Machines[i]
 	l.CPUs, l.GPUs, l.MemoryGB = l.CPUs+more.CPUs, l.GPUs+more.GPUs, l.MemoryGB+more.MemoryGB
--- a/internal/coordination/node/machines.go
+++ b/internal/coordination/node/machines.go
@@ -174,6 +174,7 @@
 	}
 	n.pollSilent(owned, now)
 	for _, m := range owned {
+		n.expireExclusions(m, now)
 		switch {
 		case m.returned:
 			n.settleReturned(m)
@@ -184,6 +185,8 @@
 		case n.presumedDead(m, now):
 			n.log.Info("machine given up", "machine", m.name, "heard", !m.lastFencedReport.IsZero(), "tasks", len(m.tasks))
 			toReturn = append(toReturn, m)
+		case len(m.tasks) > 0 && m.fenced && n.faulty(m):
+			n.tickTrials(m, now)
 		case len(m.tasks) > 0 || !m.fenced || m.moving || n.isLent(m):
 		case m.spotNotice || n.faulty(m):
 			n.log.Info("machine returned", "machine", m.name, "notice", m.spotNotice, "blamed_by", len(m.faults.failedJobs), "failures", m.faults.provenFailures)
--- a/internal/coordination/node/workers.go
+++ b/internal/coordination/node/workers.go
@@ -63,6 +63,7 @@
 	secPerGB          float64                // measured seconds per GB fetched; 0: unknown
 	fetchStartedAt    map[string]time.Time
 	cordoned          bool
+	excludedJobs      map[string]time.Time    // IDs of jobs that failed on it again and again, and until when they may not use it
 	lentParts         map[int]*decide.Machine // decision facts of the parts that are lent, by borrowing partition
 	earmarkedFor      *job                    // job for which free resources on it are kept
 	earmarkedUntil    time.Time
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -168,6 +168,9 @@
 	// loss causes anyway.
 	LostRuns   int   `json:"l,omitempty"`
 	LastLostMS int64 `json:"u,omitempty"`
+	// NotBeforeMS is set by the owner of a machine on which tasks of the job failed, if the machine
+	// belongs to another partition than the job: no task is to be tried before this time.
+	NotBeforeMS int64 `json:"b,omitempty"`
 	// Ticket is set in the record of a ticket, which has no Spec and no tasks of its own.
 	// Releases without support for tickets ignore such a record.
 	Ticket *TicketRecord `json:"w,omitempty"`
@@ -291,6 +294,7 @@
 // Loan is capacity of one machine, including that which tasks of the borrowing partition use.
 type Loan struct {
 	Machine  string  `json:"n"`
+	Job      string  `json:"j,omitempty"` // set if only this job may use it
 	CPUs     float64 `json:"c,omitempty"`
 	GPUs     float64 `json:"g,omitempty"`
 	MemoryGB float64 `json:"m,omitempty"`
