Operators see jobs that wait beside room

Each owner now compares recorded machines and placements, not the index that it is to check, with its waiting jobs: the gauges dapplestage_jobs_beside_room and dapplestage_beside_room_seconds, a log line with job, machine and obstacle every 20 s, and the room in the answer of why.

--- a/cmd/dapplestage/why.go
+++ b/cmd/dapplestage/why.go
@@ -119,6 +119,9 @@
 		}
 		fmt.Fprintln(out, label, c.Text)
 	}
+	if room := explanation.Room; room != nil {
+		fmt.Fprintf(out, "room:    %s of share %d: %s\n", room.Machine, room.Share, room.Obstacle)
+	}
 	for _, r := range explanation.Release {
 		fmt.Fprintln(out, "until:  ", r)
 	}
--- a/internal/coordination/node/machines.go
+++ b/internal/coordination/node/machines.go
@@ -220,6 +220,7 @@
 	n.logChangeCounts(now.Sub(latest(n.lastStatusLog, n.startedAt)))
 	n.lastStatusLog = now
 	n.updateWaitingMetric(now)
+	n.reportJobsBesideRoom(now)
 	for _, p := range n.partitions {
 		if !n.owns(p) {
 			continue
--- a/internal/coordination/node/metrics.go
+++ b/internal/coordination/node/metrics.go
@@ -9,27 +9,29 @@
 // Metrics are the node's Prometheus metrics. The number of label values is bounded: classes are
 // those of the objectives, and "other".
 type Metrics struct {
-	Registry        *prometheus.Registry
-	accept          prometheus.Histogram
-	start           *prometheus.HistogramVec
-	finish          *prometheus.HistogramVec
-	stateCalls      *prometheus.CounterVec
-	cloudCalls      *prometheus.CounterVec
-	guardRefusals   *prometheus.CounterVec
-	placed          prometheus.Counter
-	actorLag        prometheus.Histogram
-	backlog         prometheus.Gauge
-	waiting         *prometheus.GaugeVec
-	orders          *prometheus.CounterVec
-	unheardMachines *prometheus.GaugeVec
-	orderRate       prometheus.Gauge
-	takeover        *prometheus.HistogramVec
-	changes         *prometheus.CounterVec
-	entries         *prometheus.HistogramVec
-	directStarts    *prometheus.CounterVec
-	tokenRaises     prometheus.Counter
-	misplacedTasks  prometheus.Counter
-	classes         map[string]bool
+	Registry          *prometheus.Registry
+	accept            prometheus.Histogram
+	start             *prometheus.HistogramVec
+	finish            *prometheus.HistogramVec
+	stateCalls        *prometheus.CounterVec
+	cloudCalls        *prometheus.CounterVec
+	guardRefusals     *prometheus.CounterVec
+	placed            prometheus.Counter
+	actorLag          prometheus.Histogram
+	backlog           prometheus.Gauge
+	waiting           *prometheus.GaugeVec
+	orders            *prometheus.CounterVec
+	unheardMachines   *prometheus.GaugeVec
+	orderRate         prometheus.Gauge
+	takeover          *prometheus.HistogramVec
+	changes           *prometheus.CounterVec
+	entries           *prometheus.HistogramVec
+	directStarts      *prometheus.CounterVec
+	tokenRaises       prometheus.Counter
+	misplacedTasks    prometheus.Counter
+	besideRoom        prometheus.Gauge
+	besideRoomLongest prometheus.Gauge
+	classes           map[string]bool
 }
 
 // newMetrics creates and registers the metrics. classes are the values of the class label.
@@ -73,7 +75,11 @@
 		Help: "Raises of a machine's token without a change, so that copies of earlier direct starts are refused."})
 	m.misplacedTasks = prometheus.NewCounter(prometheus.CounterOpts{Name: "dapplestage_misplaced_tasks_total",
 		Help: "Reports of tasks on a machine where they are not placed; they are stopped."})
-	m.Registry.MustRegister(m.directStarts, m.tokenRaises, m.misplacedTasks, m.entries, m.changes, m.takeover, m.orders, m.unheardMachines, m.orderRate, m.waiting, m.actorLag, m.backlog, m.accept, m.start, m.finish, m.stateCalls, m.cloudCalls, m.guardRefusals, m.placed)
+	m.besideRoom = prometheus.NewGauge(prometheus.GaugeOpts{Name: "dapplestage_jobs_beside_room",
+		Help: "Kinds of jobs of the shares held that have waited for over 30 s while a machine of the site has room and their team is under its limit; brought up to date every 20 s."})
+	m.besideRoomLongest = prometheus.NewGauge(prometheus.GaugeOpts{Name: "dapplestage_beside_room_seconds",
+		Help: "The longest time that one of them has waited."})
+	m.Registry.MustRegister(m.besideRoom, m.besideRoomLongest, m.directStarts, m.tokenRaises, m.misplacedTasks, m.entries, m.changes, m.takeover, m.orders, m.unheardMachines, m.orderRate, m.waiting, m.actorLag, m.backlog, m.accept, m.start, m.finish, m.stateCalls, m.cloudCalls, m.guardRefusals, m.placed)
 	return m
 }
 
--- a/internal/coordination/node/why.go
+++ b/internal/coordination/node/why.go
@@ -43,6 +43,7 @@
 	Causes     []ExplainedCause `json:"causes"`            // everything that blocks the job; the binding cause first
 	Release    []string         `json:"release,omitempty"` // changes that would let it start
 	Sufficient bool             `json:"enough"`            // whether those changes are known to suffice
+	Room       *BesideRoom      `json:"room,omitempty"`    // a machine that has room for it, and what keeps it off
 	Owner      string           `json:"holder"`
 	Unknown    string           `json:"unknown,omitempty"` // why the causes are not known
 	StateAge   float64          `json:"state_age_s"`       // time since the state service last answered the owner
@@ -306,6 +307,9 @@
 		}
 		explanation.Sufficient = ok
 	}
+	if explanation.Waiting > 0 && j.waitedFor(now) >= lendAfter {
+		explanation.Room = n.machineWithRoom(j, now)
+	}
 	starting := n.startingCauses(j, now)
 	for _, kind := range slices.Sorted(maps.Keys(starting)) {
 		cause := starting[kind]
