--- a/internal/coordination/decide/decidetest/plain.go
+++ b/internal/coordination/decide/decidetest/plain.go
@@ -35,15 +35,8 @@
 	}
 	var slots []slot
 	for _, m := range v.Index.Machines(v.Partition) {
-		onTrial := m.OnTrial && m.Block == decide.Faulty && !j.FailsEverywhere
-		unblocked := *m
-		if onTrial {
-			unblocked.Block = 0
-		}
-		if m.OnlyFor != "" && m.OnlyFor != j.ID || slices.Contains(m.ExcludedJobs, j.ID) {
-			continue
-		}
-		if !unblocked.Usable(v.Now, v.Config.ReportS) || m.EarmarkExcludes(j, v.Now) || zoneCapacity(m.Zone) <= 0 ||
+		fit := freeSlots(v, j, m)
+		if fit == 0 || m.EarmarkExcludes(j, v.Now) || zoneCapacity(m.Zone) <= 0 ||
 			!decide.Allowed(j.Spec, decide.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}) {
 			continue
 		}
@@ -62,13 +55,6 @@
 		if j.Need.GPUs == 0 && (v.GPUTypesInDemand == nil || v.GPUTypesInDemand[m.Type]) {
 			s.idledGPUs = v.Types[m.Type].GPUs // also of a machine of which only a part is lent
 		}
-		if !m.HasType {
-			continue
-		}
-		fit := m.Size.Add(m.Used, -1).TaskCount(j.Need)
-		if onTrial && !(j.Spec.Shape == protocol.Gang && j.Tasks > 1) {
-			fit = min(fit, 1)
-		}
 		for range fit {
 			slots = append(slots, s)
 		}
@@ -110,6 +96,26 @@
 	return out
 }
 
+// freeSlots returns how many tasks of a job a machine can take now.
+func freeSlots(v *decide.View, j *decide.Job, m *decide.Machine) int {
+	if !m.HasType || m.OnlyFor != "" && m.OnlyFor != j.ID || slices.Contains(m.ExcludedJobs, j.ID) {
+		return 0
+	}
+	onTrial := m.OnTrial && m.Block == decide.Faulty && !j.FailsEverywhere
+	unblocked := *m
+	if onTrial {
+		unblocked.Block = 0
+	}
+	if !unblocked.Usable(v.Now, v.Config.ReportS) {
+		return 0
+	}
+	fit := m.Size.Add(m.Used, -1).TaskCount(j.Need)
+	if onTrial && !(j.Spec.Shape == protocol.Gang && j.Tasks > 1) {
+		fit = min(fit, 1)
+	}
+	return fit
+}
+
 // leastIdledGPUs drops the slots that would idle GPUs although r slots with fewer idled GPUs exist,
 // by zone for a zone-constrained job.
 func leastIdledGPUs(slots []slot, r int, byZone bool) (out []slot) {
--- a/internal/coordination/node/replica.go
+++ b/internal/coordination/node/replica.go
@@ -310,34 +310,7 @@
 			n.dropBatch(item.Key)
 		}
 	case strings.HasPrefix(item.Key, protocol.NodeRoot):
-		name := strings.TrimPrefix(item.Key, protocol.NodeRoot)
-		delete(n.nodesWithoutEntries, name)
-		delete(n.olderNodes, name)
-		n.setWithoutLoans(name, false)
-		delete(n.packed.plainNodes, name)
-		if item.Value == nil {
-			delete(n.liveNodes, name)
-			n.applyNodeRecord(name, 0)
-			return
-		}
-		if _, ok := n.liveNodes[name]; !ok {
-			n.liveNodes[name] = time.Now()
-		}
-		var r protocol.NodeRecord
-		if read(&r); corrupt {
-			r = protocol.NodeRecord{} // the node is live, but what it can read is not known
-		}
-		if r.Version < protocol.TicketCancelVersion {
-			n.olderNodes[name] = true
-		}
-		n.setWithoutLoans(name, r.Version < protocol.LoansVersion)
-		if r.Version < protocol.PackedVersion {
-			n.nodesWithoutEntries[name] = true
-		}
-		if r.RequiresRecords {
-			n.packed.plainNodes[name] = true
-		}
-		n.applyNodeRecord(name, r.Lease)
+		n.applyNodeItem(item, read)
 	case strings.HasPrefix(item.Key, protocol.LoanRoot):
 		var r protocol.LoansRecord
 		if read(&r) || !corrupt {
@@ -377,6 +350,38 @@
 	}
 }
 
+// applyNodeItem applies the stored record of a live node, or its absence. read decodes the value.
+func (n *Node) applyNodeItem(item storage.Item, read func(v any) bool) {
+	name := strings.TrimPrefix(item.Key, protocol.NodeRoot)
+	delete(n.nodesWithoutEntries, name)
+	delete(n.olderNodes, name)
+	n.setWithoutLoans(name, false)
+	delete(n.packed.plainNodes, name)
+	if item.Value == nil {
+		delete(n.liveNodes, name)
+		n.applyNodeRecord(name, 0)
+		return
+	}
+	if _, ok := n.liveNodes[name]; !ok {
+		n.liveNodes[name] = time.Now()
+	}
+	var r protocol.NodeRecord
+	if !read(&r) {
+		r = protocol.NodeRecord{} // the node is live, but what it can read is not known
+	}
+	if r.Version < protocol.TicketCancelVersion {
+		n.olderNodes[name] = true
+	}
+	n.setWithoutLoans(name, r.Version < protocol.LoansVersion)
+	if r.Version < protocol.PackedVersion {
+		n.nodesWithoutEntries[name] = true
+	}
+	if r.RequiresRecords {
+		n.packed.plainNodes[name] = true
+	}
+	n.applyNodeRecord(name, r.Lease)
+}
+
 // resync reads the keys whose conditions failed and applies them, so that the next attempt is
 // decided on what is stored. It then calls done on the actor.
 func (n *Node) resync(keys []string, done func([]storage.Item, error)) {
