Index: machines keep their order; the forecast skips empty lists

With pools a machine that exhausts a resource moves between trees, and comparisons computed the order of both machines each time.

--- a/internal/coordination/decide/index.go
+++ b/internal/coordination/decide/index.go
@@ -62,7 +62,7 @@
 	if m.group != nil && stays && open {
 		sameImages = slices.Equal(m.Images, facts.Images)
 		pool := &x.partitions[m.Partition].pools[exhausted]
-		if g := m.group; g.pool == pool && g.offer == facts.offer() && g.secPerGB == facts.SecPerGB && m.packingOrder() == facts.packingOrder() {
+		if g := m.group; g.pool == pool && g.offer == facts.offer() && g.secPerGB == facts.SecPerGB && m.order == facts.packingOrder() {
 			sameGroup = g
 		}
 	}
@@ -79,7 +79,7 @@
 	}
 	id := m.id
 	*m = *facts
-	m.id, m.listed, m.group = id, stays, sameGroup
+	m.id, m.listed, m.group, m.order = id, stays, sameGroup, m.packingOrder()
 	x.countAssignments(m, 1)
 	if !listed {
 		return
--- a/internal/coordination/decide/model.go
+++ b/internal/coordination/decide/model.go
@@ -64,6 +64,7 @@
 	lowestPriority int           // highest rank, which is the lowest priority, of a task that can be preempted; -1: none
 	cpuOnlyTasks   int           // on a machine with GPUs: number of assigned tasks that need none
 	listed         bool          // in its partition's list
+	order          float64       // its packingOrder
 	group          *machineGroup // nil: no free capacity, or blocked
 	id             uint32
 }
--- a/internal/coordination/decide/place.go
+++ b/internal/coordination/decide/place.go
@@ -243,7 +243,7 @@
 			for it := cached.Iterator(); it.HasNext(); {
 				m := v.Index.byID[it.Next()]
 				if slices.Contains(groups, m.group) {
-					cachedCandidates = append(cachedCandidates, candidate{m: m, order: orderOffset(m.group) + m.packingOrder()})
+					cachedCandidates = append(cachedCandidates, candidate{m: m, order: orderOffset(m.group) + m.order})
 				}
 			}
 			slices.SortFunc(cachedCandidates, byCost)
--- a/internal/coordination/decide/pool.go
+++ b/internal/coordination/decide/pool.go
@@ -54,7 +54,7 @@
 
 // fullestFirst orders machines by packingOrder, and equal ones by name.
 func fullestFirst(a, b *Machine) bool {
-	return cmp.Or(cmp.Compare(a.packingOrder(), b.packingOrder()), cmp.Compare(a.Name, b.Name)) < 0
+	return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.Name, b.Name)) < 0
 }
 
 // insert enters a machine into its group, which is created if there is none.
@@ -172,7 +172,7 @@
 			if m == nil {
 				continue
 			}
-			o := cursor.orderOffset + m.packingOrder()
+			o := cursor.orderOffset + m.order
 			if best == nil || o < bestOrder || o == bestOrder && m.Name < bestMachine.Name {
 				best, bestMachine, bestOrder = cursor, m, o
 			}
--- a/internal/coordination/decide/rent.go
+++ b/internal/coordination/decide/rent.go
@@ -290,6 +290,9 @@
 // One pass is therefore enough, and a job with the same key continues where the last one stopped.
 func (f *forecast) fillFrom(exhausted resourceSet, j *Job, fill func(b *Bin) (more bool)) {
 	list := &f.openBins[exhausted]
+	if len(list.bins) == 0 {
+		return
+	}
 	key := placementKeyOf(j)
 	next, misplaced := 0, 0
 	if !j.zoneConstrained() && !j.Excluded {
